--- /dev/null
+++ b/internal/protocol/platform/platform.go
@@ -0,0 +1,118 @@
+// Package platform states the narrow interface to the platform's object API:
+// versioned objects with conditional updates, watches and status. The interface
+// is met by the HTTP adapter in transport and by fakes in tests; another
+// platform needs one more adapter.
+package platform
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+)
+
+// MaxValueBytes is the largest value that the platform stores.
+const MaxValueBytes = 1 << 20
+
+// Kind names a collection of objects.
+type Kind string
+
+// Kinds used by hickorydock.
+const (
+	// KindCatalogue holds the services in force, in the object CatalogueName.
+	KindCatalogue Kind = "catalogue"
+	// KindVM is the platform's own lagging list of VMs; read only.
+	KindVM Kind = "vm"
+	// KindClaim holds one object for each claimed command.
+	KindClaim Kind = "claim"
+	// KindNode holds one object for each node, with its status.
+	KindNode Kind = "node"
+)
+
+// CatalogueName is the name of the single object of KindCatalogue.
+const CatalogueName = "current"
+
+// Object is one stored value.
+type Object struct {
+	Kind Kind   `json:"kind"`
+	Name string `json:"name"`
+	// Version increases with every change of any object; 0 means not stored.
+	Version uint64          `json:"version"`
+	Value   json.RawMessage `json:"value"`
+}
+
+// Listing is a consistent list of a kind's objects.
+type Listing struct {
+	Objects []Object `json:"objects"`
+	// Version is the store's version at the time of the list; a watch may start here.
+	Version uint64 `json:"version"`
+}
+
+// Event is one change seen by a watch.
+type Event struct {
+	// Deleted is true when the object was removed; Object then holds its last value.
+	Deleted bool   `json:"deleted,omitempty"`
+	Object  Object `json:"object"`
+}
+
+// Client is the platform's object API. Implementations are safe for concurrent
+// use. Every method returns one of the errors of this package, wrapped, or a
+// context error; ErrLost means that a write may have taken effect.
+type Client interface {
+	// Get returns an object, or ErrNotFound.
+	Get(ctx context.Context, kind Kind, name string) (Object, error)
+	// List returns all objects of a kind.
+	List(ctx context.Context, kind Kind) (Listing, error)
+	// Create stores a new object, or fails with ErrExists.
+	Create(ctx context.Context, kind Kind, name string, value json.RawMessage) (Object, error)
+	// Update replaces an object whose stored version is object.Version, or fails
+	// with ErrConflict or ErrNotFound.
+	Update(ctx context.Context, object Object) (Object, error)
+	// Delete removes an object whose stored version is version, or fails with
+	// ErrConflict or ErrNotFound.
+	Delete(ctx context.Context, kind Kind, name string, version uint64) error
+	// Watch calls each for every change of a kind after version from, in order,
+	// until ctx ends, each fails or the stream breaks. It fails with ErrTooOld
+	// when the platform no longer keeps changes since from.
+	Watch(ctx context.Context, kind Kind, from uint64, each func(Event) error) error
+	// PutStatus stores an object unconditionally; it is meant for status reports
+	// with one writer.
+	PutStatus(ctx context.Context, kind Kind, name string, value json.RawMessage) error
+}
+
+// Errors of the object API.
+var (
+	ErrNotFound    = errors.New("object not found")
+	ErrExists      = errors.New("object exists")
+	ErrConflict    = errors.New("object version conflict")
+	ErrTooOld      = errors.New("watch version too old")
+	ErrTooLarge    = errors.New("value larger than 1 MiB")
+	ErrThrottled   = errors.New("platform call rate exceeded")
+	ErrUnavailable = errors.New("platform unavailable")
+	// ErrLost means that the request was sent and that no reply arrived.
+	ErrLost = errors.New("platform reply lost")
+)
+
+// VMState is the state of a VM in the platform's list.
+type VMState string
+
+// States of a VM.
+const (
+	VMLive    VMState = "live"
+	VMLeaving VMState = "leaving"
+)
+
+// VM is the value of an object of KindVM.
+type VM struct {
+	ID string `json:"id"`
+	// Group is the upstream group, or NodeGroup for hickorydock's own VMs.
+	Group   string `json:"group"`
+	Address string `json:"address"` // host:port
+	// PeerAddress is host:port for traffic between nodes; empty for upstreams.
+	PeerAddress      string  `json:"peer_address,omitempty"`
+	AvailabilityZone string  `json:"availability_zone"`
+	Rack             string  `json:"rack,omitempty"`
+	State            VMState `json:"state"`
+}
+
+// NodeGroup is the group of hickorydock's own VMs.
+const NodeGroup = "hickorydock"
