Add the platform stand-in, its HTTP adapter and the protocol page

Cause: nodes and operators need the object API before anything else runs. Change: an in-memory versioned store with faults set at run time, the HTTP adapter, an in-process client for tests under virtual time, docs/PLATFORM.md. Check: one contract table runs against both clients. It found a watch that missed an outage set at the same instant as a heartbeat; the watch now reads the faults on every turn.

--- /dev/null
+++ b/internal/standin/platform/platform.go
@@ -0,0 +1,163 @@
+// Package platform is a stand-in for the platform's object API: an in-memory
+// store of versioned objects that speaks the HTTP protocol of docs/PLATFORM.md,
+// with faults that are set at run time. It keeps nothing across restarts.
+package platform
+
+import (
+	"context"
+	"encoding/json"
+	"maps"
+	"math/rand/v2"
+	"net/http"
+	"sync"
+	"time"
+
+	"golang.org/x/time/rate"
+
+	"github.com/hickorydock/hickorydock/internal/protocol/platform"
+)
+
+// DefaultChangeLog is the number of changes kept for each kind.
+const DefaultChangeLog = 1000
+
+// WatchHeartbeat is the time after which a silent watch sends an empty line.
+const WatchHeartbeat = 5 * time.Second
+
+// Method names an operation of the object API.
+type Method string
+
+// Methods of the object API.
+const (
+	MethodGet       Method = "get"
+	MethodList      Method = "list"
+	MethodWatch     Method = "watch"
+	MethodCreate    Method = "create"
+	MethodUpdate    Method = "update"
+	MethodDelete    Method = "delete"
+	MethodPutStatus Method = "put_status"
+)
+
+// Call is the cause by which calls are counted.
+type Call struct {
+	Method Method
+	Kind   platform.Kind
+}
+
+func (c Call) isWrite() bool {
+	switch c.Method {
+	case MethodGet, MethodList, MethodWatch:
+		return false
+	}
+	return true
+}
+
+// Options configure a Platform.
+type Options struct {
+	// Seed drives the random faults.
+	Seed uint64
+	// ChangeLog is the number of changes kept for each kind; 0 means DefaultChangeLog.
+	ChangeLog int
+	// Faults are in force from the start.
+	Faults Faults
+}
+
+// Platform is the stand-in. It is safe for concurrent use.
+type Platform struct {
+	store *store
+	mux   *http.ServeMux
+
+	mu            sync.Mutex
+	random        *rand.Rand
+	faults        Faults
+	faultsChanged chan struct{}
+	writes, reads *rate.Limiter // nil when not bounded
+	calls         map[Call]uint64
+}
+
+// New returns an empty store.
+func New(options Options) *Platform {
+	if options.ChangeLog == 0 {
+		options.ChangeLog = DefaultChangeLog
+	}
+	p := &Platform{
+		store:         newStore(options.ChangeLog),
+		random:        rand.New(rand.NewPCG(options.Seed, options.Seed)),
+		faultsChanged: make(chan struct{}),
+		calls:         make(map[Call]uint64),
+	}
+	p.mux = p.routes()
+	p.SetFaults(options.Faults)
+	return p
+}
+
+// Set stores an object without counting a call and without faults.
+func (p *Platform) Set(kind platform.Kind, name string, value any) error {
+	text, err := json.Marshal(value)
+	if err != nil {
+		return err
+	}
+	_, err = p.store.set(kind, name, text)
+	return err
+}
+
+// Remove deletes an object without counting a call and without faults.
+func (p *Platform) Remove(kind platform.Kind, name string) error {
+	object, err := p.store.get(kind, name)
+	if err != nil {
+		return err
+	}
+	return p.store.remove(kind, name, object.Version)
+}
+
+// Calls returns how often each operation was called, refused calls included.
+func (p *Platform) Calls() map[Call]uint64 {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return maps.Clone(p.calls)
+}
+
+// watch delivers changes until ctx ends, an outage refuses the watch or a
+// callback fails. idle is called once the watch is open and then every
+// WatchHeartbeat.
+func (p *Platform) watch(ctx context.Context, kind platform.Kind, from uint64, each func(platform.Event) error, idle func() error) error {
+	if err := p.enter(ctx, Call{MethodWatch, kind}); err != nil {
+		return err
+	}
+	if _, _, err := p.store.since(kind, from); err != nil {
+		return err
+	}
+	if err := idle(); err != nil {
+		return err
+	}
+	heartbeat := time.NewTicker(WatchHeartbeat)
+	defer heartbeat.Stop()
+	for {
+		faults, faultsChanged := p.faultsAndChange()
+		changes, wake, err := p.store.since(kind, from)
+		if err != nil {
+			return err
+		}
+		if len(changes) > 0 || faults.Outage != OutageNone {
+			if err := p.await(ctx); err != nil {
+				return err
+			}
+		}
+		for _, c := range changes {
+			if err := each(c.event); err != nil {
+				return err
+			}
+			from = c.version
+		}
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-wake:
+		case <-faultsChanged:
+		case <-heartbeat.C:
+			err = idle()
+		}
+		if err != nil {
+			return err
+		}
+	}
+}
