--- /dev/null
+++ b/internal/coordination/gather/gather.go
@@ -0,0 +1,225 @@
+// Package gather collects the replies of one query. A Query accepts replies of
+// its current attempt only, so an answer never mixes snapshots. It takes
+// events with their time, does no input or output and is used by one goroutine.
+package gather
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/hickorydock/hickorydock/internal/protocol/note"
+	"github.com/hickorydock/hickorydock/internal/protocol/query"
+	"github.com/hickorydock/hickorydock/internal/state/shardmap"
+)
+
+// maxAttempts bounds how often a query restarts in another snapshot.
+const maxAttempts = 4
+
+// Config fixes the conditions of one query.
+type Config struct {
+	Policy note.Policy
+	// MinCoverage is the lowest share of shards for an answer that is not failed.
+	MinCoverage float64
+	// Deadline is when the answer has to leave.
+	Deadline time.Time
+	// RestartReserve is the time that must be left for a restart to be worth it.
+	RestartReserve time.Duration
+}
+
+// slot is the state of one shard in the current attempt.
+type slot struct {
+	answered bool
+	failed   bool
+	reason   query.Reason
+	items    []query.Item
+}
+
+// Query is the state of one query.
+type Query struct {
+	cfg      Config
+	view     *shardmap.SnapshotView
+	attempt  int
+	slots    []slot
+	pending  int
+	sent     int
+	excluded []query.Snapshot
+}
+
+// New returns a query that reads the snapshot of view in attempt 1.
+func New(cfg Config, view *shardmap.SnapshotView) *Query {
+	q := &Query{cfg: cfg}
+	q.begin(view)
+	return q
+}
+
+func (q *Query) begin(view *shardmap.SnapshotView) {
+	if q.pending > 0 {
+		// The end of the abandoned subrequests is not awaited, so they may have run.
+		q.sent += q.pending
+	}
+	q.view = view
+	q.attempt++
+	q.slots = make([]slot, view.ShardCount())
+	q.pending = 0
+	for shard, replicas := range view.Replicas {
+		if len(replicas) == 0 {
+			q.slots[shard] = slot{failed: true, reason: query.ReasonNoReplica}
+			continue
+		}
+		q.pending++
+	}
+}
+
+// View is the snapshot that the current attempt reads.
+func (q *Query) View() *shardmap.SnapshotView { return q.view }
+
+// Attempt is the number of the current attempt, from 1.
+func (q *Query) Attempt() int { return q.attempt }
+
+// Excluded lists the snapshots that a restart must not choose.
+func (q *Query) Excluded() []query.Snapshot { return q.excluded }
+
+// Sent counts a subrequest of which a byte may have reached an upstream.
+func (q *Query) Sent() { q.sent++ }
+
+// Progress says whether the query goes on after an event.
+type Progress int
+
+// Progress of a query.
+const (
+	// Collecting means that replies are outstanding.
+	Collecting Progress = iota
+	// Complete means that no reply is outstanding.
+	Complete
+	// SnapshotLost means that the snapshot was withdrawn; Restart may follow.
+	SnapshotLost
+)
+
+// Reply records a shard's items. Replies of older attempts are dropped.
+func (q *Query) Reply(attempt, shard int, snapshot query.Snapshot, items []query.Item) (Progress, error) {
+	if attempt != q.attempt {
+		return q.Progress(), nil
+	}
+	if snapshot != q.view.Snapshot {
+		return q.Progress(), fmt.Errorf("reply of shard %d has snapshot %s, want %s", shard, snapshot, q.view.Snapshot)
+	}
+	s, err := q.open(shard)
+	if err != nil {
+		return q.Progress(), err
+	}
+	s.answered = true
+	s.items = items
+	q.pending--
+	return q.Progress(), nil
+}
+
+// Fail records that a shard has no reply in this attempt.
+func (q *Query) Fail(now time.Time, attempt, shard int, reason query.Reason) (Progress, error) {
+	if attempt != q.attempt {
+		return q.Progress(), nil
+	}
+	s, err := q.open(shard)
+	if err != nil {
+		return q.Progress(), err
+	}
+	s.failed = true
+	s.reason = reason
+	q.pending--
+	if reason == query.ReasonSnapshotGone && q.mayRestart(now) {
+		return SnapshotLost, nil
+	}
+	return q.Progress(), nil
+}
+
+// open returns the slot of a shard that has no reply yet.
+func (q *Query) open(shard int) (*slot, error) {
+	if shard < 0 || shard >= len(q.slots) {
+		return nil, fmt.Errorf("reply of shard %d, but the snapshot has %d shards", shard, len(q.slots))
+	}
+	s := &q.slots[shard]
+	if s.answered || s.failed {
+		return nil, fmt.Errorf("second reply of shard %d in attempt %d", shard, q.attempt)
+	}
+	return s, nil
+}
+
+// Progress says whether replies are outstanding.
+func (q *Query) Progress() Progress {
+	if q.pending > 0 {
+		return Collecting
+	}
+	return Complete
+}
+
+func (q *Query) mayRestart(now time.Time) bool {
+	return q.attempt < maxAttempts && now.Add(q.cfg.RestartReserve).Before(q.cfg.Deadline)
+}
+
+// expectedShare is the share of shards that the current attempt can still cover.
+func (q *Query) expectedShare() float64 {
+	failed := 0
+	for i := range q.slots {
+		if q.slots[i].failed {
+			failed++
+		}
+	}
+	return 1 - float64(failed)/float64(len(q.slots))
+}
+
+// Restart begins another attempt in the snapshot of next and reports whether it
+// did; it declines when next promises no better coverage than the current attempt.
+func (q *Query) Restart(next *shardmap.SnapshotView) bool {
+	if next == nil || next.Snapshot == q.view.Snapshot {
+		return false
+	}
+	share := float64(next.Covered) / float64(next.ShardCount())
+	if share <= q.expectedShare() {
+		return false
+	}
+	q.excluded = append(q.excluded, q.view.Snapshot)
+	q.begin(next)
+	return true
+}
+
+// Replies returns the items of each answered shard, in shard order.
+func (q *Query) Replies() [][]query.Item {
+	replies := make([][]query.Item, 0, len(q.slots))
+	for i := range q.slots {
+		if q.slots[i].answered {
+			replies = append(replies, q.slots[i].items)
+		}
+	}
+	return replies
+}
+
+// Coverage states which shards of the current snapshot are covered. Shards
+// without a reply count as late.
+func (q *Query) Coverage() query.Coverage {
+	c := query.Coverage{Total: len(q.slots)}
+	for shard := range q.slots {
+		s := &q.slots[shard]
+		switch {
+		case s.answered:
+			c.Covered++
+		case s.failed:
+			c.Missing = append(c.Missing, query.Missing{Shard: shard, Reason: s.reason})
+		default:
+			c.Missing = append(c.Missing, query.Missing{Shard: shard, Reason: query.ReasonDeadline})
+		}
+	}
+	return c
+}
+
+// Outcome is the outcome of an answer with coverage c.
+func (q *Query) Outcome(c query.Coverage) query.Outcome {
+	switch {
+	case c.Covered == c.Total:
+		return query.Done
+	case c.Covered == 0 && q.sent == 0 && q.pending == 0:
+		return query.NotRun
+	case c.Covered == 0 || c.Share() < q.cfg.MinCoverage:
+		return query.Failed
+	default:
+		return query.Partial
+	}
+}
--- /dev/null
+++ b/internal/coordination/replica/replica.go
@@ -0,0 +1,95 @@
+// Package replica chooses the leaf that runs a subrequest.
+package replica
+
+import (
+	"time"
+
+	"github.com/hickorydock/hickorydock/internal/state/leaf"
+	"github.com/hickorydock/hickorydock/internal/state/shardmap"
+)
+
+// None is returned when no replica may be used.
+const None = -1
+
+const (
+	// untestedLatency is assumed for a leaf without a reply.
+	untestedLatency = time.Millisecond
+	// crossingFactor is how much worse a leaf of the own availability zone must
+	// be before another availability zone is preferred.
+	crossingFactor = 1.25
+	// failurePenalty multiplies the cost for each failure since the last success.
+	failurePenalty = 4
+	// maxPenalizedFailures bounds the growth of the penalty.
+	maxPenalizedFailures = 6
+)
+
+// Set is a set of replica indexes below 64.
+type Set uint64
+
+// Has reports whether i is in the set.
+func (s Set) Has(i int) bool { return i < 64 && s&(1<<i) != 0 }
+
+// With returns the set with i added.
+func (s Set) With(i int) Set { return s | 1<<i }
+
+// Choose compares two random replicas outside tried and returns the index of
+// the cheaper one, or None. random supplies the randomness.
+func Choose(replicas []shardmap.Replica, tried Set, availabilityZone string, random uint64) int {
+	first := pick(replicas, tried, uint32(random))
+	if first == None {
+		return None
+	}
+	second := pick(replicas, tried.With(first), uint32(random>>32))
+	if second == None {
+		return first
+	}
+	if Cost(replicas[second], availabilityZone) < Cost(replicas[first], availabilityZone) {
+		return second
+	}
+	return first
+}
+
+// pick returns a random usable index. Draining leafs are used only when no
+// other is left.
+func pick(replicas []shardmap.Replica, tried Set, random uint32) int {
+	if i := pickWhere(replicas, tried, random, false); i != None {
+		return i
+	}
+	return pickWhere(replicas, tried, random, true)
+}
+
+func pickWhere(replicas []shardmap.Replica, tried Set, random uint32, draining bool) int {
+	n := min(len(replicas), 64)
+	if n == 0 {
+		return None
+	}
+	start := int(random % uint32(n))
+	for k := range n {
+		i := (start + k) % n
+		if !tried.Has(i) && (draining || !replicas[i].Record.Stats().Draining) {
+			return i
+		}
+	}
+	return None
+}
+
+// Cost estimates how long a subrequest would wait on a replica, in nanoseconds.
+func Cost(r shardmap.Replica, availabilityZone string) float64 {
+	cost := statsCost(r.Record.Stats())
+	if r.VM.AvailabilityZone != availabilityZone {
+		cost *= crossingFactor
+	}
+	return cost
+}
+
+func statsCost(s leaf.Stats) float64 {
+	latency := s.Latency
+	if latency == 0 {
+		latency = untestedLatency
+	}
+	cost := float64(latency) * float64(s.InFlight+1)
+	for range min(s.Failures, maxPenalizedFailures) {
+		cost *= failurePenalty
+	}
+	return cost
+}
--- /dev/null
+++ b/internal/state/leaf/leaf.go
@@ -0,0 +1,147 @@
+// Package leaf keeps what one node has measured about each leaf: work in
+// flight, latency and consecutive failures. Records are found through a sharded
+// table; each record has its own lock, held for a few field accesses.
+package leaf
+
+import (
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// tableShards is the number of locks of a Table; a power of two.
+const tableShards = 32
+
+// latencyWeight is the weight of a new sample in the moving average of latency.
+const latencyWeight = 0.1
+
+// Stats is a copy of a record's fields.
+type Stats struct {
+	// InFlight counts subrequests sent and not yet answered.
+	InFlight int
+	// Latency is the moving average of answered subrequests; 0 before the first.
+	Latency time.Duration
+	// Failures counts failed subrequests since the last success.
+	Failures int
+	// LastReply is the time of the last reply; zero before the first.
+	LastReply time.Time
+	// Draining is true when a reply said that the leaf is leaving.
+	Draining bool
+}
+
+// Result says how a subrequest on a leaf ended.
+type Result int
+
+// Results of a subrequest.
+const (
+	// Answered means that a usable reply arrived.
+	Answered Result = iota
+	// Shed means that the leaf declared that it did not run the subrequest.
+	Shed
+	// Broken means that the connection failed or that the reply was unusable.
+	Broken
+	// Cancelled means that the tier gave the subrequest up.
+	Cancelled
+)
+
+// Record holds the measurements of one leaf. It is safe for concurrent use.
+type Record struct {
+	mu    sync.Mutex
+	stats Stats
+}
+
+// Stats returns a copy of the measurements.
+func (r *Record) Stats() Stats {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.stats
+}
+
+// Begin counts a subrequest that is about to be sent.
+func (r *Record) Begin() {
+	r.mu.Lock()
+	r.stats.InFlight++
+	r.mu.Unlock()
+}
+
+// End counts the end of a subrequest that began and took elapsed. A cancelled
+// subrequest raises the average when it had already taken longer than it.
+func (r *Record) End(now time.Time, elapsed time.Duration, result Result) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.stats.InFlight--
+	switch result {
+	case Answered:
+		r.stats.Failures = 0
+		r.stats.LastReply = now
+		r.observe(elapsed)
+	case Shed:
+		r.stats.LastReply = now
+	case Broken:
+		r.stats.Failures++
+	case Cancelled:
+		if elapsed > r.stats.Latency {
+			r.observe(elapsed)
+		}
+	}
+}
+
+func (r *Record) observe(elapsed time.Duration) {
+	if r.stats.Latency == 0 {
+		r.stats.Latency = elapsed
+		return
+	}
+	r.stats.Latency += time.Duration(latencyWeight * float64(elapsed-r.stats.Latency))
+}
+
+// SetDraining records whether the leaf said that it is leaving.
+func (r *Record) SetDraining(draining bool) {
+	r.mu.Lock()
+	r.stats.Draining = draining
+	r.mu.Unlock()
+}
+
+// Table finds records by leaf identifier. It is safe for concurrent use.
+type Table struct {
+	shards [tableShards]tableShard
+}
+
+type tableShard struct {
+	mu      sync.Mutex
+	records map[string]*Record
+}
+
+// NewTable returns an empty table.
+func NewTable() *Table {
+	t := &Table{}
+	for i := range t.shards {
+		t.shards[i].records = make(map[string]*Record)
+	}
+	return t
+}
+
+func (t *Table) shard(id string) *tableShard {
+	return &t.shards[xxhash.Sum64String(id)%tableShards]
+}
+
+// Record returns the record of a leaf and makes it when it is new.
+func (t *Table) Record(id string) *Record {
+	s := t.shard(id)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	r, ok := s.records[id]
+	if !ok {
+		r = &Record{}
+		s.records[id] = r
+	}
+	return r
+}
+
+// Forget drops the record of a leaf that is gone.
+func (t *Table) Forget(id string) {
+	s := t.shard(id)
+	s.mu.Lock()
+	delete(s.records, id)
+	s.mu.Unlock()
+}
--- /dev/null
+++ b/internal/transport/discovery/discovery.go
@@ -0,0 +1,119 @@
+// Package discovery fetches the manifests of the leafs in the platform's VM
+// list and keeps the shard map current. One goroutine polls each leaf at a
+// jittered interval; a leaf that stops answering keeps its last manifest until
+// the platform's list drops it, since replies outrank manifests.
+package discovery
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/hickorydock/hickorydock/internal/protocol/platform"
+	contract "github.com/hickorydock/hickorydock/internal/protocol/upstream"
+	"github.com/hickorydock/hickorydock/internal/state/leaf"
+	"github.com/hickorydock/hickorydock/internal/state/shardmap"
+)
+
+// Source fetches a leaf's manifest; it is met by upstream.Client.
+type Source interface {
+	Manifest(ctx context.Context, vm platform.VM) (contract.Manifest, error)
+}
+
+// Discovery polls leafs. Its methods are safe for concurrent use.
+type Discovery struct {
+	source   Source
+	store    *shardmap.Store
+	table    *leaf.Table
+	interval time.Duration
+
+	mu      sync.Mutex
+	base    context.Context
+	polled  map[string]poll // by VM identifier
+	running sync.WaitGroup
+}
+
+type poll struct {
+	vm     platform.VM
+	cancel context.CancelFunc
+}
+
+// New returns a discovery that polls each leaf every interval, give or take a half.
+func New(source Source, store *shardmap.Store, table *leaf.Table, interval time.Duration) *Discovery {
+	ctx := context.Background()
+	return &Discovery{source: source, store: store, table: table, interval: interval, base: ctx, polled: make(map[string]poll)}
+}
+
+// SetVMs takes over the platform's list of VMs. Polls of new leafs start, polls
+// of leafs that are gone or moved to another address end.
+func (d *Discovery) SetVMs(vms []platform.VM) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	listed := make(map[string]bool, len(vms))
+	for _, vm := range vms {
+		if vm.Group == platform.NodeGroup {
+			continue
+		}
+		listed[vm.ID] = true
+		d.follow(vm)
+	}
+	for id, p := range d.polled {
+		if listed[id] {
+			continue
+		}
+		p.cancel()
+		delete(d.polled, id)
+		d.store.Remove(p.vm.Group, id)
+	}
+}
+
+func (d *Discovery) follow(vm platform.VM) {
+	old, ok := d.polled[vm.ID]
+	if ok && old.vm == vm {
+		return
+	}
+	if ok {
+		old.cancel()
+	}
+	if ok && old.vm.Address != vm.Address {
+		d.store.Remove(old.vm.Group, vm.ID)
+	}
+	d.table.Record(vm.ID).SetDraining(vm.State == platform.VMLeaving)
+	ctx, cancel := context.WithCancel(d.base)
+	d.polled[vm.ID] = poll{vm, cancel}
+	d.running.Add(1)
+	go d.poll(ctx, vm)
+}
+
+// poll fetches the manifest of one leaf until ctx ends.
+func (d *Discovery) poll(ctx context.Context, vm platform.VM) {
+	defer d.running.Done()
+	for {
+		d.fetch(ctx, vm)
+		jitter := 0.5 + rand.Float64()
+		timer := time.NewTimer(time.Duration(jitter * float64(d.interval)))
+		select {
+		case <-ctx.Done():
+			timer.Stop()
+			return
+		case <-timer.C:
+		}
+	}
+}
+
+func (d *Discovery) fetch(ctx context.Context, vm platform.VM) {
+	manifest, err := d.source.Manifest(ctx, vm)
+	if err != nil || ctx.Err() != nil {
+		return
+	}
+	d.store.SetManifest(vm, manifest, time.Now())
+	leaving := manifest.Draining || vm.State == platform.VMLeaving
+	d.table.Record(vm.ID).SetDraining(leaving)
+}
+
+// Close ends all polls and waits for them.
+func (d *Discovery) Close() {
+	d.SetVMs(nil)
+	d.running.Wait()
+}
--- /dev/null
+++ b/internal/transport/relay/relay.go
@@ -0,0 +1,295 @@
+// Package relay runs subrequests: it drives the subrequest machine against the
+// upstream client, with one goroutine an attempt, and keeps the measurements
+// that the machine's decisions rest on.
+package relay
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/hickorydock/hickorydock/internal/coordination/budget"
+	"github.com/hickorydock/hickorydock/internal/coordination/latency"
+	"github.com/hickorydock/hickorydock/internal/coordination/subrequest"
+	"github.com/hickorydock/hickorydock/internal/protocol/note"
+	"github.com/hickorydock/hickorydock/internal/protocol/query"
+	contract "github.com/hickorydock/hickorydock/internal/protocol/upstream"
+	"github.com/hickorydock/hickorydock/internal/state/leaf"
+	"github.com/hickorydock/hickorydock/internal/state/shardmap"
+	"github.com/hickorydock/hickorydock/internal/transport/upstream"
+)
+
+const (
+	// attemptsPerRestart separates attempt numbers of one query attempt from the next.
+	attemptsPerRestart = 100
+	// hedgeBudgetUse is the share of the hedge share that late subrequests may
+	// claim; the rest is left for retries.
+	hedgeBudgetUse = 0.8
+	// hedgeFloor is the shortest wait before a hedge.
+	hedgeFloor = 500 * time.Microsecond
+)
+
+// Observer receives counts of what the relay does; it is met by the metrics.
+type Observer interface {
+	// Subrequest counts an attempt by kind.
+	Subrequest(service string, kind subrequest.Kind)
+}
+
+// Relay runs subrequests of all services. It is safe for concurrent use.
+type Relay struct {
+	client   *upstream.Client
+	store    *shardmap.Store
+	zone     string
+	observer Observer
+	services sync.Map // service name -> *serviceState
+}
+
+// New returns a relay in an availability zone; observer may be nil.
+func New(client *upstream.Client, store *shardmap.Store, availabilityZone string, observer Observer) *Relay {
+	return &Relay{client: client, store: store, zone: availabilityZone, observer: observer}
+}
+
+// serviceState is what the relay learned about one service.
+type serviceState struct {
+	extra  *budget.Budget
+	window *latency.Window
+	share  float64
+	mu     sync.Mutex
+}
+
+func hedgeQuantile(share float64) float64 { return 1 - share*hedgeBudgetUse }
+
+func (r *Relay) state(service *note.Service) *serviceState {
+	s, ok := r.services.Load(service.Name)
+	if !ok {
+		fresh := &serviceState{
+			extra:  budget.New(service.HedgeShare),
+			window: latency.NewWindow(hedgeQuantile(service.HedgeShare)),
+			share:  service.HedgeShare,
+		}
+		s, _ = r.services.LoadOrStore(service.Name, fresh)
+	}
+	state := s.(*serviceState)
+	state.adopt(service.HedgeShare)
+	return state
+}
+
+// adopt takes over a hedge share that a release note changed.
+func (s *serviceState) adopt(share float64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.share == share {
+		return
+	}
+	s.share = share
+	s.extra.SetShare(share)
+	s.window.SetQuantile(hedgeQuantile(share))
+}
+
+// Task is one subrequest.
+type Task struct {
+	Service   *note.Service
+	RequestID string
+	// Restart is the number of the query's attempt, from 1.
+	Restart  int
+	Shard    int
+	Snapshot query.Snapshot
+	Replicas []shardmap.Replica
+	Deadline time.Time
+	// Body is the encoded RunRequest, shared by all shards.
+	Body []byte
+}
+
+// Result is the end of a subrequest.
+type Result struct {
+	Shard    int
+	Restart  int
+	Snapshot query.Snapshot
+	// OK is true when Items is the shard's verified reply.
+	OK     bool
+	Items  []query.Item
+	Reason query.Reason
+	// Sent is true when a byte of the subrequest may have reached a leaf that
+	// did not declare that it ran nothing.
+	Sent bool
+	Err  error
+}
+
+// ended is the end of one attempt.
+type ended struct {
+	index int
+	reply upstream.Reply
+}
+
+// run is the state of one subrequest in progress.
+type run struct {
+	relay   *Relay
+	state   *serviceState
+	task    Task
+	machine subrequest.Machine
+	ctx     context.Context
+	results chan ended
+	count   int
+	sent    bool
+}
+
+// maxReplicas bounds the attempts of one subrequest and so the channel that
+// their goroutines report to without blocking.
+const maxReplicas = 64
+
+// Run asks the replicas of one shard until one answers, the deadline passes or
+// ctx ends. Attempts still pending at its return are cancelled.
+func (r *Relay) Run(ctx context.Context, task Task) Result {
+	ctx, cancel := context.WithDeadline(ctx, task.Deadline)
+	defer cancel()
+	state := r.state(task.Service)
+	state.extra.Earn(1)
+	cfg := subrequest.Config{
+		Replicas:         task.Replicas,
+		AvailabilityZone: r.zone,
+		Deadline:         task.Deadline,
+		HedgeDelay:       state.hedgeDelay(),
+		Random:           rand.Uint64,
+	}
+	u := &run{
+		relay:   r,
+		state:   state,
+		task:    task,
+		machine: subrequest.New(cfg, state.extra),
+		ctx:     ctx,
+		results: make(chan ended, min(len(task.Replicas), maxReplicas)),
+	}
+	return u.loop()
+}
+
+// hedgeDelay is the learned wait before a hedge, or 0 before enough is known.
+func (s *serviceState) hedgeDelay() time.Duration {
+	delay := s.window.Quantile()
+	if delay == 0 {
+		return 0
+	}
+	return max(delay, hedgeFloor)
+}
+
+func (u *run) loop() Result {
+	now := time.Now()
+	first, ok := u.machine.Start(now)
+	if !ok {
+		return u.failed(query.ReasonDeadline, nil)
+	}
+	u.send(first)
+	var hedge <-chan time.Time
+	if at, ok := u.machine.HedgeAt(now); ok {
+		timer := time.NewTimer(at.Sub(now))
+		defer timer.Stop()
+		hedge = timer.C
+	}
+	for {
+		select {
+		case <-u.ctx.Done():
+			return u.failed(query.ReasonDeadline, u.ctx.Err())
+		case <-hedge:
+			hedge = nil
+			if attempt, ok := u.machine.HedgeDue(time.Now()); ok {
+				u.send(attempt)
+			}
+		case e := <-u.results:
+			if result, over := u.settle(e); over {
+				return result
+			}
+		}
+	}
+}
+
+// settle hands the end of an attempt to the machine.
+func (u *run) settle(e ended) (Result, bool) {
+	if e.reply.Sent && e.reply.Result != subrequest.NotRun {
+		u.sent = true
+	}
+	decision, next := u.machine.Ended(time.Now(), e.reply.Result)
+	switch decision {
+	case subrequest.Deliver:
+		return u.result(Result{OK: true, Items: e.reply.Items, Sent: true}), true
+	case subrequest.GiveUp:
+		return u.failed(u.machine.Reason(), e.reply.Err), true
+	case subrequest.Send:
+		u.send(next)
+	case subrequest.Wait:
+	}
+	return Result{}, false
+}
+
+func (u *run) failed(reason query.Reason, err error) Result {
+	sent := u.sent || u.count > 0 && reason == query.ReasonDeadline
+	return u.result(Result{Reason: reason, Sent: sent, Err: err})
+}
+
+// result names the subrequest that r ends.
+func (u *run) result(r Result) Result {
+	r.Shard = u.task.Shard
+	r.Restart = u.task.Restart
+	r.Snapshot = u.task.Snapshot
+	return r
+}
+
+// send starts an attempt. Its goroutine ends at the latest with the run's context.
+func (u *run) send(attempt subrequest.Attempt) {
+	target := u.task.Replicas[attempt.Replica]
+	sub := contract.Subrequest{
+		RequestID: u.task.RequestID,
+		Attempt:   u.task.Restart*attemptsPerRestart + u.count,
+		Service:   u.task.Service.Name,
+		Shard:     u.task.Shard,
+		Snapshot:  u.task.Snapshot,
+		Class:     contract.ClassQuery,
+	}
+	u.count++
+	if u.relay.observer != nil {
+		u.relay.observer.Subrequest(u.task.Service.Name, attempt.Kind)
+	}
+	target.Record.Begin()
+	go u.attempt(attempt.Replica, target, sub)
+}
+
+func (u *run) attempt(index int, target shardmap.Replica, sub contract.Subrequest) {
+	begun := time.Now()
+	reply := u.relay.client.Run(u.ctx, target.VM, sub, u.task.Deadline.Sub(begun), u.task.Body)
+	now := time.Now()
+	elapsed := now.Sub(begun)
+	target.Record.End(now, elapsed, leafResult(u.ctx, reply))
+	if reply.Result == subrequest.OK {
+		u.state.window.Observe(now, elapsed)
+	}
+	u.learn(now, target, reply)
+	u.results <- ended{index, reply}
+}
+
+// learn takes over what a reply says about its leaf.
+func (u *run) learn(now time.Time, target shardmap.Replica, reply upstream.Reply) {
+	answered := reply.Result == subrequest.OK || reply.Result == subrequest.NotRun
+	if answered {
+		target.Record.SetDraining(reply.Draining)
+	}
+	if reply.Result != subrequest.Gone {
+		return
+	}
+	if reply.Manifest != nil {
+		u.relay.store.SetManifest(target.VM, *reply.Manifest, now)
+	}
+	u.relay.store.Deny(target.VM, u.task.Service.Name, u.task.Snapshot, now)
+}
+
+func leafResult(ctx context.Context, reply upstream.Reply) leaf.Result {
+	switch reply.Result {
+	case subrequest.OK, subrequest.Gone, subrequest.Failed:
+		return leaf.Answered
+	case subrequest.NotRun:
+		return leaf.Shed
+	default:
+		if ctx.Err() != nil {
+			return leaf.Cancelled
+		}
+		return leaf.Broken
+	}
+}
--- /dev/null
+++ b/internal/transport/server/server.go
@@ -0,0 +1,245 @@
+// Package server is the HTTP interface for callers: it decodes and bounds
+// requests, hands queries to the entry and renders answers and problems.
+package server
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"net/http"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/gin-gonic/gin"
+
+	"github.com/hickorydock/hickorydock/internal/protocol/fault"
+	"github.com/hickorydock/hickorydock/internal/protocol/note"
+	"github.com/hickorydock/hickorydock/internal/protocol/query"
+)
+
+// Services finds services in force.
+type Services interface {
+	Find(name string) (note.Service, bool)
+}
+
+// Queries answers queries; it is met by entry.Entry.
+type Queries interface {
+	Query(ctx context.Context, service note.Service, request query.Request, arrived time.Time) (query.Answer, error)
+}
+
+// Observer receives the end of every request; it is met by the metrics.
+type Observer interface {
+	Request(service string, outcome query.Outcome, coverage query.Coverage, elapsed time.Duration, err error)
+}
+
+// Config bounds requests.
+type Config struct {
+	// MaxBodyBytes bounds a caller's body where the service sets no bound.
+	MaxBodyBytes int64
+	// MaxDeadline bounds the deadline that a caller may ask for.
+	MaxDeadline time.Duration
+	// Ready reports whether the node may take work; nil means always.
+	Ready func() error
+}
+
+// Server handles requests of callers. It is safe for concurrent use.
+type Server struct {
+	cfg      Config
+	services Services
+	queries  Queries
+	observer Observer
+	stopping atomic.Bool
+	mu       sync.Mutex
+	active   int
+	idle     chan struct{} // closed when stopping and active is 0
+	engine   *gin.Engine
+}
+
+// New returns a server; observer may be nil.
+func New(cfg Config, services Services, queries Queries, observer Observer) *Server {
+	s := &Server{cfg: cfg, services: services, queries: queries, observer: observer, idle: make(chan struct{})}
+	gin.SetMode(gin.ReleaseMode)
+	s.engine = gin.New()
+	s.engine.HandleMethodNotAllowed = true
+	s.engine.Use(gin.CustomRecoveryWithWriter(nil, recovered))
+	s.engine.NoRoute(func(c *gin.Context) { Problem(c, notFound("no such path")) })
+	s.engine.NoMethod(func(c *gin.Context) { Problem(c, badRequest("", "method not allowed").WithStatus(http.StatusMethodNotAllowed, query.NotRun)) })
+	s.engine.POST("/v1/services/:service/query", s.query)
+	s.engine.GET("/livez", func(c *gin.Context) { c.String(http.StatusOK, "ok\n") })
+	s.engine.GET("/readyz", s.readyz)
+	return s
+}
+
+// Engine is the router, for routes that other packages add before serving.
+func (s *Server) Engine() *gin.Engine { return s.engine }
+
+// ServeHTTP handles one request.
+func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) { s.engine.ServeHTTP(w, r) }
+
+func recovered(c *gin.Context, _ any) {
+	Problem(c, fault.New(fault.StepInternal, "", "internal error"))
+}
+
+// Stop refuses new requests and waits until those in progress have ended or
+// ctx ends; it returns the number of requests cut off.
+func (s *Server) Stop(ctx context.Context) int {
+	s.mu.Lock()
+	first := s.stopping.CompareAndSwap(false, true)
+	if first && s.active == 0 {
+		close(s.idle)
+	}
+	s.mu.Unlock()
+	select {
+	case <-s.idle:
+		return 0
+	case <-ctx.Done():
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.active
+}
+
+// Begin counts a request in progress and reports false when the node is stopping.
+func (s *Server) Begin() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.stopping.Load() {
+		return false
+	}
+	s.active++
+	return true
+}
+
+// End counts the end of a request that Begin admitted.
+func (s *Server) End() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.active--
+	if s.active == 0 && s.stopping.Load() {
+		close(s.idle)
+	}
+}
+
+func (s *Server) readyz(c *gin.Context) {
+	if s.stopping.Load() {
+		c.String(http.StatusServiceUnavailable, "stopping\n")
+		return
+	}
+	if s.cfg.Ready != nil {
+		if err := s.cfg.Ready(); err != nil {
+			c.String(http.StatusServiceUnavailable, "%s\n", err.Error())
+			return
+		}
+	}
+	c.String(http.StatusOK, "ready\n")
+}
+
+// stopRetryAfter is the advice to callers of a stopping node.
+const stopRetryAfter = time.Second
+
+func (s *Server) query(c *gin.Context) {
+	arrived := time.Now()
+	name := c.Param("service")
+	answer, err := s.answer(c, name, arrived)
+	if s.observer != nil {
+		s.observer.Request(name, answer.Outcome, answer.Coverage, time.Since(arrived), err)
+	}
+	if err != nil {
+		Problem(c, err)
+		return
+	}
+	c.JSON(statusOf(answer.Outcome), answer)
+}
+
+func (s *Server) answer(c *gin.Context, name string, arrived time.Time) (query.Answer, error) {
+	if !s.Begin() {
+		return query.Answer{}, fault.New(fault.StepAdmit, "", "node is stopping").
+			WithStatus(http.StatusServiceUnavailable, query.NotRun).WithRetryAfter(stopRetryAfter)
+	}
+	defer s.End()
+	service, ok := s.services.Find(name)
+	if !ok {
+		return query.Answer{}, notFound("service %q is not in force", name).WithField("service")
+	}
+	request, err := s.decode(c, service)
+	if err != nil {
+		return query.Answer{}, err
+	}
+	return s.queries.Query(c.Request.Context(), service, request, arrived)
+}
+
+// statusOf maps the outcome of an answer to an HTTP status.
+func statusOf(o query.Outcome) int {
+	if o == query.Failed {
+		return http.StatusGatewayTimeout
+	}
+	return http.StatusOK
+}
+
+func (s *Server) decode(c *gin.Context, service note.Service) (query.Request, error) {
+	limit := s.cfg.MaxBodyBytes
+	if service.MaxBodyBytes > 0 {
+		limit = min(limit, service.MaxBodyBytes)
+	}
+	var request query.Request
+	if err := DecodeBody(c, limit, &request); err != nil {
+		return request, err
+	}
+	return request, s.check(request)
+}
+
+// DecodeBody reads a JSON body of at most limit bytes into v. Unknown fields,
+// wrong types and trailing data are faults that name their field.
+func DecodeBody(c *gin.Context, limit int64, v any) error {
+	decoder := json.NewDecoder(http.MaxBytesReader(c.Writer, c.Request.Body, limit))
+	decoder.DisallowUnknownFields()
+	err := decoder.Decode(v)
+	var tooLarge *http.MaxBytesError
+	if errors.As(err, &tooLarge) {
+		return badRequest("body", "body exceeds %d bytes", limit).WithStatus(http.StatusRequestEntityTooLarge, query.NotRun)
+	}
+	var wrongType *json.UnmarshalTypeError
+	if errors.As(err, &wrongType) {
+		return badRequest(wrongType.Field, "%v", err)
+	}
+	if err != nil {
+		return badRequest(unknownField(err), "%v", err)
+	}
+	if decoder.More() {
+		return badRequest("body", "data after the JSON value")
+	}
+	return nil
+}
+
+func (s *Server) check(r query.Request) error {
+	if len(r.Query) == 0 {
+		return badRequest("query", "query is missing")
+	}
+	if r.DeadlineMS < 0 || r.DeadlineMS > s.cfg.MaxDeadline.Milliseconds() {
+		return badRequest("deadline_ms", "deadline_ms must be in 0..%d", s.cfg.MaxDeadline.Milliseconds())
+	}
+	if r.MinCoverage < 0 || r.MinCoverage > 1 {
+		return badRequest("min_coverage", "min_coverage must be in 0..1")
+	}
+	switch r.Priority {
+	case "", query.PriorityHigh, query.PriorityNormal, query.PriorityLow:
+		return nil
+	}
+	return badRequest("priority", "priority must be high, normal or low")
+}
+
+func badRequest(field, format string, args ...any) *fault.Error {
+	return fault.New(fault.StepDecode, "", format, args...).
+		WithStatus(http.StatusBadRequest, query.NotRun).WithField(field)
+}
+
+func notFound(format string, args ...any) *fault.Error {
+	return fault.New(fault.StepDecode, "", format, args...).WithStatus(http.StatusNotFound, query.NotRun)
+}
+
+// retryAfterSeconds rounds up, since the header counts whole seconds.
+func retryAfterSeconds(d time.Duration) string {
+	return strconv.Itoa(int((d + time.Second - 1) / time.Second))
+}
--- /dev/null
+++ b/internal/transport/upstream/client.go
@@ -0,0 +1,230 @@
+// Package upstream sends subrequests to leafs over HTTP/1.1 with kept
+// connections and fetches their manifests. Replies are verified before use.
+package upstream
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/hickorydock/hickorydock/internal/coordination/subrequest"
+	"github.com/hickorydock/hickorydock/internal/protocol/fault"
+	"github.com/hickorydock/hickorydock/internal/protocol/platform"
+	"github.com/hickorydock/hickorydock/internal/protocol/query"
+	contract "github.com/hickorydock/hickorydock/internal/protocol/upstream"
+)
+
+// Config bounds what a client accepts and opens.
+type Config struct {
+	// MaxReplyBytes bounds the body of a reply.
+	MaxReplyBytes int64
+	// MaxReplyHeaderBytes bounds the headers of a reply.
+	MaxReplyHeaderBytes int64
+	// ConnectionsPerLeaf bounds the connections to one leaf; 0 means no bound.
+	ConnectionsPerLeaf int
+	// DialTimeout bounds opening a connection.
+	DialTimeout time.Duration
+	// ManifestTimeout bounds fetching a manifest.
+	ManifestTimeout time.Duration
+}
+
+// DefaultConfig returns the bounds used when nothing else is set.
+func DefaultConfig() Config {
+	return Config{
+		MaxReplyBytes:       4 << 20,
+		MaxReplyHeaderBytes: 16 << 10,
+		DialTimeout:         time.Second,
+		ManifestTimeout:     500 * time.Millisecond,
+	}
+}
+
+// Client talks to leafs. It is safe for concurrent use.
+type Client struct {
+	cfg    Config
+	http   *http.Client
+	tracer Injector
+	opened atomic.Int64
+}
+
+// Injector writes the trace context of ctx into request headers.
+type Injector func(ctx context.Context, h http.Header)
+
+// New returns a client; inject may be nil.
+func New(cfg Config, inject Injector) *Client {
+	c := &Client{cfg: cfg, tracer: inject}
+	dialer := &net.Dialer{Timeout: cfg.DialTimeout}
+	transport := &http.Transport{
+		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
+			c.opened.Add(1)
+			return dialer.DialContext(ctx, network, address)
+		},
+		MaxConnsPerHost:        cfg.ConnectionsPerLeaf,
+		MaxIdleConns:           0,
+		MaxIdleConnsPerHost:    idlePerLeaf(cfg.ConnectionsPerLeaf),
+		IdleConnTimeout:        time.Minute,
+		DisableCompression:     true,
+		MaxResponseHeaderBytes: cfg.MaxReplyHeaderBytes,
+	}
+	c.http = &http.Client{
+		Transport:     transport,
+		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
+	}
+	return c
+}
+
+// defaultIdlePerLeaf is the number of idle connections kept when connections
+// are not bounded.
+const defaultIdlePerLeaf = 64
+
+func idlePerLeaf(bound int) int {
+	if bound > 0 {
+		return bound
+	}
+	return defaultIdlePerLeaf
+}
+
+// ConnectionsOpened counts the connections opened so far.
+func (c *Client) ConnectionsOpened() int64 { return c.opened.Load() }
+
+// Close closes idle connections.
+func (c *Client) Close() { c.http.CloseIdleConnections() }
+
+// Reply is the result of one attempt.
+type Reply struct {
+	Result subrequest.Result
+	Items  []query.Item
+	// Sent is true when a byte of the request may have reached the leaf.
+	Sent bool
+	// Draining is true when the leaf said that it is leaving.
+	Draining bool
+	// Manifest is the leaf's manifest when Result is Gone and the leaf sent one.
+	Manifest *contract.Manifest
+	// Err explains any result but OK, with step and peer.
+	Err error
+}
+
+// Run sends one attempt to a leaf and waits for its reply or the end of ctx.
+// left is the time that the leaf is given; body is the encoded RunRequest.
+func (c *Client) Run(ctx context.Context, vm platform.VM, sub contract.Subrequest, left time.Duration, body []byte) Reply {
+	url := "http://" + vm.Address + contract.RunPath(sub.Shard)
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, url, bytes.NewReader(body))
+	if err != nil {
+		return Reply{Result: subrequest.Lost, Err: fault.Wrap(err, fault.StepSend, vm.ID, "build request")}
+	}
+	if sub.Class == contract.ClassCommand {
+		// Without GetBody, net/http cannot send the request a second time.
+		request.GetBody = nil
+	}
+	sub.SetHeaders(request.Header, left)
+	request.Header.Set("Content-Type", "application/json")
+	if c.tracer != nil {
+		c.tracer(ctx, request.Header)
+	}
+	response, err := c.http.Do(request)
+	if err != nil {
+		return failedSend(err, vm)
+	}
+	defer response.Body.Close()
+	return c.read(response, vm, sub)
+}
+
+func failedSend(err error, vm platform.VM) Reply {
+	var op *net.OpError
+	if errors.As(err, &op) && op.Op == "dial" {
+		return Reply{Result: subrequest.Lost, Err: fault.Wrap(err, fault.StepConnect, vm.ID, "connect")}
+	}
+	return Reply{Result: subrequest.Lost, Sent: true, Err: fault.Wrap(err, fault.StepSend, vm.ID, "send")}
+}
+
+func (c *Client) read(response *http.Response, vm platform.VM, sub contract.Subrequest) Reply {
+	reply := Reply{Sent: true, Draining: response.Header.Get(contract.HeaderDraining) == "1"}
+	body, err := readBounded(response.Body, c.cfg.MaxReplyBytes)
+	if err != nil {
+		reply.Result = subrequest.Lost
+		reply.Err = fault.Wrap(err, fault.StepReply, vm.ID, "read body")
+		return reply
+	}
+	switch {
+	case response.StatusCode == http.StatusOK:
+		return decode(reply, response.Header, body, vm, sub)
+	case contract.IsNotRun(response.StatusCode, response.Header):
+		reply.Result = subrequest.NotRun
+	case response.StatusCode == http.StatusGone:
+		reply.Result = subrequest.Gone
+		reply.Manifest = decodeManifest(body)
+	default:
+		reply.Result = subrequest.Failed
+	}
+	reply.Err = fault.New(fault.StepReply, vm.ID, "status %d", response.StatusCode)
+	return reply
+}
+
+func decode(reply Reply, h http.Header, body []byte, vm platform.VM, sub contract.Subrequest) Reply {
+	reply.Result = subrequest.Bad
+	if err := sub.VerifyReply(h, body); err != nil {
+		reply.Err = fault.Wrap(err, fault.StepReply, vm.ID, "verify")
+		return reply
+	}
+	var run contract.RunReply
+	if err := json.Unmarshal(body, &run); err != nil {
+		reply.Err = fault.Wrap(err, fault.StepReply, vm.ID, "decode")
+		return reply
+	}
+	reply.Result = subrequest.OK
+	reply.Items = run.Items
+	return reply
+}
+
+func decodeManifest(body []byte) *contract.Manifest {
+	var m contract.Manifest
+	if err := json.Unmarshal(body, &m); err != nil || m.Leaf == "" {
+		return nil
+	}
+	return &m
+}
+
+// readBounded reads at most limit bytes and fails when there are more.
+func readBounded(r io.Reader, limit int64) ([]byte, error) {
+	body, err := io.ReadAll(io.LimitReader(r, limit+1))
+	if err != nil {
+		return nil, err
+	}
+	if int64(len(body)) > limit {
+		return nil, fmt.Errorf("body exceeds %d bytes", limit)
+	}
+	return body, nil
+}
+
+// Manifest fetches a leaf's manifest.
+func (c *Client) Manifest(ctx context.Context, vm platform.VM) (contract.Manifest, error) {
+	ctx, cancel := context.WithTimeout(ctx, c.cfg.ManifestTimeout)
+	defer cancel()
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+vm.Address+contract.PathManifest, nil)
+	if err != nil {
+		return contract.Manifest{}, fault.Wrap(err, fault.StepSend, vm.ID, "build manifest request")
+	}
+	response, err := c.http.Do(request)
+	if err != nil {
+		return contract.Manifest{}, fault.Wrap(err, fault.StepConnect, vm.ID, "fetch manifest")
+	}
+	defer response.Body.Close()
+	body, err := readBounded(response.Body, c.cfg.MaxReplyBytes)
+	if err != nil {
+		return contract.Manifest{}, fault.Wrap(err, fault.StepReply, vm.ID, "read manifest")
+	}
+	if response.StatusCode != http.StatusOK {
+		return contract.Manifest{}, fault.New(fault.StepReply, vm.ID, "manifest status %d", response.StatusCode)
+	}
+	var m contract.Manifest
+	if err := json.Unmarshal(body, &m); err != nil {
+		return contract.Manifest{}, fault.Wrap(err, fault.StepReply, vm.ID, "decode manifest")
+	}
+	return m, nil
+}
