--- a/internal/transport/server/server.go
+++ b/internal/transport/server/server.go
@@ -65,7 +65,9 @@
 	s.engine.HandleMethodNotAllowed = true
 	s.engine.Use(gin.CustomRecoveryWithWriter(nil, recovered))
 	s.engine.NoRoute(func(c *gin.Context) { Problem(c, notFound("no such path")) })
-	s.engine.NoMethod(func(c *gin.Context) { Problem(c, badRequest("", "method not allowed").WithStatus(http.StatusMethodNotAllowed, query.NotRun)) })
+	s.engine.NoMethod(func(c *gin.Context) {
+		Problem(c, badRequest("", "method not allowed").WithStatus(http.StatusMethodNotAllowed, query.NotRun))
+	})
 	s.engine.POST("/v1/services/:service/query", s.query)
 	s.engine.GET("/livez", func(c *gin.Context) { c.String(http.StatusOK, "ok\n") })
 	s.engine.GET("/readyz", s.readyz)
