Add the stand-in leaf

Cause: tests, demo and experiments need an upstream whose runs can be compared with what callers were told. Change: internal/standin/leaf speaks the upstream contract over net/http, with seeded service times, slots and queue, connection cap, draining, cold start, lying manifest, lost replies, crash and loss of the network.

--- /dev/null
+++ b/internal/standin/leaf/items.go
@@ -0,0 +1,67 @@
+package leaf
+
+import (
+	"encoding/binary"
+	"encoding/json"
+	"strconv"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/hickorydock/hickorydock/internal/protocol/query"
+	"github.com/hickorydock/hickorydock/internal/protocol/upstream"
+)
+
+// scoreScale is the number of different scores.
+const scoreScale = 1_000_000
+
+// Items is the deterministic result of a shard of a service in a snapshot. A
+// non-empty echo is a JSON value that each item repeats.
+func Items(service string, shard int, snapshot query.Snapshot, count int, echo json.RawMessage) []query.Item {
+	items := make([]query.Item, 0, count)
+	for k := range count {
+		items = append(items, item(service, shard, snapshot, k, echo))
+	}
+	return items
+}
+
+func item(service string, shard int, snapshot query.Snapshot, k int, echo json.RawMessage) query.Item {
+	name := service + "-" + strconv.Itoa(shard) + "-" + strconv.Itoa(k)
+	b := make([]byte, 0, 128+len(echo))
+	b = append(b, `{"id":`...)
+	b = strconv.AppendQuote(b, name)
+	b = append(b, `,"shard":`...)
+	b = strconv.AppendInt(b, int64(shard), 10)
+	b = append(b, `,"generation":`...)
+	b = strconv.AppendUint(b, snapshot.Generation, 10)
+	b = append(b, `,"version":`...)
+	b = strconv.AppendUint(b, snapshot.Version, 10)
+	b = append(b, `,"score":`...)
+	b = strconv.AppendFloat(b, score(name, snapshot), 'f', -1, 64)
+	b = append(b, `,"amount":1`...)
+	if len(echo) > 0 {
+		b = append(b, `,"echo":`...)
+		b = append(b, echo...)
+	}
+	return append(b, '}')
+}
+
+// score is a number in [0, 1) that depends on the item and its snapshot.
+func score(name string, snapshot query.Snapshot) float64 {
+	b := append(make([]byte, 0, 64), name...)
+	b = binary.BigEndian.AppendUint64(b, snapshot.Generation)
+	b = binary.BigEndian.AppendUint64(b, snapshot.Version)
+	return float64(xxhash.Sum64(b)%scoreScale) / scoreScale
+}
+
+// replyBody is the JSON body of a reply to a run.
+func replyBody(sub upstream.Subrequest, count int, echo json.RawMessage) []byte {
+	b := make([]byte, 0, 64+count*(128+len(echo)))
+	b = append(b, `{"items":[`...)
+	for k := range count {
+		if k > 0 {
+			b = append(b, ',')
+		}
+		b = append(b, item(sub.Service, sub.Shard, sub.Snapshot, k, echo)...)
+	}
+	return append(b, `]}`...)
+}
--- /dev/null
+++ b/internal/standin/leaf/leaf.go
@@ -0,0 +1,264 @@
+// Package leaf is a small stand-in for an upstream's leaf. It speaks the
+// contract of internal/protocol/upstream over net/http, imitates service
+// times, shedding, draining, cold starts and failures, and records every run,
+// so that what callers were told can be compared with what happened.
+//
+// A Leaf is safe for concurrent use. Its settings are guarded by one mutex
+// that is held for a few assignments at a time.
+package leaf
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/hickorydock/hickorydock/internal/protocol/upstream"
+)
+
+// Defaults of Options.
+const (
+	DefaultSlots    = 2
+	DefaultItems    = 5
+	DefaultMaxRuns  = 1 << 17
+	DefaultDownTime = time.Second
+)
+
+// Options are the fixed settings of a leaf. The zero value of a field takes
+// the default named beside it, or switches the behaviour off.
+type Options struct {
+	ID               string
+	AvailabilityZone string
+	Seed             uint64
+	// Slots is the number of runs at once; 0 means DefaultSlots.
+	Slots int
+	// QueueLength bounds the runs that wait for a slot; 0 means 2 × Slots, negative none.
+	QueueLength int
+	// ConnectionCap bounds open connections; those above it are closed at accept. 0 means no cap.
+	ConnectionCap int
+	// ConnectCost delays the first request of each new connection.
+	ConnectCost time.Duration
+	// ServiceTime is the distribution of the time of one run.
+	ServiceTime ServiceTime
+	// ColdStartFactor multiplies service times at the start and decays linearly to 1 over ColdStart.
+	ColdStartFactor float64
+	ColdStart       time.Duration
+	// Holdings are the shards held at the start.
+	Holdings []upstream.Holding
+	// Items is the number of items in a reply; 0 means DefaultItems.
+	Items int
+	// MaxRuns bounds the record of runs, the oldest are dropped; 0 means DefaultMaxRuns.
+	MaxRuns int
+	// CrashMarker makes a run whose body contains it crash the leaf; empty switches it off.
+	CrashMarker string
+	// DownTime is how long the leaf stays down after a crash; 0 means DefaultDownTime.
+	DownTime time.Duration
+}
+
+func (o Options) withDefaults() Options {
+	if o.Slots <= 0 {
+		o.Slots = DefaultSlots
+	}
+	if o.QueueLength == 0 {
+		o.QueueLength = 2 * o.Slots
+	}
+	if o.Items <= 0 {
+		o.Items = DefaultItems
+	}
+	if o.MaxRuns <= 0 {
+		o.MaxRuns = DefaultMaxRuns
+	}
+	if o.DownTime <= 0 {
+		o.DownTime = DefaultDownTime
+	}
+	return o
+}
+
+// Leaf is a stand-in leaf. Create it with New.
+type Leaf struct {
+	options Options
+	server  *http.Server
+	slots   chan struct{}
+	queued  atomic.Int64
+	shed    atomic.Int64
+	record  *record
+	conns   *connections
+
+	mu               sync.Mutex
+	random           *rand.Rand
+	holdings         []upstream.Holding
+	manifestHoldings []upstream.Holding // nil: tell the truth
+	manifestLoad     *float64           // nil: tell the truth
+	draining         bool
+	slowFactor       float64
+	lostReplyShare   float64
+	started          time.Time
+	incarnation      uint64
+}
+
+// New returns a leaf that does not listen yet.
+func New(options Options) *Leaf {
+	options = options.withDefaults()
+	l := &Leaf{
+		options:    options,
+		slots:      make(chan struct{}, options.Slots),
+		record:     newRecord(options.MaxRuns),
+		conns:      newConnections(options.ConnectionCap),
+		random:     rand.New(rand.NewPCG(options.Seed, options.Seed)),
+		holdings:   cloneHoldings(options.Holdings),
+		slowFactor: 1,
+		started:    time.Now(),
+	}
+	l.incarnation = l.random.Uint64() >> 12 // exact as a JSON number
+	l.server = &http.Server{Handler: l, ConnContext: connContext}
+	return l
+}
+
+// ID is the name of the leaf.
+func (l *Leaf) ID() string { return l.options.ID }
+
+// AvailabilityZone is the availability zone of the leaf.
+func (l *Leaf) AvailabilityZone() string { return l.options.AvailabilityZone }
+
+// Start listens on addr ("127.0.0.1:0" takes a free port), serves in the
+// background and returns the address.
+func (l *Leaf) Start(addr string) (string, error) {
+	listener, err := net.Listen("tcp", addr)
+	if err != nil {
+		return "", err
+	}
+	l.mu.Lock()
+	l.started = time.Now()
+	l.mu.Unlock()
+	go func() { _ = l.Serve(listener) }()
+	return listener.Addr().String(), nil
+}
+
+// Serve serves connections of a listener until Close or Stop.
+func (l *Leaf) Serve(listener net.Listener) error {
+	err := l.server.Serve(&cappedListener{Listener: listener, conns: l.conns})
+	if errors.Is(err, http.ErrServerClosed) {
+		return nil
+	}
+	return err
+}
+
+// Close ends the leaf abruptly: its connections are reset.
+func (l *Leaf) Close() {
+	l.conns.reset()
+	_ = l.server.Close()
+}
+
+// Stop drains the leaf: new runs are refused, those in flight finish, then the
+// listener and all connections close. It returns ctx.Err() when ctx ends first.
+func (l *Leaf) Stop(ctx context.Context) error {
+	l.SetDraining(true)
+	return l.server.Shutdown(ctx)
+}
+
+// SetHoldings replaces the shards that the leaf really holds.
+func (l *Leaf) SetHoldings(holdings []upstream.Holding) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.holdings = cloneHoldings(holdings)
+}
+
+// SetManifestHoldings makes GET /manifest report these holdings; nil reports the true ones.
+func (l *Leaf) SetManifestHoldings(holdings []upstream.Holding) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.manifestHoldings = cloneHoldings(holdings)
+}
+
+// SetManifestLoad makes GET /manifest report this load; a negative one reports the true load.
+func (l *Leaf) SetManifestLoad(load float64) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.manifestLoad = &load
+	if load < 0 {
+		l.manifestLoad = nil
+	}
+}
+
+// SetDraining starts or ends draining.
+func (l *Leaf) SetDraining(draining bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.draining = draining
+}
+
+// SetSlowFactor multiplies the service times of later runs.
+func (l *Leaf) SetSlowFactor(factor float64) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.slowFactor = factor
+}
+
+// SetLostReplyShare makes this share of runs, in [0, 1], end with a closed
+// connection in place of a reply.
+func (l *Leaf) SetLostReplyShare(share float64) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.lostReplyShare = share
+}
+
+// Vanish makes the leaf unreachable as in a lost availability zone:
+// connections stay open, but nothing is accepted, read or written.
+func (l *Leaf) Vanish() { l.conns.pause() }
+
+// Return ends Vanish.
+func (l *Leaf) Return() { l.conns.resume() }
+
+// Crash resets all connections and refuses new ones for the time given.
+func (l *Leaf) Crash(down time.Duration) {
+	up := time.Now().Add(down)
+	l.mu.Lock()
+	l.incarnation++
+	l.started = up
+	l.mu.Unlock()
+	l.conns.refuseUntil(up)
+	l.conns.reset()
+}
+
+// manifest returns the true manifest, or the one that GET /manifest reports.
+func (l *Leaf) manifest(reported bool) upstream.Manifest {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	m := upstream.Manifest{
+		Leaf:        l.options.ID,
+		Incarnation: l.incarnation,
+		Draining:    l.draining,
+		Load:        float64(len(l.slots)) / float64(cap(l.slots)),
+		Holdings:    l.holdings,
+	}
+	if reported && l.manifestHoldings != nil {
+		m.Holdings = l.manifestHoldings
+	}
+	if reported && l.manifestLoad != nil {
+		m.Load = *l.manifestLoad
+	}
+	return m
+}
+
+func (l *Leaf) manifestJSON(reported bool) []byte {
+	body, err := json.Marshal(l.manifest(reported))
+	if err != nil {
+		panic(err) // a Manifest holds no value that JSON cannot express
+	}
+	return body
+}
+
+// cloneHoldings copies holdings so that a caller's later changes have no effect.
+func cloneHoldings(holdings []upstream.Holding) []upstream.Holding {
+	clone := slices.Clone(holdings)
+	for i := range clone {
+		clone[i].Shards = slices.Clone(clone[i].Shards)
+	}
+	return clone
+}
