Test gathering and subrequests over tables and random event orders

Cause: the decisions of a query had no tests. Change: tables of outcomes and ends; random orders that check coverage against the replies held, one end a subrequest, no replica asked twice and every extra attempt paid.

--- /dev/null
+++ b/internal/coordination/gather/gather_test.go
@@ -0,0 +1,189 @@
+package gather
+
+import (
+	"flag"
+	"encoding/json"
+	"fmt"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/hickorydock/hickorydock/internal/protocol/query"
+	"github.com/hickorydock/hickorydock/internal/state/leaf"
+	"github.com/hickorydock/hickorydock/internal/state/shardmap"
+)
+
+var start = time.Unix(1000, 0)
+
+func viewOf(generation, version uint64, replicasOfShard ...int) *shardmap.SnapshotView {
+	v := &shardmap.SnapshotView{Snapshot: query.Snapshot{Generation: generation, Version: version}}
+	for _, n := range replicasOfShard {
+		replicas := make([]shardmap.Replica, n)
+		for i := range replicas {
+			replicas[i].Record = &leaf.Record{}
+		}
+		v.Replicas = append(v.Replicas, replicas)
+		if n > 0 {
+			v.Covered++
+		}
+	}
+	return v
+}
+
+func itemOf(s query.Snapshot, attempt, shard int) query.Item {
+	return json.RawMessage(fmt.Sprintf("%q", fmt.Sprintf("%s %d %d", s, attempt, shard)))
+}
+
+func TestOutcomes(t *testing.T) {
+	type fail struct {
+		shard  int
+		reason query.Reason
+	}
+	tests := []struct {
+		name    string
+		min     float64
+		replies []int
+		fails   []fail
+		sent    int
+		want    query.Outcome
+	}{
+		{"every shard answered", 1, []int{0, 1}, nil, 2, query.Done},
+		{"one late, minimum met", 0.5, []int{0}, nil, 2, query.Partial},
+		{"one late, below minimum", 0.9, []int{0}, nil, 2, query.Failed},
+		{"nothing answered, one may have run", 0, nil, []fail{{0, query.ReasonShed}, {1, query.ReasonLost}}, 1, query.Failed},
+		{"nothing answered, nothing sent", 0, nil, []fail{{0, query.ReasonShed}, {1, query.ReasonShed}}, 0, query.NotRun},
+		{"one still pending at the deadline", 0, nil, []fail{{0, query.ReasonShed}}, 0, query.Failed},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			q := New(Config{MinCoverage: test.min, Deadline: start.Add(time.Second)}, viewOf(1, 1, 2, 2))
+			for _, shard := range test.replies {
+				if _, err := q.Reply(1, shard, q.View().Snapshot, nil); err != nil {
+					t.Fatal(err)
+				}
+			}
+			for _, f := range test.fails {
+				if _, err := q.Fail(start, 1, f.shard, f.reason); err != nil {
+					t.Fatal(err)
+				}
+			}
+			for range test.sent {
+				q.Sent()
+			}
+			if got := q.Outcome(q.Coverage()); got != test.want {
+				t.Errorf("outcome %s, want %s", got, test.want)
+			}
+		})
+	}
+}
+
+func TestRestartAfterPendingIsNotNotRun(t *testing.T) {
+	q := New(Config{Deadline: start.Add(time.Second)}, viewOf(1, 1, 1, 1))
+	if progress, _ := q.Fail(start, 1, 0, query.ReasonSnapshotGone); progress != SnapshotLost {
+		t.Fatalf("progress %v, want SnapshotLost", progress)
+	}
+	if !q.Restart(viewOf(1, 2, 1, 1)) {
+		t.Fatal("restart declined")
+	}
+	for shard := range 2 {
+		if _, err := q.Fail(start, 2, shard, query.ReasonShed); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if got := q.Outcome(q.Coverage()); got != query.Failed {
+		t.Errorf("outcome %s, want failed: shard 1 of attempt 1 may have run", got)
+	}
+}
+
+// TestRandomOrders checks over random event orders that an answer holds only
+// replies of its own snapshot and that coverage equals the replies it holds.
+func TestRandomOrders(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		version := uint64(1)
+		shards := rapid.IntRange(1, 6).Draw(t, "shards")
+		q := New(Config{Deadline: start.Add(time.Second)}, randomView(t, version, shards))
+		steps := rapid.IntRange(1, 40).Draw(t, "steps")
+		for range steps {
+			attempt := rapid.IntRange(1, q.Attempt()).Draw(t, "attempt")
+			shard := rapid.IntRange(0, len(q.View().Replicas)-1).Draw(t, "shard")
+			if attempt == q.Attempt() && (q.slots[shard].answered || q.slots[shard].failed) {
+				continue
+			}
+			switch rapid.IntRange(0, 2).Draw(t, "event") {
+			case 0:
+				snapshot := q.View().Snapshot
+				_, err := q.Reply(attempt, shard, snapshot, []query.Item{itemOf(snapshot, attempt, shard)})
+				if err != nil {
+					t.Fatal(err)
+				}
+			case 1:
+				if _, err := q.Fail(start, attempt, shard, query.ReasonLost); err != nil {
+					t.Fatal(err)
+				}
+			case 2:
+				progress, err := q.Fail(start, attempt, shard, query.ReasonSnapshotGone)
+				if err != nil {
+					t.Fatal(err)
+				}
+				if progress == SnapshotLost {
+					version++
+					q.Restart(randomView(t, version, rapid.IntRange(1, 6).Draw(t, "shards")))
+				}
+			}
+			checkAnswer(t, q)
+		}
+	})
+}
+
+func randomView(t *rapid.T, version uint64, shards int) *shardmap.SnapshotView {
+	counts := make([]int, shards)
+	for i := range counts {
+		counts[i] = rapid.IntRange(0, 2).Draw(t, "replicas")
+	}
+	return viewOf(1, version, counts...)
+}
+
+func checkAnswer(t *rapid.T, q *Query) {
+	coverage := q.Coverage()
+	replies := q.Replies()
+	if len(replies) != coverage.Covered || coverage.Covered+len(coverage.Missing) != coverage.Total {
+		t.Fatalf("coverage %+v with %d replies", coverage, len(replies))
+	}
+	if coverage.Total != q.View().ShardCount() {
+		t.Fatalf("coverage counts %d shards, snapshot has %d", coverage.Total, q.View().ShardCount())
+	}
+	for shard := range q.slots {
+		if !q.slots[shard].answered {
+			continue
+		}
+		want := itemOf(q.View().Snapshot, q.Attempt(), shard)
+		if string(q.slots[shard].items[0]) != string(want) {
+			t.Fatalf("shard %d holds %s, want %s", shard, q.slots[shard].items[0], want)
+		}
+	}
+}
+
+func TestBrokenReplies(t *testing.T) {
+	q := New(Config{Deadline: start.Add(time.Second)}, viewOf(1, 1, 1, 1))
+	if _, err := q.Reply(1, 0, query.Snapshot{Generation: 1, Version: 2}, nil); err == nil {
+		t.Error("reply of another snapshot was taken")
+	}
+	if _, err := q.Reply(1, 7, q.View().Snapshot, nil); err == nil {
+		t.Error("reply of a shard outside the map was taken")
+	}
+	if _, err := q.Reply(1, 0, q.View().Snapshot, nil); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := q.Fail(start, 1, 0, query.ReasonLost); err == nil {
+		t.Error("second reply of a shard was taken")
+	}
+}
+
+// TestMain fixes the seed of the random runs; -rapid.seed overrides it.
+func TestMain(m *testing.M) {
+	if err := flag.Set("rapid.seed", "1"); err != nil {
+		panic(err)
+	}
+	m.Run()
+}
--- /dev/null
+++ b/internal/coordination/subrequest/subrequest_test.go
@@ -0,0 +1,146 @@
+package subrequest
+
+import (
+	"flag"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/hickorydock/hickorydock/internal/protocol/query"
+	"github.com/hickorydock/hickorydock/internal/state/leaf"
+	"github.com/hickorydock/hickorydock/internal/state/shardmap"
+)
+
+var start = time.Unix(1000, 0)
+
+// tokens is a budget that counts what it pays.
+type tokens struct{ left, spent int }
+
+func (b *tokens) Spend() bool {
+	if b.left == 0 {
+		return false
+	}
+	b.left--
+	b.spent++
+	return true
+}
+
+func configOf(replicas int) Config {
+	cfg := Config{Deadline: start.Add(time.Second), HedgeDelay: 10 * time.Millisecond}
+	cfg.Random = func() uint64 { return 0 }
+	for range replicas {
+		cfg.Replicas = append(cfg.Replicas, shardmap.Replica{Record: &leaf.Record{}})
+	}
+	return cfg
+}
+
+func TestEnds(t *testing.T) {
+	tests := []struct {
+		name     string
+		replicas int
+		budget   int
+		results  []Result
+		want     Decision
+		reason   query.Reason
+	}{
+		{"first answers", 2, 1, []Result{OK}, Deliver, ""},
+		{"lost, retried, answered", 2, 1, []Result{Lost, OK}, Deliver, ""},
+		{"lost, no budget", 2, 0, []Result{Lost}, GiveUp, query.ReasonLost},
+		{"no other replica", 1, 1, []Result{NotRun}, GiveUp, query.ReasonShed},
+		{"all shed", 3, 5, []Result{NotRun, NotRun, NotRun}, GiveUp, query.ReasonShed},
+		{"gone everywhere", 2, 5, []Result{Gone, Gone}, GiveUp, query.ReasonSnapshotGone},
+		{"bad then upstream error", 2, 5, []Result{Bad, Failed}, GiveUp, query.ReasonUpstreamError},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			m := New(configOf(test.replicas), &tokens{left: test.budget})
+			if _, ok := m.Start(start); !ok {
+				t.Fatal("no first attempt")
+			}
+			var got Decision
+			for _, result := range test.results {
+				got, _ = m.Ended(start, result)
+			}
+			if got != test.want {
+				t.Fatalf("decision %v, want %v", got, test.want)
+			}
+			if got == GiveUp && m.Reason() != test.reason {
+				t.Errorf("reason %s, want %s", m.Reason(), test.reason)
+			}
+		})
+	}
+}
+
+// TestNoAttemptAfterTheDeadline holds for first attempts, hedges and retries.
+func TestNoAttemptAfterTheDeadline(t *testing.T) {
+	late := start.Add(time.Second)
+	m := New(configOf(2), &tokens{left: 9})
+	if _, ok := m.Start(late); ok {
+		t.Error("first attempt started at the deadline")
+	}
+	m = New(configOf(2), &tokens{left: 9})
+	m.Start(start)
+	if _, ok := m.HedgeDue(late); ok {
+		t.Error("hedge sent at the deadline")
+	}
+	if decision, _ := m.Ended(late, Lost); decision != GiveUp {
+		t.Errorf("decision %v, want GiveUp", decision)
+	}
+}
+
+// TestRandomOrders checks that no replica is asked twice, that every extra
+// attempt is paid for, and that a subrequest ends exactly once.
+func TestRandomOrders(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		budget := &tokens{left: rapid.IntRange(0, 4).Draw(t, "budget")}
+		cfg := configOf(rapid.IntRange(1, 5).Draw(t, "replicas"))
+		cfg.Random = func() uint64 { return rapid.Uint64().Draw(t, "random") }
+		m := New(cfg, budget)
+		asked := make(map[int]bool)
+		pending, sent, ends := 0, 0, 0
+		record := func(a Attempt) {
+			if asked[a.Replica] {
+				t.Fatalf("replica %d asked twice", a.Replica)
+			}
+			asked[a.Replica] = true
+			pending++
+			sent++
+		}
+		first, ok := m.Start(start)
+		if !ok {
+			t.Fatal("no first attempt")
+		}
+		record(first)
+		for pending > 0 {
+			if rapid.Bool().Draw(t, "hedge due") {
+				if a, ok := m.HedgeDue(start); ok {
+					record(a)
+				}
+			}
+			pending--
+			decision, next := m.Ended(start, Result(rapid.IntRange(0, int(Failed)).Draw(t, "result")))
+			switch decision {
+			case Send:
+				record(next)
+			case Deliver, GiveUp:
+				ends++
+			case Wait:
+			}
+		}
+		if ends != 1 {
+			t.Fatalf("ended %d times", ends)
+		}
+		if sent-1 != budget.spent {
+			t.Fatalf("%d extra attempts, %d paid", sent-1, budget.spent)
+		}
+	})
+}
+
+// TestMain fixes the seed of the random runs; -rapid.seed overrides it.
+func TestMain(m *testing.M) {
+	if err := flag.Set("rapid.seed", "1"); err != nil {
+		panic(err)
+	}
+	m.Run()
+}
