Add the settings of a node

Cause: a process learns its addresses and availability zone from its settings, and an operator wants every fault of them at once. Change: typed settings in TOML over defaults, environment variables for what differs per VM, checks with file, line and field, a printed form that hides keys, and a description of every field for the documentation.

--- /dev/null
+++ b/internal/protocol/settings/settings.go
@@ -0,0 +1,162 @@
+// Package settings defines the settings of a node: their TOML form, the
+// environment variables that override what differs per VM, their checks and
+// their printed form. Loading reads no files and no process environment; the
+// caller passes both in. Settings are plain values and safe to copy.
+package settings
+
+import (
+	"time"
+)
+
+// Settings is everything that a node learns from its operator at start.
+//
+// Each field carries tags: toml is its key, doc its description, env the
+// variable that overrides it, min and max its bounds, check the name of a
+// further check, and secret keeps its value out of Print.
+type Settings struct {
+	Node     Node     `toml:"node"`
+	Platform Platform `toml:"platform"`
+	Limits   Limits   `toml:"limits"`
+	Query    Query    `toml:"query"`
+	Stop     Stop     `toml:"stop"`
+	Log      Log      `toml:"log"`
+	Trace    Trace    `toml:"trace"`
+	Commands Commands `toml:"commands"`
+	TLS      TLS      `toml:"tls"`
+}
+
+// Node says who the node is and where it listens.
+type Node struct {
+	ID               string   `toml:"id" env:"HICKORYDOCK_NODE_ID" check:"required" doc:"Name of this VM, unique among the nodes."`
+	AvailabilityZone string   `toml:"availability_zone" env:"HICKORYDOCK_AVAILABILITY_ZONE" check:"required" doc:"Availability zone of this VM."`
+	CallerAddress    string   `toml:"caller_address" env:"HICKORYDOCK_CALLER_ADDRESS" check:"address" doc:"Address for callers, ip:port."`
+	AdminAddress     string   `toml:"admin_address" env:"HICKORYDOCK_ADMIN_ADDRESS" check:"address" doc:"Address for metrics, health and the status page, ip:port."`
+	PeerAddress      string   `toml:"peer_address" env:"HICKORYDOCK_PEER_ADDRESS" check:"address" doc:"Address for the other nodes, ip:port."`
+	BootstrapPeers   []string `toml:"bootstrap_peers" env:"HICKORYDOCK_BOOTSTRAP_PEERS" check:"addresses" doc:"Peer addresses that are asked first when the platform is down; a comma-separated list in the environment."`
+}
+
+// Platform says how to reach the platform's object API.
+type Platform struct {
+	URL       string `toml:"url" env:"HICKORYDOCK_PLATFORM_URL" check:"url" doc:"Base URL of the platform's object API."`
+	TimeoutMS int64  `toml:"timeout_ms" min:"1" max:"60000" doc:"Longest wait for one platform call, in milliseconds; watches are not bounded by it."`
+}
+
+// Limits bounds what callers may ask for and what the node holds at once.
+type Limits struct {
+	MaxHeaderBytes       int64 `toml:"max_header_bytes" min:"1024" max:"1048576" doc:"Largest request header, in bytes."`
+	MaxBodyBytes         int64 `toml:"max_body_bytes" min:"1" max:"67108864" doc:"Largest request body, in bytes; a service may set less."`
+	MaxDeadlineMS        int64 `toml:"max_deadline_ms" min:"1" max:"600000" doc:"Longest deadline that a caller may ask for, in milliseconds."`
+	MaxJSONDepth         int64 `toml:"max_json_depth" min:"1" max:"1000" doc:"Deepest nesting of a request body."`
+	MaxItems             int64 `toml:"max_items" min:"1" max:"10000000" doc:"Most items in one answer."`
+	MaxAnswerBytes       int64 `toml:"max_answer_bytes" min:"1024" max:"1073741824" doc:"Largest answer, in bytes."`
+	MaxConnections       int64 `toml:"max_connections" min:"1" max:"1000000" doc:"Most caller connections at once."`
+	MaxConcurrentQueries int64 `toml:"max_concurrent_queries" min:"1" max:"1000000" doc:"Most queries in flight on this node."`
+	QueryQueue           int64 `toml:"query_queue" min:"0" max:"1000000" doc:"Most queries that wait for admission."`
+	LeafQueue            int64 `toml:"leaf_queue" min:"0" max:"1000000" doc:"Most subrequests that wait for one leaf."`
+	HeaderTimeoutMS      int64 `toml:"header_timeout_ms" min:"1" max:"600000" doc:"Longest time to read a request's header, in milliseconds."`
+	BodyTimeoutMS        int64 `toml:"body_timeout_ms" min:"1" max:"600000" doc:"Longest time to read a request's body, in milliseconds."`
+	WriteTimeoutMS       int64 `toml:"write_timeout_ms" min:"1" max:"600000" doc:"Longest time to write an answer, in milliseconds."`
+	IdleTimeoutMS        int64 `toml:"idle_timeout_ms" min:"1" max:"3600000" doc:"Longest time that a kept caller connection stays idle, in milliseconds."`
+}
+
+// Query tunes the path of a query.
+type Query struct {
+	ManifestIntervalMS int64 `toml:"manifest_interval_ms" min:"10" max:"600000" doc:"Time between two reads of a leaf's manifest, in milliseconds."`
+	ReturnReserveMS    int64 `toml:"return_reserve_ms" min:"0" max:"10000" doc:"Part of each deadline kept for merging and for the way back, in milliseconds."`
+}
+
+// Stop bounds a graceful stop.
+type Stop struct {
+	LimitMS int64 `toml:"limit_ms" min:"1" max:"3600000" doc:"Longest time to finish requests in flight after SIGTERM, in milliseconds."`
+}
+
+// Log selects what is logged.
+type Log struct {
+	Level string `toml:"level" check:"level" doc:"Lowest level that is logged: debug, info, warn or error."`
+}
+
+// Trace configures tracing.
+type Trace struct {
+	OTLPEndpoint string  `toml:"otlp_endpoint" check:"optional_url" doc:"URL of an OTLP/HTTP collector; empty turns tracing off."`
+	SampleShare  float64 `toml:"sample_share" min:"0" max:"1" doc:"Share of queries that are traced, in [0, 1]; a caller's sampling decision goes first."`
+}
+
+// Commands bounds the claims of commands.
+type Commands struct {
+	RetentionS      int64   `toml:"retention_s" min:"60" max:"31536000" doc:"Time that the outcome of a command is kept, in seconds."`
+	WritesPerSecond float64 `toml:"writes_per_second" min:"0.1" max:"1000" doc:"Most platform writes for commands by this node, per second."`
+}
+
+// TLS holds certificates and keys as PEM text; empty fields turn TLS off for
+// that side.
+type TLS struct {
+	CallerCert   string `toml:"caller_cert" env:"HICKORYDOCK_TLS_CALLER_CERT" check:"pem" doc:"Certificate chain shown to callers, PEM."`
+	CallerKey    string `toml:"caller_key" env:"HICKORYDOCK_TLS_CALLER_KEY" check:"pem" secret:"true" doc:"Key of caller_cert, PEM."`
+	NodeCert     string `toml:"node_cert" env:"HICKORYDOCK_TLS_NODE_CERT" check:"pem" doc:"Certificate chain of this node towards nodes, upstreams and the platform, PEM."`
+	NodeKey      string `toml:"node_key" env:"HICKORYDOCK_TLS_NODE_KEY" check:"pem" secret:"true" doc:"Key of node_cert, PEM."`
+	NodeCA       string `toml:"node_ca" env:"HICKORYDOCK_TLS_NODE_CA" check:"pem" doc:"Authorities that sign the certificates of nodes, PEM."`
+	NodeName     string `toml:"node_name" env:"HICKORYDOCK_TLS_NODE_NAME" doc:"DNS name that each node's certificate must hold."`
+	UpstreamCA   string `toml:"upstream_ca" env:"HICKORYDOCK_TLS_UPSTREAM_CA" check:"pem" doc:"Authorities that sign the certificates of upstreams, PEM; set, upstreams are called over TLS."`
+	PlatformCA   string `toml:"platform_ca" env:"HICKORYDOCK_TLS_PLATFORM_CA" check:"pem" doc:"Authorities that sign the platform's certificate, PEM."`
+	UpstreamName string `toml:"upstream_name" env:"HICKORYDOCK_TLS_UPSTREAM_NAME" doc:"DNS name that each upstream's certificate must hold; empty takes the host that is called."`
+}
+
+// Default returns the settings that hold where the operator says nothing. The
+// node's id and availability zone have no default.
+func Default() Settings {
+	return Settings{
+		Node: Node{
+			CallerAddress:  "127.0.0.1:8080",
+			AdminAddress:   "127.0.0.1:9090",
+			PeerAddress:    "127.0.0.1:7070",
+			BootstrapPeers: []string{},
+		},
+		Platform: Platform{URL: "http://127.0.0.1:8500", TimeoutMS: 2000},
+		Limits:   defaultLimits(),
+		Query:    Query{ManifestIntervalMS: 500, ReturnReserveMS: 3},
+		Stop:     Stop{LimitMS: 30_000},
+		Log:      Log{Level: "info"},
+		Trace:    Trace{SampleShare: 0.01},
+		Commands: Commands{RetentionS: 7 * 24 * 3600, WritesPerSecond: 20},
+	}
+}
+
+func defaultLimits() Limits {
+	return Limits{
+		MaxHeaderBytes:       16 << 10,
+		MaxBodyBytes:         256 << 10,
+		MaxDeadlineMS:        30_000,
+		MaxJSONDepth:         32,
+		MaxItems:             100_000,
+		MaxAnswerBytes:       32 << 20,
+		MaxConnections:       10_000,
+		MaxConcurrentQueries: 2_000,
+		QueryQueue:           500,
+		LeafQueue:            64,
+		HeaderTimeoutMS:      5_000,
+		BodyTimeoutMS:        10_000,
+		WriteTimeoutMS:       30_000,
+		IdleTimeoutMS:        90_000,
+	}
+}
+
+// Milliseconds converts the value of a field whose key ends in _ms.
+func Milliseconds(n int64) time.Duration { return time.Duration(n) * time.Millisecond }
+
+// Timeout is TimeoutMS as a duration.
+func (p Platform) Timeout() time.Duration { return Milliseconds(p.TimeoutMS) }
+
+// MaxDeadline is MaxDeadlineMS as a duration.
+func (l Limits) MaxDeadline() time.Duration { return Milliseconds(l.MaxDeadlineMS) }
+
+// ManifestInterval is ManifestIntervalMS as a duration.
+func (q Query) ManifestInterval() time.Duration { return Milliseconds(q.ManifestIntervalMS) }
+
+// ReturnReserve is ReturnReserveMS as a duration.
+func (q Query) ReturnReserve() time.Duration { return Milliseconds(q.ReturnReserveMS) }
+
+// Limit is LimitMS as a duration.
+func (s Stop) Limit() time.Duration { return Milliseconds(s.LimitMS) }
+
+// Retention is RetentionS as a duration.
+func (c Commands) Retention() time.Duration { return time.Duration(c.RetentionS) * time.Second }
--- /dev/null
+++ b/internal/protocol/settings/settings_test.go
@@ -0,0 +1,134 @@
+package settings
+
+import (
+	"errors"
+	"reflect"
+	"strings"
+	"testing"
+)
+
+const identity = "[node]\nid = \"n1\"\navailability_zone = \"east\"\n"
+
+func noEnv(string) (string, bool) { return "", false }
+
+func TestLoadReportsEveryFault(t *testing.T) {
+	cases := []struct {
+		name, text string
+		env        map[string]string
+		want       []string
+	}{
+		{"empty", "", nil, []string{"f: node.id: is required", "f: node.availability_zone: is required"}},
+		{"syntax", identity + "x =", nil, []string{"f:4: "}},
+		{"duplicate", identity + "id = \"n2\"", nil, []string{"f:4: id: toml: key id is already defined"}},
+		{"unknown and type and range", identity + "colour = 1\n[limits]\nmax_items = 0\nmax_body_bytes = \"x\"\n[query]\nreturn_reserve_ms = -1\n", nil, []string{
+			"f:4: node.colour: unknown field",
+			"f:6: limits.max_items: 0 is outside 1 to 10000000",
+			"f:7: limits.max_body_bytes: is not of type integer",
+			"f:9: query.return_reserve_ms: -1 is outside 0 to 10000",
+		}},
+		{"unknown table", identity + "[colours]\nred = 1\n", nil, []string{"f:5: colours.red: unknown field"}},
+		{"key outside tables", "red = 1\n" + identity, nil, []string{"f:1: red: is not a table of the settings"}},
+		{"dotted and inline", "limits.max_items = 0\ntrace = {sample_share = 2}\n" + identity, nil, []string{
+			"f:1: limits.max_items: 0 is outside 1 to 10000000",
+			"f:2: trace.sample_share: 2 is outside 0 to 1",
+		}},
+		{"fraction for an integer", identity + "[limits]\nmax_items = 1.5\n", nil, []string{"f:5: limits.max_items: is not of type integer"}},
+		{"not a number", identity + "[trace]\nsample_share = nan\n", nil, []string{"f:5: trace.sample_share: NaN is outside 0 to 1"}},
+		{"addresses", identity + "caller_address = \"localhost:1\"\nbootstrap_peers = [\"1.2.3.4:5\", \"x\"]\n", nil, []string{
+			`f:4: node.caller_address: "localhost:1" is not ip:port`,
+			`f:5: node.bootstrap_peers: "x" is not ip:port`,
+		}},
+		{"list of numbers", identity + "bootstrap_peers = [1]\n", nil, []string{"f:4: node.bootstrap_peers: is not of type list of strings"}},
+		{"urls", identity + "[platform]\nurl = \"ftp://x\"\n[trace]\notlp_endpoint = \"x\"\n", nil, []string{
+			`f:5: platform.url: "ftp://x" is not an http or https URL`,
+			`f:7: trace.otlp_endpoint: "x" is not an http or https URL`,
+		}},
+		{"level", identity + "[log]\nlevel = \"loud\"\n", nil, []string{`f:5: log.level: "loud" is none of [debug info warn error]`}},
+		{"half of TLS", identity + "[tls]\nnode_name = \"n\"\ncaller_key = \"x\"\n", nil, []string{
+			"f:4: tls.caller_cert: caller_cert and caller_key go together",
+			"f:4: tls.node_cert: node_cert, node_key, node_ca and node_name go together",
+			"f:6: tls.caller_key: is not PEM",
+		}},
+		{"environment", identity, map[string]string{"HICKORYDOCK_PEER_ADDRESS": "nowhere", "HICKORYDOCK_BOOTSTRAP_PEERS": "1.2.3.4:5, x"}, []string{
+			`environment: HICKORYDOCK_PEER_ADDRESS: "nowhere" is not ip:port`,
+			`environment: HICKORYDOCK_BOOTSTRAP_PEERS: "x" is not ip:port`,
+		}},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			_, err := Load("f", c.text, lookup(c.env))
+			var faults Faults
+			if !errors.As(err, &faults) {
+				t.Fatalf("got %v, want Faults", err)
+			}
+			got := strings.Split(err.Error(), "\n")
+			if len(got) != len(c.want) {
+				t.Fatalf("got faults:\n%v", err)
+			}
+			for i, want := range c.want {
+				if !strings.HasPrefix(got[i], want) {
+					t.Errorf("fault %d: got %q, want %q", i, got[i], want)
+				}
+			}
+		})
+	}
+}
+
+func lookup(env map[string]string) func(string) (string, bool) {
+	return func(name string) (string, bool) {
+		value, ok := env[name]
+		return value, ok
+	}
+}
+
+func TestEnvironmentGoesBeforeTheFile(t *testing.T) {
+	env := map[string]string{"HICKORYDOCK_NODE_ID": "n9", "HICKORYDOCK_BOOTSTRAP_PEERS": "10.0.0.1:7070,10.0.0.2:7070"}
+	got, err := Load("f", identity+"bootstrap_peers = [\"10.9.9.9:1\"]\n", lookup(env))
+	if err != nil {
+		t.Fatal(err)
+	}
+	want := Default()
+	want.Node.ID, want.Node.AvailabilityZone = "n9", "east"
+	want.Node.BootstrapPeers = []string{"10.0.0.1:7070", "10.0.0.2:7070"}
+	if !reflect.DeepEqual(got, want) {
+		t.Errorf("got %+v, want %+v", got, want)
+	}
+}
+
+func TestPrintedSettingsLoadAgain(t *testing.T) {
+	want, err := Load("f", identity+"[trace]\nsample_share = 0.25\n", noEnv)
+	if err != nil {
+		t.Fatal(err)
+	}
+	var printed strings.Builder
+	if err := want.Print(&printed); err != nil {
+		t.Fatal(err)
+	}
+	got, err := Load("printed", printed.String(), noEnv)
+	if err != nil || !reflect.DeepEqual(got, want) {
+		t.Errorf("got %+v (%v), want %+v", got, err, want)
+	}
+}
+
+func TestPrintHidesSecrets(t *testing.T) {
+	s := Default()
+	s.TLS.NodeKey, s.TLS.CallerKey = "SECRET-1", "SECRET-2"
+	var printed strings.Builder
+	if err := s.Print(&printed); err != nil {
+		t.Fatal(err)
+	}
+	if strings.Contains(printed.String(), "SECRET") {
+		t.Errorf("a key was printed:\n%s", printed.String())
+	}
+}
+
+func TestEveryFieldIsDescribed(t *testing.T) {
+	for _, f := range Describe() {
+		if f.Doc == "" || strings.HasSuffix(f.Path, ".") {
+			t.Errorf("field %q lacks a key or a description", f.Path)
+		}
+		if (f.Type == "integer" || f.Type == "number") && f.Bounds == "" {
+			t.Errorf("field %q lacks bounds", f.Path)
+		}
+	}
+}
