--- /dev/null
+++ b/internal/transport/logging/logging.go
@@ -0,0 +1,160 @@
+// Package logging writes log events as single lines of key=value pairs and
+// limits how often the same event is repeated. The handler is safe for
+// concurrent use.
+package logging
+
+import (
+	"fmt"
+	"io"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+	"unicode"
+
+	"github.com/apex/log"
+)
+
+// Limits on repeats of one event, which is a level with a message.
+const (
+	// RepeatBurst is the number of repeats written within RepeatInterval.
+	RepeatBurst = 10
+	// RepeatInterval is the time after which an event may be written again.
+	RepeatInterval = 10 * time.Second
+	// maxEvents bounds the number of events that are counted at once.
+	maxEvents = 1024
+)
+
+// timeLayout is RFC 3339 with milliseconds.
+const timeLayout = "2006-01-02T15:04:05.000Z07:00"
+
+// New returns a logger that writes events of a level and above to w.
+func New(w io.Writer, level log.Level) log.Interface {
+	return &log.Logger{Handler: NewHandler(w), Level: level}
+}
+
+// Handler writes one line for each event: time, level and msg first, then the
+// fields sorted by key.
+type Handler struct {
+	mu     sync.Mutex
+	w      io.Writer
+	events map[event]*window
+}
+
+type event struct {
+	level   log.Level
+	message string
+}
+
+// window counts the repeats of an event since start.
+type window struct {
+	start      time.Time
+	written    int
+	suppressed int
+}
+
+// NewHandler returns a handler that writes to w. Writes are serialised.
+func NewHandler(w io.Writer) *Handler {
+	return &Handler{w: w, events: make(map[event]*window)}
+}
+
+// HandleLog writes one event. The first line after suppressed repeats carries
+// their number in the field suppressed.
+func (h *Handler) HandleLog(e *log.Entry) error {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	suppressed, write := h.admit(event{e.Level, e.Message}, e.Timestamp)
+	if !write {
+		return nil
+	}
+	_, err := io.WriteString(h.w, format(e, suppressed))
+	return err
+}
+
+// admit decides whether an event is written now. The caller holds mu.
+func (h *Handler) admit(key event, now time.Time) (suppressed int, write bool) {
+	win := h.events[key]
+	if win == nil {
+		h.makeRoom(now)
+		win = &window{start: now}
+		h.events[key] = win
+	}
+	if now.Sub(win.start) >= RepeatInterval {
+		suppressed = win.suppressed
+		*win = window{start: now}
+	}
+	if win.written >= RepeatBurst {
+		win.suppressed++
+		return 0, false
+	}
+	win.written++
+	return suppressed, true
+}
+
+// makeRoom drops events whose window is over; when none is, it drops all, so
+// that memory stays bounded.
+func (h *Handler) makeRoom(now time.Time) {
+	if len(h.events) < maxEvents {
+		return
+	}
+	for key, win := range h.events {
+		if now.Sub(win.start) >= RepeatInterval && win.suppressed == 0 {
+			delete(h.events, key)
+		}
+	}
+	if len(h.events) >= maxEvents {
+		clear(h.events)
+	}
+}
+
+func format(e *log.Entry, suppressed int) string {
+	var line strings.Builder
+	line.WriteString("time=")
+	line.WriteString(e.Timestamp.UTC().Format(timeLayout))
+	line.WriteString(" level=")
+	line.WriteString(e.Level.String())
+	line.WriteString(" msg=")
+	line.WriteString(quote(e.Message))
+	for _, key := range e.Fields.Names() {
+		line.WriteByte(' ')
+		line.WriteString(cleanKey(key))
+		line.WriteByte('=')
+		line.WriteString(quote(fmt.Sprint(e.Fields.Get(key))))
+	}
+	if suppressed > 0 {
+		line.WriteString(" suppressed=")
+		line.WriteString(strconv.Itoa(suppressed))
+	}
+	line.WriteByte('\n')
+	return line.String()
+}
+
+// reserved are the keys that the handler itself writes.
+var reserved = []string{"time", "level", "msg", "suppressed"}
+
+// cleanKey replaces what would break a key=value line, and keeps fields apart
+// from the handler's own keys.
+func cleanKey(key string) string {
+	clean := strings.Map(func(r rune) rune {
+		if r == '=' || r == '"' || unicode.IsSpace(r) || !unicode.IsPrint(r) {
+			return '_'
+		}
+		return r
+	}, key)
+	if clean == "" || slices.Contains(reserved, clean) {
+		return "field_" + clean
+	}
+	return clean
+}
+
+// quote returns text as it is when it reads as one value, else quoted.
+func quote(text string) string {
+	plain := text != "" && !strings.ContainsFunc(text, func(r rune) bool {
+		return r == '=' || r == '"' || r == '\\' || r == unicode.ReplacementChar || unicode.IsSpace(r) || !unicode.IsPrint(r)
+	})
+	if plain {
+		return text
+	}
+	return strconv.Quote(text)
+}
--- /dev/null
+++ b/internal/transport/metrics/metrics.go
@@ -0,0 +1,231 @@
+// Package metrics owns the Prometheus registry of a process and its typed
+// collectors. Callers use methods, so that names, labels and units stay in one
+// place. Label values are bounded: services come from the catalogue, all other
+// labels from constants. Every method is safe for concurrent use and accepts a
+// nil *Metrics, on which it does nothing.
+package metrics
+
+import (
+	"net/http"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/collectors"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+
+	"github.com/hickorydock/hickorydock/internal/protocol/query"
+)
+
+const namespace = "hickorydock"
+
+// Kind says why a subrequest was sent.
+type Kind string
+
+// Kinds of subrequests.
+const (
+	KindFirst   Kind = "first"
+	KindHedge   Kind = "hedge"
+	KindRetry   Kind = "retry"
+	KindRestart Kind = "restart"
+)
+
+// CancelReason says why a run was cancelled.
+type CancelReason string
+
+// Reasons for a cancelled run.
+const (
+	CancelLoser    CancelReason = "loser"
+	CancelDeadline CancelReason = "deadline"
+	CancelCaller   CancelReason = "caller"
+	CancelRestart  CancelReason = "restart"
+)
+
+// Refusal says why a request was refused before it ran.
+type Refusal string
+
+// Reasons for a refusal.
+const (
+	RefusalBadRequest Refusal = "bad_request"
+	RefusalUnknown    Refusal = "unknown_service"
+	RefusalTooLarge   Refusal = "too_large"
+	RefusalToken      Refusal = "token"
+	RefusalOverload   Refusal = "overload"
+	RefusalDeadline   Refusal = "deadline"
+	RefusalStopping   Refusal = "stopping"
+	RefusalQuarantine Refusal = "quarantine"
+	RefusalConflict   Refusal = "conflict"
+	RefusalPlatform   Refusal = "platform"
+)
+
+// Metrics holds the collectors of one process.
+type Metrics struct {
+	registry      *prometheus.Registry
+	queries       *prometheus.HistogramVec
+	coverage      *prometheus.HistogramVec
+	inFlight      prometheus.Gauge
+	subrequests   *prometheus.CounterVec
+	cancelled     *prometheus.CounterVec
+	refusals      *prometheus.CounterVec
+	invariants    *prometheus.CounterVec
+	revision      prometheus.Gauge
+	oldRevisions  prometheus.Counter
+	platformCalls *prometheus.HistogramVec
+	connections   *prometheus.GaugeVec
+	quarantine    prometheus.Gauge
+	peers         prometheus.Gauge
+}
+
+// latencyBuckets are seconds, close around the answers of tens of milliseconds.
+var latencyBuckets = []float64{.001, .0025, .005, .01, .02, .03, .04, .05, .061, .08, .1, .15, .25, .5, 1, 2.5, 5, 10, 30}
+
+// coverageBuckets are shares of shards; the last ones are close together, for
+// one shard of many.
+var coverageBuckets = []float64{0, .5, .8, .9, .95, .98, .99, .995, .999, 1}
+
+// New returns the collectors in a registry of their own, with those of the Go
+// runtime and of the process.
+func New() *Metrics {
+	m := &Metrics{
+		registry:      prometheus.NewRegistry(),
+		queries:       histogram("query_duration_seconds", "Time from a request's header to its answer, by service and outcome.", latencyBuckets, "service", "outcome"),
+		coverage:      histogram("query_coverage_ratio", "Share of shards that an answer covers, by service.", coverageBuckets, "service"),
+		inFlight:      gauge("queries_in_flight", "Queries and commands that the node works on."),
+		subrequests:   counter("subrequests_total", "Subrequests sent to upstreams, by service and kind: first, hedge, retry or restart.", "service", "kind"),
+		cancelled:     counter("subrequests_cancelled_total", "Subrequests cancelled after they were sent, by service and reason.", "service", "reason"),
+		refusals:      counter("refusals_total", "Requests refused before they ran, by reason.", "reason"),
+		invariants:    counter("invariant_violations_total", "Broken invariants, each of which failed one request, by name.", "name"),
+		revision:      gauge("catalogue_revision", "Revision of the catalogue in force on this node."),
+		oldRevisions:  counter("catalogue_old_revisions_total", "Catalogues not taken because their revision was not newer.").WithLabelValues(),
+		platformCalls: histogram("platform_call_duration_seconds", "Time of calls of the platform's object API, by method and result.", prometheus.DefBuckets, "method", "result"),
+		connections:   gaugeVec("leaf_connections", "Open connections to upstreams, by upstream group.", "group"),
+		quarantine:    gauge("quarantine_entries", "Requests in quarantine."),
+		peers:         gauge("peers", "Nodes that this node has a stream to."),
+	}
+	m.registry.MustRegister(
+		collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}),
+		m.queries, m.coverage, m.inFlight, m.subrequests, m.cancelled, m.refusals, m.invariants,
+		m.revision, m.oldRevisions, m.platformCalls, m.connections, m.quarantine, m.peers,
+	)
+	return m
+}
+
+func histogram(name, help string, buckets []float64, labels ...string) *prometheus.HistogramVec {
+	return prometheus.NewHistogramVec(prometheus.HistogramOpts{Namespace: namespace, Name: name, Help: help, Buckets: buckets}, labels)
+}
+
+func counter(name, help string, labels ...string) *prometheus.CounterVec {
+	return prometheus.NewCounterVec(prometheus.CounterOpts{Namespace: namespace, Name: name, Help: help}, labels)
+}
+
+func gauge(name, help string) prometheus.Gauge {
+	return prometheus.NewGauge(prometheus.GaugeOpts{Namespace: namespace, Name: name, Help: help})
+}
+
+func gaugeVec(name, help string, labels ...string) *prometheus.GaugeVec {
+	return prometheus.NewGaugeVec(prometheus.GaugeOpts{Namespace: namespace, Name: name, Help: help}, labels)
+}
+
+// Handler serves the registry in the Prometheus text format.
+func (m *Metrics) Handler() http.Handler {
+	return promhttp.HandlerFor(m.registry, promhttp.HandlerOpts{Registry: m.registry})
+}
+
+// Gatherer gives read access to the registry.
+func (m *Metrics) Gatherer() prometheus.Gatherer { return m.registry }
+
+// QueryStarted counts a request as in flight until the returned function runs.
+func (m *Metrics) QueryStarted() (done func()) {
+	if m == nil {
+		return func() {}
+	}
+	m.inFlight.Inc()
+	return m.inFlight.Dec
+}
+
+// QueryDone records an answered request. The service must be one of the catalogue.
+func (m *Metrics) QueryDone(service string, outcome query.Outcome, took time.Duration, coverage query.Coverage) {
+	if m == nil {
+		return
+	}
+	m.queries.WithLabelValues(service, string(outcome)).Observe(took.Seconds())
+	if coverage.Total > 0 {
+		m.coverage.WithLabelValues(service).Observe(coverage.Share())
+	}
+}
+
+// Subrequest counts a subrequest that was sent.
+func (m *Metrics) Subrequest(service string, kind Kind) {
+	if m != nil {
+		m.subrequests.WithLabelValues(service, string(kind)).Inc()
+	}
+}
+
+// Cancelled counts a subrequest that was cancelled after it was sent.
+func (m *Metrics) Cancelled(service string, reason CancelReason) {
+	if m != nil {
+		m.cancelled.WithLabelValues(service, string(reason)).Inc()
+	}
+}
+
+// Refused counts a request that was refused before it ran.
+func (m *Metrics) Refused(reason Refusal) {
+	if m != nil {
+		m.refusals.WithLabelValues(string(reason)).Inc()
+	}
+}
+
+// InvariantViolated counts a broken invariant. The name must be a constant.
+func (m *Metrics) InvariantViolated(name string) {
+	if m != nil {
+		m.invariants.WithLabelValues(name).Inc()
+	}
+}
+
+// RevisionInForce records the catalogue revision that the node acts on.
+func (m *Metrics) RevisionInForce(revision uint64) {
+	if m != nil {
+		m.revision.Set(float64(revision))
+	}
+}
+
+// OldRevisionRefused counts a catalogue that was not newer than the one in force.
+func (m *Metrics) OldRevisionRefused() {
+	if m != nil {
+		m.oldRevisions.Inc()
+	}
+}
+
+// PlatformCall records one call of the platform. Method and result must be constants.
+func (m *Metrics) PlatformCall(method, result string, took time.Duration) {
+	if m != nil {
+		m.platformCalls.WithLabelValues(method, result).Observe(took.Seconds())
+	}
+}
+
+// LeafConnections records the open connections to the leafs of an upstream group.
+func (m *Metrics) LeafConnections(group string, open int) {
+	if m != nil {
+		m.connections.WithLabelValues(group).Set(float64(open))
+	}
+}
+
+// LeafConnectionDelta adds to the open connections of an upstream group.
+func (m *Metrics) LeafConnectionDelta(group string, delta int) {
+	if m != nil {
+		m.connections.WithLabelValues(group).Add(float64(delta))
+	}
+}
+
+// QuarantineSize records the number of requests in quarantine.
+func (m *Metrics) QuarantineSize(entries int) {
+	if m != nil {
+		m.quarantine.Set(float64(entries))
+	}
+}
+
+// Peers records the number of nodes that this node has a stream to.
+func (m *Metrics) Peers(connected int) {
+	if m != nil {
+		m.peers.Set(float64(connected))
+	}
+}
