--- a/cmd/hickorydock/main.go
+++ b/cmd/hickorydock/main.go
@@ -2,4 +2,96 @@
 // subcommands serve queries, manage release notes and measure.
 package main
 
-func main() {}
+import (
+	"context"
+	"fmt"
+	"io"
+	"os"
+	"os/signal"
+	"slices"
+	"strings"
+	"syscall"
+
+	"github.com/integrii/flaggy"
+)
+
+// runFunc is the body of a subcommand. Results go to out, messages to errOut.
+// The context ends with SIGTERM or SIGINT.
+type runFunc func(ctx context.Context, out, errOut io.Writer) error
+
+// command is one subcommand.
+type command struct {
+	name    string
+	summary string
+	// examples are shown below the flags in the help.
+	examples string
+	// bind declares the flags and returns the body that reads them.
+	bind func(flags *flaggy.Subcommand) runFunc
+}
+
+// commands holds every subcommand in the order of the help.
+var commands = []command{
+	serveCommand,
+	versionCommand,
+}
+
+const overview = `A query tier over many shards: consistent, complete or honestly partial answers.
+
+  Try it:       hickorydock demo
+  Run a node:   hickorydock serve --config node.toml
+  Shell:        hickorydock completion bash
+
+Exit codes: 0 done, 1 failed, 2 wrong usage or settings, 3 conflict with another operator.
+Results go to stdout, messages to stderr. Help for one subcommand: hickorydock SUBCOMMAND --help`
+
+func main() {
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	code := run(ctx, os.Args[1:], os.Stdout, os.Stderr)
+	stop()
+	os.Exit(code)
+}
+
+// run parses the arguments and runs one subcommand. It returns the exit code.
+// On --help and on wrong arguments the parser ends the process with 0 or 2.
+func run(ctx context.Context, args []string, out, errOut io.Writer) int {
+	parser := flaggy.NewParser("hickorydock")
+	parser.Description = overview
+	parser.ShowVersionWithVersionFlag = false
+	bodies := make(map[*flaggy.Subcommand]runFunc, len(commands))
+	for _, c := range commands {
+		sub := flaggy.NewSubcommand(c.name)
+		sub.Description = c.summary
+		sub.AdditionalHelpAppend = "\n" + c.examples
+		bodies[sub] = c.bind(sub)
+		parser.AttachSubcommand(sub, 1)
+	}
+	if name, ok := unknownCommand(args); ok {
+		return report(usageError("unknown subcommand %q; see hickorydock --help", name), errOut)
+	}
+	if err := parser.ParseArgs(args); err != nil {
+		return report(usageError("%v", err), errOut)
+	}
+	body, ok := bodies[parser.TrailingSubcommand()]
+	if !ok {
+		parser.ShowHelp()
+		return exitUsage
+	}
+	return report(body(ctx, out, errOut), errOut)
+}
+
+// unknownCommand finds a first argument that names no subcommand.
+func unknownCommand(args []string) (string, bool) {
+	if len(args) == 0 || strings.HasPrefix(args[0], "-") || args[0] == "completion" {
+		return "", false
+	}
+	known := slices.ContainsFunc(commands, func(c command) bool { return c.name == args[0] })
+	return args[0], !known
+}
+
+// report writes a failure to errOut and returns its exit code.
+func report(err error, errOut io.Writer) int {
+	if err != nil {
+		fmt.Fprintf(errOut, "hickorydock: %v\n", err)
+	}
+	return exitCode(err)
+}
