Join the query path to a node and measure its tail

Cause: the path existed only as packages. Change: fx modules beside the packages, a node that assembles them, the frame for experiments with a rig of stand-in leafs, and the experiment tail.

--- /dev/null
+++ b/cmd/hickorydock/experiment.go
@@ -0,0 +1,89 @@
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+
+	"github.com/integrii/flaggy"
+
+	"github.com/hickorydock/hickorydock/internal/experiment"
+)
+
+var experimentCommand = command{
+	name:    "experiment",
+	summary: "Measure the tier against stand-ins on loopback.",
+	examples: `Each experiment takes at most 30 s and prints one line of JSON with the figures of
+a baseline and of the policy, its target and "pass". The exit code is 1 when a check fails.
+Examples:
+  hickorydock experiment --list
+  hickorydock experiment tail --seed 7
+  hickorydock experiment --all`,
+	bind: bindExperiment,
+}
+
+// experimentOptions are the flags of experiment.
+type experimentOptions struct {
+	name string
+	list bool
+	all  bool
+	seed uint64
+}
+
+// defaultSeed is the seed of experiments when none is given.
+const defaultSeed = 1
+
+func bindExperiment(flags *flaggy.Subcommand) runFunc {
+	opts := experimentOptions{seed: defaultSeed}
+	flags.AddPositionalValue(&opts.name, "name", 1, false, "Name of the experiment; see --list.")
+	flags.Bool(&opts.list, "l", "list", "List the experiments and exit.")
+	flags.Bool(&opts.all, "a", "all", "Run every experiment.")
+	flags.UInt64(&opts.seed, "s", "seed", "Seed of everything random.")
+	return func(ctx context.Context, out, errOut io.Writer) error {
+		return runExperiment(ctx, opts, out, errOut)
+	}
+}
+
+// errTargetMissed is the failure of an experiment that ran and missed its target.
+var errTargetMissed = errors.New("target missed")
+
+func runExperiment(ctx context.Context, opts experimentOptions, out, errOut io.Writer) error {
+	switch {
+	case opts.list:
+		return listExperiments(out)
+	case opts.all:
+		return runExperiments(ctx, experiment.All(), opts.seed, out)
+	}
+	e, ok := experiment.Find(opts.name)
+	if !ok {
+		return usageError("no experiment %q; see hickorydock experiment --list", opts.name)
+	}
+	return runExperiments(ctx, []experiment.Experiment{e}, opts.seed, out)
+}
+
+func listExperiments(out io.Writer) error {
+	for _, e := range experiment.All() {
+		if _, err := fmt.Fprintf(out, "%-16s %s\n%-16s target: %s\n", e.Name, e.Summary, "", e.Target); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func runExperiments(ctx context.Context, list []experiment.Experiment, seed uint64, out io.Writer) error {
+	var missed error
+	for _, e := range list {
+		result, err := experiment.Execute(ctx, e, seed)
+		if err != nil {
+			return err
+		}
+		if err := experiment.Print(out, result); err != nil {
+			return err
+		}
+		if !result.Pass {
+			missed = errors.Join(missed, fmt.Errorf("experiment %s: %w", e.Name, errTargetMissed))
+		}
+	}
+	return missed
+}
--- a/internal/coordination/gather/gather_test.go
+++ b/internal/coordination/gather/gather_test.go
@@ -1,8 +1,8 @@
 package gather
 
 import (
-	"flag"
 	"encoding/json"
+	"flag"
 	"fmt"
 	"testing"
 	"time"
--- /dev/null
+++ b/internal/experiment/tail.go
@@ -0,0 +1,145 @@
+package experiment
+
+import (
+	"context"
+	"time"
+
+	"github.com/hickorydock/hickorydock/internal/protocol/note"
+	"github.com/hickorydock/hickorydock/internal/standin/leaf"
+)
+
+var tailExperiment = Experiment{
+	Name:    "tail",
+	Summary: "40 shards of 2 replicas, 1 % of replies 20 times slow, half load",
+	Target:  "p99 at most 0.25 of a random replica without hedges and 1.5 of a run without stragglers; extra load at most 5 %",
+	Run:     runTail,
+}
+
+const (
+	tailShards   = 40
+	tailReplicas = 2
+	tailSlots    = 3
+	tailQueries  = 3000
+	tailWarmup   = 300
+	// tailRate is half of the leafs' capacity in queries per second: 2 replicas
+	// of 3 slots at a mean service time of 6.2 ms give about 960.
+	tailRate = 480.0
+)
+
+// tailServiceTime has a median of 5 ms and 1 % of runs 20 times as long.
+var tailServiceTime = leaf.ServiceTime{Median: 5 * time.Millisecond, Sigma: 0.3, StragglerShare: 0.01, StragglerFactor: 20}
+
+// experimentService is the service that experiments query.
+func experimentService(hedgeShare float64) note.Service {
+	return note.Service{
+		Name:            "licence-desk",
+		UpstreamGroup:   "licence-desk",
+		Policy:          note.PolicyTail,
+		Merge:           note.MergeConcat,
+		LongestWaitMS:   2000,
+		HedgeShare:      hedgeShare,
+		LeafSlots:       tailSlots,
+		LeafConnections: 100,
+	}
+}
+
+func runTail(ctx context.Context, seed uint64) (Result, error) {
+	baseline, err := tailRun(ctx, seed, 0, tailServiceTime)
+	if err != nil {
+		return Result{}, err
+	}
+	quietTime := tailServiceTime
+	quietTime.StragglerShare = 0
+	quiet, err := tailRun(ctx, seed, 0.05, quietTime)
+	if err != nil {
+		return Result{}, err
+	}
+	policy, err := tailRun(ctx, seed, 0.05, tailServiceTime)
+	if err != nil {
+		return Result{}, err
+	}
+	p99 := policy.tally.quantileMS(0.99)
+	return Result{
+		Baseline: baseline.figures(),
+		Policy:   append(policy.figures(), Figure{"quiet_p99_ms", quiet.tally.quantileMS(0.99)}),
+		Checks: []Check{
+			AtMost("p99_over_baseline", p99/baseline.tally.quantileMS(0.99), 0.25),
+			AtMost("p99_over_quiet", p99/quiet.tally.quantileMS(0.99), 1.5),
+			AtMost("extra_load", policy.extraLoad, 0.05),
+			AtMost("mixed", float64(policy.tally.mixed), 0),
+			AtLeast("complete", float64(policy.tally.complete), tailQueries),
+		},
+	}, nil
+}
+
+// measured is a run's tally with the extra load on the leafs.
+type measured struct {
+	tally *tally
+	// extraLoad is runs beyond one a shard and query, as a share of those.
+	extraLoad float64
+}
+
+func (m measured) figures() []Figure {
+	return append(m.tally.figures(), Figure{"extra_load", m.extraLoad})
+}
+
+// tailRun measures one setting. A hedge share of 0 turns hedges and retries
+// off and takes replicas at random.
+func tailRun(ctx context.Context, seed uint64, hedgeShare float64, service leaf.ServiceTime) (measured, error) {
+	r, err := newRig(ctx, rigOptions{
+		seed:     seed,
+		service:  experimentService(hedgeShare),
+		shards:   tailShards,
+		replicas: tailReplicas,
+		leaf:     leaf.Options{Slots: tailSlots, QueueLength: 200, ServiceTime: service, Items: 1},
+		nodes:    1,
+	})
+	if err != nil {
+		return measured{}, err
+	}
+	defer r.close()
+	return r.measure(ctx, tailRate, tailWarmup, tailQueries)
+}
+
+// measure sends warm-up queries, then counted ones, at a rate per second.
+func (r *rig) measure(ctx context.Context, rate float64, warmup, count int) (measured, error) {
+	if err := r.awaitComplete(ctx); err != nil {
+		return measured{}, err
+	}
+	c := newCaller()
+	defer c.close()
+	r.drive(ctx, c, newTally(false), rate, warmup)
+	r.resetRuns()
+	t := newTally(false)
+	r.drive(ctx, c, t, rate, count)
+	expected := count * r.options.shards
+	extra := float64(r.runs()-expected) / float64(expected)
+	return measured{tally: t, extraLoad: extra}, ctx.Err()
+}
+
+func (r *rig) drive(ctx context.Context, c *caller, t *tally, rate float64, count int) {
+	poisson(ctx, r.options.seed, rate, count, func(i int, at time.Time) {
+		t.add(c.ask(ctx, r.url(i), r.options.service.Name, i, at))
+	})
+}
+
+// awaitComplete waits until every node answers a query completely.
+func (r *rig) awaitComplete(ctx context.Context) error {
+	c := newCaller()
+	defer c.close()
+	for i := range r.nodes {
+		for {
+			s := c.ask(ctx, r.url(i), r.options.service.Name, i, time.Now())
+			if s.ok() && len(s.answer.Coverage.Missing) == 0 {
+				break
+			}
+			if !sleepUntil(ctx, time.Now().Add(settlePause)) {
+				return ctx.Err()
+			}
+		}
+	}
+	return nil
+}
+
+// settlePause is the wait between two looks at a state that is still settling.
+const settlePause = 20 * time.Millisecond
--- /dev/null
+++ b/internal/node/node.go
@@ -0,0 +1,118 @@
+// Package node assembles a node from the modules of its packages. A Node is
+// one process's worth of entry, relay and control; tests and the demo run
+// several in one process.
+package node
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"os"
+
+	"github.com/apex/log"
+	"go.uber.org/fx"
+
+	"github.com/hickorydock/hickorydock/internal/protocol/settings"
+	"github.com/hickorydock/hickorydock/internal/transport/discovery"
+	"github.com/hickorydock/hickorydock/internal/transport/entry"
+	"github.com/hickorydock/hickorydock/internal/transport/logging"
+	"github.com/hickorydock/hickorydock/internal/transport/metrics"
+	"github.com/hickorydock/hickorydock/internal/transport/relay"
+	"github.com/hickorydock/hickorydock/internal/transport/server"
+	"github.com/hickorydock/hickorydock/internal/transport/tracing"
+	"github.com/hickorydock/hickorydock/internal/transport/upstream"
+)
+
+// Config says what a node is made of.
+type Config struct {
+	Settings settings.Settings
+	// Logs receives log lines; nil means standard error.
+	Logs io.Writer
+	// Control provides server.Services and server.Readiness and keeps the VM
+	// list of discovery current.
+	Control fx.Option
+}
+
+// Node is an assembled node. Start and Stop are called once each, by one goroutine.
+type Node struct {
+	app       *fx.App
+	settings  settings.Settings
+	listener  *server.Listener
+	entry     *entry.Entry
+	metrics   *metrics.Metrics
+	discovery *discovery.Discovery
+}
+
+// New assembles a node; nothing listens before Start.
+func New(cfg Config) (*Node, error) {
+	n := &Node{settings: cfg.Settings}
+	logs := cfg.Logs
+	if logs == nil {
+		logs = os.Stderr
+	}
+	n.app = fx.New(
+		fx.NopLogger,
+		fx.StopTimeout(cfg.Settings.Stop.Limit()),
+		fx.Supply(cfg.Settings),
+		fx.Provide(func() (log.Interface, error) { return newLogger(logs, cfg.Settings.Log) }),
+		fx.Provide(metrics.New, newTracer),
+		cfg.Control,
+		upstream.Module,
+		discovery.Module,
+		relay.Module,
+		entry.Module,
+		server.Module,
+		fx.Populate(&n.listener, &n.entry, &n.metrics, &n.discovery),
+	)
+	if err := n.app.Err(); err != nil {
+		return nil, fmt.Errorf("assemble node: %w", err)
+	}
+	return n, nil
+}
+
+func newLogger(w io.Writer, cfg settings.Log) (log.Interface, error) {
+	level, err := log.ParseLevel(cfg.Level)
+	if err != nil {
+		return nil, fmt.Errorf("log level %q: %w", cfg.Level, err)
+	}
+	return logging.New(w, level), nil
+}
+
+func newTracer(s settings.Settings, lifecycle fx.Lifecycle) (*tracing.Tracer, error) {
+	tracer, err := tracing.New(context.Background(), tracing.Config{
+		Endpoint:         s.Trace.OTLPEndpoint,
+		SampleShare:      s.Trace.SampleShare,
+		NodeID:           s.Node.ID,
+		AvailabilityZone: s.Node.AvailabilityZone,
+	})
+	if err != nil {
+		return nil, err
+	}
+	lifecycle.Append(fx.StopHook(tracer.Shutdown))
+	return tracer, nil
+}
+
+// Start binds the node's addresses and takes up work.
+func (n *Node) Start(ctx context.Context) error {
+	return n.app.Start(ctx)
+}
+
+// Stop is a graceful stop: new requests are refused, those in progress finish
+// within the stop limit.
+func (n *Node) Stop(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, n.settings.Stop.Limit())
+	defer cancel()
+	return n.app.Stop(ctx)
+}
+
+// URL is the base URL for callers.
+func (n *Node) URL() string { return "http://" + n.listener.Address() }
+
+// Discovery is the node's discovery of leafs.
+func (n *Node) Discovery() *discovery.Discovery { return n.discovery }
+
+// Violations counts the invariants broken on this node.
+func (n *Node) Violations() int64 { return n.entry.Violations() }
+
+// Metrics is the node's metrics.
+func (n *Node) Metrics() *metrics.Metrics { return n.metrics }
--- a/internal/transport/entry/entry.go
+++ b/internal/transport/entry/entry.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/google/uuid"
+	"go.opentelemetry.io/otel/attribute"
 
 	"github.com/hickorydock/hickorydock/internal/coordination/gather"
 	"github.com/hickorydock/hickorydock/internal/coordination/merge"
@@ -21,6 +22,7 @@
 	contract "github.com/hickorydock/hickorydock/internal/protocol/upstream"
 	"github.com/hickorydock/hickorydock/internal/state/shardmap"
 	"github.com/hickorydock/hickorydock/internal/transport/relay"
+	"github.com/hickorydock/hickorydock/internal/transport/tracing"
 )
 
 // retryAfter is the advice to callers whose query ran nowhere.
@@ -53,11 +55,12 @@
 	runner     Runner
 	violations atomic.Int64
 	onBroken   func(name string)
+	tracer     *tracing.Tracer
 }
 
 // New returns an entry; onBroken is told the name of each broken invariant and may be nil.
-func New(cfg Config, store *shardmap.Store, runner Runner, onBroken func(name string)) *Entry {
-	return &Entry{cfg: cfg, store: store, runner: runner, onBroken: onBroken}
+func New(cfg Config, store *shardmap.Store, runner Runner, onBroken func(name string), tracer *tracing.Tracer) *Entry {
+	return &Entry{cfg: cfg, store: store, runner: runner, onBroken: onBroken, tracer: tracer}
 }
 
 // Violations counts broken invariants; each failed one query.
@@ -77,7 +80,9 @@
 }
 
 // Query answers a query of a service, which arrived at arrived.
-func (e *Entry) Query(ctx context.Context, service note.Service, request query.Request, arrived time.Time) (query.Answer, error) {
+func (e *Entry) Query(ctx context.Context, service note.Service, request query.Request, arrived time.Time) (answer query.Answer, err error) {
+	ctx, span := e.tracer.Start(ctx, tracing.HopPlan, attribute.String("service", service.Name))
+	defer func() { span.End(err) }()
 	view := snapshot.Choose(e.store.View(service.UpstreamGroup, service.Name), nil)
 	if view == nil {
 		return query.Answer{}, fault.New(fault.StepPlan, service.UpstreamGroup, "no leaf of service %s is known", service.Name).
--- /dev/null
+++ b/internal/transport/entry/module.go
@@ -0,0 +1,21 @@
+package entry
+
+import (
+	"go.uber.org/fx"
+
+	"github.com/hickorydock/hickorydock/internal/protocol/settings"
+	"github.com/hickorydock/hickorydock/internal/state/shardmap"
+	"github.com/hickorydock/hickorydock/internal/transport/metrics"
+	"github.com/hickorydock/hickorydock/internal/transport/relay"
+	"github.com/hickorydock/hickorydock/internal/transport/tracing"
+)
+
+// Module provides the entry.
+var Module = fx.Module("entry", fx.Provide(provide))
+
+func provide(s settings.Settings, store *shardmap.Store, runner *relay.Relay, m *metrics.Metrics, tracer *tracing.Tracer) *Entry {
+	cfg := DefaultConfig()
+	cfg.ReturnReserve = s.Query.ReturnReserve()
+	cfg.MaxItems = int(s.Limits.MaxItems)
+	return New(cfg, store, runner, m.InvariantViolated, tracer)
+}
--- /dev/null
+++ b/internal/transport/relay/module.go
@@ -0,0 +1,34 @@
+package relay
+
+import (
+	"go.uber.org/fx"
+
+	"github.com/hickorydock/hickorydock/internal/coordination/subrequest"
+	"github.com/hickorydock/hickorydock/internal/protocol/settings"
+	"github.com/hickorydock/hickorydock/internal/state/shardmap"
+	"github.com/hickorydock/hickorydock/internal/transport/metrics"
+	"github.com/hickorydock/hickorydock/internal/transport/tracing"
+	"github.com/hickorydock/hickorydock/internal/transport/upstream"
+)
+
+// Module provides the relay.
+var Module = fx.Module("relay", fx.Provide(provide))
+
+func provide(client *upstream.Client, store *shardmap.Store, s settings.Settings, m *metrics.Metrics, tracer *tracing.Tracer) *Relay {
+	return New(client, store, s.Node.AvailabilityZone, meter{m}, tracer)
+}
+
+// meter counts attempts in the metrics.
+type meter struct{ metrics *metrics.Metrics }
+
+// Subrequest counts an attempt by kind.
+func (m meter) Subrequest(service string, kind subrequest.Kind) {
+	switch kind {
+	case subrequest.First:
+		m.metrics.Subrequest(service, metrics.KindFirst)
+	case subrequest.Hedge:
+		m.metrics.Subrequest(service, metrics.KindHedge)
+	case subrequest.Retry:
+		m.metrics.Subrequest(service, metrics.KindRetry)
+	}
+}
--- a/internal/transport/relay/relay.go
+++ b/internal/transport/relay/relay.go
@@ -9,6 +9,8 @@
 	"sync"
 	"time"
 
+	"go.opentelemetry.io/otel/attribute"
+
 	"github.com/hickorydock/hickorydock/internal/coordination/budget"
 	"github.com/hickorydock/hickorydock/internal/coordination/latency"
 	"github.com/hickorydock/hickorydock/internal/coordination/subrequest"
@@ -17,6 +19,7 @@
 	contract "github.com/hickorydock/hickorydock/internal/protocol/upstream"
 	"github.com/hickorydock/hickorydock/internal/state/leaf"
 	"github.com/hickorydock/hickorydock/internal/state/shardmap"
+	"github.com/hickorydock/hickorydock/internal/transport/tracing"
 	"github.com/hickorydock/hickorydock/internal/transport/upstream"
 )
 
@@ -42,12 +45,13 @@
 	store    *shardmap.Store
 	zone     string
 	observer Observer
+	tracer   *tracing.Tracer
 	services sync.Map // service name -> *serviceState
 }
 
 // New returns a relay in an availability zone; observer may be nil.
-func New(client *upstream.Client, store *shardmap.Store, availabilityZone string, observer Observer) *Relay {
-	return &Relay{client: client, store: store, zone: availabilityZone, observer: observer}
+func New(client *upstream.Client, store *shardmap.Store, availabilityZone string, observer Observer, tracer *tracing.Tracer) *Relay {
+	return &Relay{client: client, store: store, zone: availabilityZone, observer: observer, tracer: tracer}
 }
 
 // serviceState is what the relay learned about one service.
@@ -130,6 +134,7 @@
 	machine subrequest.Machine
 	ctx     context.Context
 	results chan ended
+	first   tracing.Span
 	count   int
 	sent    bool
 }
@@ -249,12 +254,26 @@
 		u.relay.observer.Subrequest(u.task.Service.Name, attempt.Kind)
 	}
 	target.Record.Begin()
-	go u.attempt(attempt.Replica, target, sub)
+	ctx, span := u.span(attempt, target)
+	go u.attempt(ctx, span, attempt.Replica, target, sub)
+}
+
+// span starts the span of an attempt; those after the first link to it.
+func (u *run) span(attempt subrequest.Attempt, target shardmap.Replica) (context.Context, tracing.Span) {
+	leafID := attribute.String("leaf", target.VM.ID)
+	shard := attribute.Int("shard", u.task.Shard)
+	if attempt.Kind != subrequest.First {
+		return u.relay.tracer.StartLinked(u.ctx, tracing.HopAttempt, u.first, leafID, shard)
+	}
+	ctx, span := u.relay.tracer.Start(u.ctx, tracing.HopAttempt, leafID, shard)
+	u.first = span
+	return ctx, span
 }
 
-func (u *run) attempt(index int, target shardmap.Replica, sub contract.Subrequest) {
+func (u *run) attempt(ctx context.Context, span tracing.Span, index int, target shardmap.Replica, sub contract.Subrequest) {
 	begun := time.Now()
-	reply := u.relay.client.Run(u.ctx, target.VM, sub, u.task.Deadline.Sub(begun), u.task.Body)
+	reply := u.relay.client.Run(ctx, target.VM, sub, u.task.Deadline.Sub(begun), u.task.Body)
+	span.End(reply.Err)
 	now := time.Now()
 	elapsed := now.Sub(begun)
 	target.Record.End(now, elapsed, leafResult(u.ctx, reply))
--- /dev/null
+++ b/internal/transport/server/module.go
@@ -0,0 +1,108 @@
+package server
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/apex/log"
+	"go.uber.org/fx"
+
+	"github.com/hickorydock/hickorydock/internal/protocol/fault"
+	"github.com/hickorydock/hickorydock/internal/protocol/query"
+	"github.com/hickorydock/hickorydock/internal/protocol/settings"
+	"github.com/hickorydock/hickorydock/internal/transport/entry"
+	"github.com/hickorydock/hickorydock/internal/transport/metrics"
+	"github.com/hickorydock/hickorydock/internal/transport/tracing"
+)
+
+// Module provides the server and the listener for callers.
+var Module = fx.Module("server", fx.Provide(provide, Listen))
+
+// Readiness says whether the node may take work; nil error means ready.
+type Readiness func() error
+
+func provide(s settings.Settings, services Services, queries *entry.Entry, ready Readiness, m *metrics.Metrics, tracer *tracing.Tracer, logger log.Interface) *Server {
+	cfg := Config{MaxBodyBytes: s.Limits.MaxBodyBytes, MaxDeadline: s.Limits.MaxDeadline(), Ready: ready}
+	return New(cfg, services, queries, meter{m, logger}, tracer)
+}
+
+// meter counts requests in the metrics and logs those that failed.
+type meter struct {
+	metrics *metrics.Metrics
+	logger  log.Interface
+}
+
+// Request records the end of a request.
+func (m meter) Request(service string, outcome query.Outcome, coverage query.Coverage, elapsed time.Duration, err error) {
+	if err == nil {
+		m.metrics.QueryDone(service, outcome, elapsed, coverage)
+		return
+	}
+	e := fault.From(err)
+	m.metrics.Refused(refusal(e))
+	m.logger.WithFields(log.Fields{
+		"service": service, "step": string(e.Step), "peer": e.Peer, "outcome": string(e.Outcome), "error": e.Detail(),
+	}).Warn("request failed")
+}
+
+func refusal(e *fault.Error) metrics.Refusal {
+	switch e.Status {
+	case http.StatusBadRequest:
+		return metrics.RefusalBadRequest
+	case http.StatusNotFound:
+		return metrics.RefusalUnknown
+	case http.StatusRequestEntityTooLarge:
+		return metrics.RefusalTooLarge
+	case http.StatusServiceUnavailable:
+		return metrics.RefusalOverload
+	default:
+		return metrics.RefusalDeadline
+	}
+}
+
+// Listener serves callers on the caller address.
+type Listener struct {
+	address string
+}
+
+// Address is the address that the listener is bound to, host:port.
+func (l *Listener) Address() string { return l.address }
+
+// Listen binds the caller address when the node starts. When it stops, requests
+// in progress are finished before connections close.
+func Listen(s settings.Settings, handler *Server, logger log.Interface, lifecycle fx.Lifecycle) *Listener {
+	l := &Listener{}
+	server := &http.Server{
+		Handler:           handler,
+		ReadHeaderTimeout: settings.Milliseconds(s.Limits.HeaderTimeoutMS),
+		IdleTimeout:       settings.Milliseconds(s.Limits.IdleTimeoutMS),
+		MaxHeaderBytes:    int(s.Limits.MaxHeaderBytes),
+	}
+	lifecycle.Append(fx.Hook{
+		OnStart: func(context.Context) error {
+			listener, err := net.Listen("tcp", s.Node.CallerAddress)
+			if err != nil {
+				return fault.Wrap(err, fault.StepSettings, s.Node.CallerAddress, "listen for callers")
+			}
+			l.address = listener.Addr().String()
+			go serve(server, listener, logger)
+			return nil
+		},
+		OnStop: func(ctx context.Context) error {
+			if cut := handler.Stop(ctx); cut > 0 {
+				logger.WithField("requests", cut).Error("stop limit reached, requests cut off")
+			}
+			return server.Shutdown(ctx)
+		},
+	})
+	return l
+}
+
+func serve(server *http.Server, listener net.Listener, logger log.Interface) {
+	if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+		logger.WithField("error", err.Error()).Error("caller listener failed")
+	}
+}
--- a/internal/transport/server/server.go
+++ b/internal/transport/server/server.go
@@ -13,10 +13,12 @@
 	"time"
 
 	"github.com/gin-gonic/gin"
+	"go.opentelemetry.io/otel/attribute"
 
 	"github.com/hickorydock/hickorydock/internal/protocol/fault"
 	"github.com/hickorydock/hickorydock/internal/protocol/note"
 	"github.com/hickorydock/hickorydock/internal/protocol/query"
+	"github.com/hickorydock/hickorydock/internal/transport/tracing"
 )
 
 // Services finds services in force.
@@ -50,6 +52,7 @@
 	services Services
 	queries  Queries
 	observer Observer
+	tracer   *tracing.Tracer
 	stopping atomic.Bool
 	mu       sync.Mutex
 	active   int
@@ -58,8 +61,8 @@
 }
 
 // New returns a server; observer may be nil.
-func New(cfg Config, services Services, queries Queries, observer Observer) *Server {
-	s := &Server{cfg: cfg, services: services, queries: queries, observer: observer, idle: make(chan struct{})}
+func New(cfg Config, services Services, queries Queries, observer Observer, tracer *tracing.Tracer) *Server {
+	s := &Server{cfg: cfg, services: services, queries: queries, observer: observer, tracer: tracer, idle: make(chan struct{})}
 	gin.SetMode(gin.ReleaseMode)
 	s.engine = gin.New()
 	s.engine.HandleMethodNotAllowed = true
@@ -144,7 +147,10 @@
 func (s *Server) query(c *gin.Context) {
 	arrived := time.Now()
 	name := c.Param("service")
-	answer, err := s.answer(c, name, arrived)
+	ctx := s.tracer.Extract(c.Request.Context(), c.Request.Header)
+	ctx, span := s.tracer.Start(ctx, tracing.HopCaller, attribute.String("service", name))
+	answer, err := s.answer(ctx, c, name, arrived)
+	span.End(err)
 	if s.observer != nil {
 		s.observer.Request(name, answer.Outcome, answer.Coverage, time.Since(arrived), err)
 	}
@@ -155,7 +161,7 @@
 	c.JSON(statusOf(answer.Outcome), answer)
 }
 
-func (s *Server) answer(c *gin.Context, name string, arrived time.Time) (query.Answer, error) {
+func (s *Server) answer(ctx context.Context, c *gin.Context, name string, arrived time.Time) (query.Answer, error) {
 	if !s.Begin() {
 		return query.Answer{}, fault.New(fault.StepAdmit, "", "node is stopping").
 			WithStatus(http.StatusServiceUnavailable, query.NotRun).WithRetryAfter(stopRetryAfter)
@@ -169,7 +175,7 @@
 	if err != nil {
 		return query.Answer{}, err
 	}
-	return s.queries.Query(c.Request.Context(), service, request, arrived)
+	return s.queries.Query(ctx, service, request, arrived)
 }
 
 // statusOf maps the outcome of an answer to an HTTP status.
