--- a/internal/coordination/merge/merge.go
+++ b/internal/coordination/merge/merge.go
@@ -2,11 +2,12 @@
 package merge
 
 import (
-	"cmp"
-	"encoding/json"
+	"container/heap"
 	"fmt"
 	"slices"
 
+	"github.com/buger/jsonparser"
+
 	"github.com/hickorydock/hickorydock/internal/protocol/note"
 	"github.com/hickorydock/hickorydock/internal/protocol/query"
 )
@@ -33,31 +34,74 @@
 	}
 }
 
+// scored is an item with the number that orders it. order is its place among
+// all replies; it breaks ties, so that equal runs give equal answers.
 type scored struct {
 	score float64
+	order int
 	item  query.Item
 }
 
+// lowest is a heap of the best items so far with the worst of them on top.
+type lowest []scored
+
+func (h lowest) Len() int      { return len(h) }
+func (h lowest) Swap(i, j int) { h[i], h[j] = h[j], h[i] }
+func (h *lowest) Push(x any)   { *h = append(*h, x.(scored)) }
+
+func (h lowest) Less(i, j int) bool { return isBetter(h[j], h[i]) }
+
+// Pop removes the last element; heap.Pop moves the worst item there.
+func (h *lowest) Pop() any {
+	last := (*h)[len(*h)-1]
+	*h = (*h)[:len(*h)-1]
+	return last
+}
+
+func isBetter(a, b scored) bool {
+	if a.score != b.score {
+		return a.score > b.score
+	}
+	return a.order < b.order
+}
+
 func topK(replies [][]query.Item, field string, k int) (Merged, error) {
-	var all []scored
+	best := make(lowest, 0, k)
+	order := 0
 	for _, items := range replies {
 		for _, item := range items {
 			score, err := number(item, field)
 			if err != nil {
 				return Merged{}, err
 			}
-			all = append(all, scored{score, item})
+			order++
+			best.offer(scored{score, order, item}, k)
 		}
 	}
-	slices.SortStableFunc(all, func(a, b scored) int { return cmp.Compare(b.score, a.score) })
-	all = all[:min(k, len(all))]
-	items := make([]query.Item, len(all))
-	for i := range all {
-		items[i] = all[i].item
+	slices.SortFunc(best, func(a, b scored) int {
+		if isBetter(a, b) {
+			return -1
+		}
+		return 1
+	})
+	items := make([]query.Item, len(best))
+	for i := range best {
+		items[i] = best[i].item
 	}
 	return Merged{Items: items}, nil
 }
 
+// offer keeps s when it is among the k best.
+func (h *lowest) offer(s scored, k int) {
+	switch {
+	case len(*h) < k:
+		heap.Push(h, s)
+	case k > 0 && isBetter(s, (*h)[0]):
+		(*h)[0] = s
+		heap.Fix(h, 0)
+	}
+}
+
 func sum(replies [][]query.Item, field string) (Merged, error) {
 	total := 0.0
 	for _, items := range replies {
@@ -80,14 +124,11 @@
 	return Merged{Value: &total}
 }
 
-// number reads a numeric field of an item.
+// number reads a numeric field of an item. Items are valid JSON, since the
+// decoder of the reply checked them.
 func number(item query.Item, field string) (float64, error) {
-	var fields map[string]json.RawMessage
-	if err := json.Unmarshal(item, &fields); err != nil {
-		return 0, fmt.Errorf("item is not an object: %w", err)
-	}
-	var v float64
-	if err := json.Unmarshal(fields[field], &v); err != nil {
+	v, err := jsonparser.GetFloat(item, field)
+	if err != nil {
 		return 0, fmt.Errorf("item field %q is not a number: %w", field, err)
 	}
 	return v, nil
--- a/internal/coordination/replica/replica.go
+++ b/internal/coordination/replica/replica.go
@@ -32,14 +32,29 @@
 // With returns the set with i added.
 func (s Set) With(i int) Set { return s | 1<<i }
 
+// Chooser picks one of the replicas outside tried, or None. random supplies
+// the randomness.
+type Chooser func(replicas []shardmap.Replica, tried Set, availabilityZone string, random uint64) int
+
+// Random takes any replica; it is the baseline of measurements.
+func Random(replicas []shardmap.Replica, tried Set, _ string, random uint64) int {
+	return pickWhere(replicas, tried, uint32(random), true)
+}
+
 // Choose compares two random replicas outside tried and returns the index of
 // the cheaper one, or None. random supplies the randomness.
 func Choose(replicas []shardmap.Replica, tried Set, availabilityZone string, random uint64) int {
-	first := pick(replicas, tried, uint32(random))
+	draining := false
+	first := pickWhere(replicas, tried, uint32(random), draining)
+	if first == None {
+		// Draining leafs are used only when no other is left.
+		draining = true
+		first = pickWhere(replicas, tried, uint32(random), draining)
+	}
 	if first == None {
 		return None
 	}
-	second := pick(replicas, tried.With(first), uint32(random>>32))
+	second := pickWhere(replicas, tried.With(first), uint32(random>>32), draining)
 	if second == None {
 		return first
 	}
@@ -49,15 +64,8 @@
 	return first
 }
 
-// pick returns a random usable index. Draining leafs are used only when no
-// other is left.
-func pick(replicas []shardmap.Replica, tried Set, random uint32) int {
-	if i := pickWhere(replicas, tried, random, false); i != None {
-		return i
-	}
-	return pickWhere(replicas, tried, random, true)
-}
-
+// pickWhere returns a random index outside tried, or None. Draining leafs count
+// only when draining is true.
 func pickWhere(replicas []shardmap.Replica, tried Set, random uint32, draining bool) int {
 	n := min(len(replicas), 64)
 	if n == 0 {
--- /dev/null
+++ b/internal/coordination/replica/replica_test.go
@@ -0,0 +1,81 @@
+package replica
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/hickorydock/hickorydock/internal/protocol/platform"
+	"github.com/hickorydock/hickorydock/internal/state/leaf"
+	"github.com/hickorydock/hickorydock/internal/state/shardmap"
+)
+
+var start = time.Unix(1000, 0)
+
+func replicaOf(zone string, latency time.Duration, inFlight, failures int) shardmap.Replica {
+	r := &leaf.Record{}
+	r.Begin()
+	r.End(start, latency, leaf.Answered)
+	for range failures {
+		r.Begin()
+		r.End(start, latency, leaf.Broken)
+	}
+	for range inFlight {
+		r.Begin()
+	}
+	return shardmap.Replica{VM: platform.VM{AvailabilityZone: zone}, Record: r}
+}
+
+func TestChoose(t *testing.T) {
+	ms := time.Millisecond
+	tests := []struct {
+		name     string
+		replicas []shardmap.Replica
+		tried    Set
+		want     int
+	}{
+		{"none", nil, 0, None},
+		{"all tried", []shardmap.Replica{replicaOf("a", ms, 0, 0)}, Set(0).With(0), None},
+		{"less in flight", []shardmap.Replica{replicaOf("a", ms, 4, 0), replicaOf("a", ms, 1, 0)}, 0, 1},
+		{"faster", []shardmap.Replica{replicaOf("a", 9*ms, 0, 0), replicaOf("a", ms, 0, 0)}, 0, 1},
+		{"own availability zone at equal cost", []shardmap.Replica{replicaOf("b", ms, 0, 0), replicaOf("a", ms, 0, 0)}, 0, 1},
+		{"spill over when the own is worse", []shardmap.Replica{replicaOf("b", ms, 0, 0), replicaOf("a", 2*ms, 0, 0)}, 0, 0},
+		{"fewer failures", []shardmap.Replica{replicaOf("a", ms, 0, 2), replicaOf("a", 3*ms, 0, 0)}, 0, 1},
+		{"the only one left", []shardmap.Replica{replicaOf("a", ms, 0, 0), replicaOf("a", 9*ms, 0, 5)}, Set(0).With(0), 1},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			for _, random := range []uint64{0, 1, 1 << 32, 1<<32 | 1} {
+				if got := Choose(test.replicas, test.tried, "a", random); got != test.want {
+					t.Errorf("random %x: replica %d, want %d", random, got, test.want)
+				}
+			}
+		})
+	}
+}
+
+func TestDrainingOnlyAsLastResort(t *testing.T) {
+	replicas := []shardmap.Replica{replicaOf("a", time.Millisecond, 0, 0), replicaOf("a", time.Second, 0, 0)}
+	replicas[0].Record.SetDraining(true)
+	for random := range uint64(8) {
+		if got := Choose(replicas, 0, "a", random); got != 1 {
+			t.Errorf("random %d: draining replica chosen", random)
+		}
+	}
+	replicas[1].Record.SetDraining(true)
+	if got := Choose(replicas, 0, "a", 0); got == None {
+		t.Error("no replica although all are draining")
+	}
+}
+
+func BenchmarkChoose(b *testing.B) {
+	var replicas []shardmap.Replica
+	for range 3 {
+		replicas = append(replicas, replicaOf("a", time.Millisecond, 1, 0))
+	}
+	random := rand.New(rand.NewPCG(1, 1))
+	b.ReportAllocs()
+	for b.Loop() {
+		Choose(replicas, 0, "a", random.Uint64())
+	}
+}
--- a/internal/coordination/subrequest/subrequest.go
+++ b/internal/coordination/subrequest/subrequest.go
@@ -69,6 +69,8 @@
 	Deadline time.Time
 	// HedgeDelay is the wait before a hedge; 0 disables hedging.
 	HedgeDelay time.Duration
+	// Choose picks the replica of each attempt.
+	Choose replica.Chooser
 	// Random supplies randomness for the choice of replicas.
 	Random func() uint64
 }
@@ -166,7 +168,7 @@
 	if !now.Before(m.cfg.Deadline) {
 		return Attempt{}, false
 	}
-	i := replica.Choose(m.cfg.Replicas, m.tried, m.cfg.AvailabilityZone, m.cfg.Random())
+	i := m.cfg.Choose(m.cfg.Replicas, m.tried, m.cfg.AvailabilityZone, m.cfg.Random())
 	if i == replica.None {
 		return Attempt{}, false
 	}
--- a/internal/coordination/subrequest/subrequest_test.go
+++ b/internal/coordination/subrequest/subrequest_test.go
@@ -7,6 +7,7 @@
 
 	"pgregory.net/rapid"
 
+	"github.com/hickorydock/hickorydock/internal/coordination/replica"
 	"github.com/hickorydock/hickorydock/internal/protocol/query"
 	"github.com/hickorydock/hickorydock/internal/state/leaf"
 	"github.com/hickorydock/hickorydock/internal/state/shardmap"
@@ -28,6 +29,7 @@
 
 func configOf(replicas int) Config {
 	cfg := Config{Deadline: start.Add(time.Second), HedgeDelay: 10 * time.Millisecond}
+	cfg.Choose = replica.Choose
 	cfg.Random = func() uint64 { return 0 }
 	for range replicas {
 		cfg.Replicas = append(cfg.Replicas, shardmap.Replica{Record: &leaf.Record{}})
--- a/internal/experiment/rig.go
+++ b/internal/experiment/rig.go
@@ -7,6 +7,7 @@
 
 	"go.uber.org/fx"
 
+	"github.com/hickorydock/hickorydock/internal/coordination/replica"
 	"github.com/hickorydock/hickorydock/internal/node"
 	"github.com/hickorydock/hickorydock/internal/protocol/note"
 	"github.com/hickorydock/hickorydock/internal/protocol/platform"
@@ -34,6 +35,8 @@
 	// adapt changes the options of one leaf; nil changes none.
 	adapt func(shard, replica int, o *leaf.Options)
 	nodes int
+	// choose replaces the nodes' choice of replicas; nil keeps it.
+	choose replica.Chooser
 	// control replaces the static catalogue of the rig's nodes; nil keeps it.
 	control fx.Option
 }
@@ -135,7 +138,7 @@
 	if control == nil {
 		control = staticControl(r.options.service)
 	}
-	n, err := node.New(node.Config{Settings: s, Logs: io.Discard, Control: control})
+	n, err := node.New(node.Config{Settings: s, Logs: io.Discard, Control: control, Choose: r.options.choose})
 	if err != nil {
 		return err
 	}
--- a/internal/experiment/tail.go
+++ b/internal/experiment/tail.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/hickorydock/hickorydock/internal/coordination/replica"
 	"github.com/hickorydock/hickorydock/internal/protocol/note"
 	"github.com/hickorydock/hickorydock/internal/standin/leaf"
 )
@@ -44,17 +45,17 @@
 }
 
 func runTail(ctx context.Context, seed uint64) (Result, error) {
-	baseline, err := tailRun(ctx, seed, 0, tailServiceTime)
+	baseline, err := tailRun(ctx, seed, 0, replica.Random, tailServiceTime)
 	if err != nil {
 		return Result{}, err
 	}
 	quietTime := tailServiceTime
 	quietTime.StragglerShare = 0
-	quiet, err := tailRun(ctx, seed, 0.05, quietTime)
+	quiet, err := tailRun(ctx, seed, 0.05, nil, quietTime)
 	if err != nil {
 		return Result{}, err
 	}
-	policy, err := tailRun(ctx, seed, 0.05, tailServiceTime)
+	policy, err := tailRun(ctx, seed, 0.05, nil, tailServiceTime)
 	if err != nil {
 		return Result{}, err
 	}
@@ -67,6 +68,7 @@
 			AtMost("p99_over_quiet", p99/quiet.tally.quantileMS(0.99), 1.5),
 			AtMost("extra_load", policy.extraLoad, 0.05),
 			AtMost("mixed", float64(policy.tally.mixed), 0),
+			AtMost("violations", float64(policy.violations), 0),
 			AtLeast("complete", float64(policy.tally.complete), tailQueries),
 		},
 	}, nil
@@ -77,6 +79,8 @@
 	tally *tally
 	// extraLoad is runs beyond one a shard and query, as a share of those.
 	extraLoad float64
+	// violations counts the invariants broken on the nodes.
+	violations int64
 }
 
 func (m measured) figures() []Figure {
@@ -84,8 +88,8 @@
 }
 
 // tailRun measures one setting. A hedge share of 0 turns hedges and retries
-// off and takes replicas at random.
-func tailRun(ctx context.Context, seed uint64, hedgeShare float64, service leaf.ServiceTime) (measured, error) {
+// off; choose replaces the choice of replicas unless it is nil.
+func tailRun(ctx context.Context, seed uint64, hedgeShare float64, choose replica.Chooser, service leaf.ServiceTime) (measured, error) {
 	r, err := newRig(ctx, rigOptions{
 		seed:     seed,
 		service:  experimentService(hedgeShare),
@@ -93,6 +97,7 @@
 		replicas: tailReplicas,
 		leaf:     leaf.Options{Slots: tailSlots, QueueLength: 200, ServiceTime: service, Items: 1},
 		nodes:    1,
+		choose:   choose,
 	})
 	if err != nil {
 		return measured{}, err
@@ -114,7 +119,7 @@
 	r.drive(ctx, c, t, rate, count)
 	expected := count * r.options.shards
 	extra := float64(r.runs()-expected) / float64(expected)
-	return measured{tally: t, extraLoad: extra}, ctx.Err()
+	return measured{tally: t, extraLoad: extra, violations: r.violations()}, ctx.Err()
 }
 
 func (r *rig) drive(ctx context.Context, c *caller, t *tally, rate float64, count int) {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -12,7 +12,9 @@
 	"github.com/apex/log"
 	"go.uber.org/fx"
 
+	"github.com/hickorydock/hickorydock/internal/coordination/replica"
 	"github.com/hickorydock/hickorydock/internal/protocol/settings"
+	"github.com/hickorydock/hickorydock/internal/transport/admin"
 	"github.com/hickorydock/hickorydock/internal/transport/discovery"
 	"github.com/hickorydock/hickorydock/internal/transport/entry"
 	"github.com/hickorydock/hickorydock/internal/transport/logging"
@@ -31,12 +33,15 @@
 	// Control provides server.Services and server.Readiness and keeps the VM
 	// list of discovery current.
 	Control fx.Option
+	// Choose picks replicas; nil means replica.Choose.
+	Choose replica.Chooser
 }
 
 // Node is an assembled node. Start and Stop are called once each, by one goroutine.
 type Node struct {
 	app       *fx.App
 	settings  settings.Settings
+	admin     *admin.Listener
 	listener  *server.Listener
 	entry     *entry.Entry
 	metrics   *metrics.Metrics
@@ -50,19 +55,24 @@
 	if logs == nil {
 		logs = os.Stderr
 	}
+	choose := cfg.Choose
+	if choose == nil {
+		choose = replica.Choose
+	}
 	n.app = fx.New(
 		fx.NopLogger,
 		fx.StopTimeout(cfg.Settings.Stop.Limit()),
-		fx.Supply(cfg.Settings),
+		fx.Supply(cfg.Settings, choose),
 		fx.Provide(func() (log.Interface, error) { return newLogger(logs, cfg.Settings.Log) }),
 		fx.Provide(metrics.New, newTracer),
 		cfg.Control,
+		admin.Module,
 		upstream.Module,
 		discovery.Module,
 		relay.Module,
 		entry.Module,
 		server.Module,
-		fx.Populate(&n.listener, &n.entry, &n.metrics, &n.discovery),
+		fx.Populate(&n.admin, &n.listener, &n.entry, &n.metrics, &n.discovery),
 	)
 	if err := n.app.Err(); err != nil {
 		return nil, fmt.Errorf("assemble node: %w", err)
@@ -108,6 +118,9 @@
 // URL is the base URL for callers.
 func (n *Node) URL() string { return "http://" + n.listener.Address() }
 
+// AdminURL is the base URL for operators.
+func (n *Node) AdminURL() string { return "http://" + n.admin.Address() }
+
 // Discovery is the node's discovery of leafs.
 func (n *Node) Discovery() *discovery.Discovery { return n.discovery }
 
--- /dev/null
+++ b/internal/transport/admin/admin.go
@@ -0,0 +1,80 @@
+// Package admin serves operators on a listener of their own: metrics and the
+// probes of the platform's balancer.
+package admin
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/apex/log"
+	"go.uber.org/fx"
+
+	"github.com/hickorydock/hickorydock/internal/protocol/fault"
+	"github.com/hickorydock/hickorydock/internal/protocol/settings"
+	"github.com/hickorydock/hickorydock/internal/transport/metrics"
+	"github.com/hickorydock/hickorydock/internal/transport/server"
+)
+
+// Module provides the admin listener.
+var Module = fx.Module("admin", fx.Provide(Listen))
+
+// headerTimeout bounds reading a request's header.
+const headerTimeout = 5 * time.Second
+
+// Listener serves operators on the admin address.
+type Listener struct {
+	mux     *http.ServeMux
+	address string
+}
+
+// Address is the address that the listener is bound to, host:port.
+func (l *Listener) Address() string { return l.address }
+
+// Handle adds a path; it must be called before the node starts.
+func (l *Listener) Handle(pattern string, handler http.Handler) { l.mux.Handle(pattern, handler) }
+
+// Listen binds the admin address when the node starts and closes it last.
+func Listen(s settings.Settings, m *metrics.Metrics, callers *server.Server, logger log.Interface, lifecycle fx.Lifecycle) *Listener {
+	l := &Listener{mux: http.NewServeMux()}
+	l.Handle("GET /metrics", m.Handler())
+	l.Handle("GET /livez", http.HandlerFunc(live))
+	l.Handle("GET /readyz", ready(callers))
+	server := &http.Server{Handler: l.mux, ReadHeaderTimeout: headerTimeout}
+	lifecycle.Append(fx.Hook{
+		OnStart: func(context.Context) error {
+			listener, err := net.Listen("tcp", s.Node.AdminAddress)
+			if err != nil {
+				return fault.Wrap(err, fault.StepSettings, s.Node.AdminAddress, "listen for operators")
+			}
+			l.address = listener.Addr().String()
+			go serve(server, listener, logger)
+			return nil
+		},
+		OnStop: server.Shutdown,
+	})
+	return l
+}
+
+func serve(server *http.Server, listener net.Listener, logger log.Interface) {
+	if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+		logger.WithField("error", err.Error()).Error("admin listener failed")
+	}
+}
+
+func live(w http.ResponseWriter, _ *http.Request) {
+	fmt.Fprintln(w, "ok")
+}
+
+func ready(callers *server.Server) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		if err := callers.Ready(); err != nil {
+			http.Error(w, err.Error(), http.StatusServiceUnavailable)
+			return
+		}
+		fmt.Fprintln(w, "ready")
+	})
+}
--- a/internal/transport/relay/module.go
+++ b/internal/transport/relay/module.go
@@ -3,6 +3,7 @@
 import (
 	"go.uber.org/fx"
 
+	"github.com/hickorydock/hickorydock/internal/coordination/replica"
 	"github.com/hickorydock/hickorydock/internal/coordination/subrequest"
 	"github.com/hickorydock/hickorydock/internal/protocol/settings"
 	"github.com/hickorydock/hickorydock/internal/state/shardmap"
@@ -14,8 +15,8 @@
 // Module provides the relay.
 var Module = fx.Module("relay", fx.Provide(provide))
 
-func provide(client *upstream.Client, store *shardmap.Store, s settings.Settings, m *metrics.Metrics, tracer *tracing.Tracer) *Relay {
-	return New(client, store, s.Node.AvailabilityZone, meter{m}, tracer)
+func provide(client *upstream.Client, store *shardmap.Store, s settings.Settings, choose replica.Chooser, m *metrics.Metrics, tracer *tracing.Tracer) *Relay {
+	return New(client, store, s.Node.AvailabilityZone, choose, meter{m}, tracer)
 }
 
 // meter counts attempts in the metrics.
--- a/internal/transport/relay/relay.go
+++ b/internal/transport/relay/relay.go
@@ -13,6 +13,7 @@
 
 	"github.com/hickorydock/hickorydock/internal/coordination/budget"
 	"github.com/hickorydock/hickorydock/internal/coordination/latency"
+	"github.com/hickorydock/hickorydock/internal/coordination/replica"
 	"github.com/hickorydock/hickorydock/internal/coordination/subrequest"
 	"github.com/hickorydock/hickorydock/internal/protocol/note"
 	"github.com/hickorydock/hickorydock/internal/protocol/query"
@@ -44,14 +45,15 @@
 	client   *upstream.Client
 	store    *shardmap.Store
 	zone     string
+	choose   replica.Chooser
 	observer Observer
 	tracer   *tracing.Tracer
 	services sync.Map // service name -> *serviceState
 }
 
 // New returns a relay in an availability zone; observer may be nil.
-func New(client *upstream.Client, store *shardmap.Store, availabilityZone string, observer Observer, tracer *tracing.Tracer) *Relay {
-	return &Relay{client: client, store: store, zone: availabilityZone, observer: observer, tracer: tracer}
+func New(client *upstream.Client, store *shardmap.Store, availabilityZone string, choose replica.Chooser, observer Observer, tracer *tracing.Tracer) *Relay {
+	return &Relay{client: client, store: store, zone: availabilityZone, choose: choose, observer: observer, tracer: tracer}
 }
 
 // serviceState is what the relay learned about one service.
@@ -155,6 +157,7 @@
 		AvailabilityZone: r.zone,
 		Deadline:         task.Deadline,
 		HedgeDelay:       state.hedgeDelay(),
+		Choose:           r.choose,
 		Random:           rand.Uint64,
 	}
 	u := &run{
--- a/internal/transport/server/server.go
+++ b/internal/transport/server/server.go
@@ -127,16 +127,24 @@
 	}
 }
 
-func (s *Server) readyz(c *gin.Context) {
+// errStopping is why a stopping node takes no work.
+var errStopping = errors.New("node is stopping")
+
+// Ready says why the node must not be given work, or returns nil.
+func (s *Server) Ready() error {
 	if s.stopping.Load() {
-		c.String(http.StatusServiceUnavailable, "stopping\n")
-		return
+		return errStopping
+	}
+	if s.cfg.Ready == nil {
+		return nil
 	}
-	if s.cfg.Ready != nil {
-		if err := s.cfg.Ready(); err != nil {
-			c.String(http.StatusServiceUnavailable, "%s\n", err.Error())
-			return
-		}
+	return s.cfg.Ready()
+}
+
+func (s *Server) readyz(c *gin.Context) {
+	if err := s.Ready(); err != nil {
+		c.String(http.StatusServiceUnavailable, "%v\n", err)
+		return
 	}
 	c.String(http.StatusOK, "ready\n")
 }
@@ -163,7 +171,7 @@
 
 func (s *Server) answer(ctx context.Context, c *gin.Context, name string, arrived time.Time) (query.Answer, error) {
 	if !s.Begin() {
-		return query.Answer{}, fault.New(fault.StepAdmit, "", "node is stopping").
+		return query.Answer{}, fault.Wrap(errStopping, fault.StepAdmit, "", "refused").
 			WithStatus(http.StatusServiceUnavailable, query.NotRun).WithRetryAfter(stopRetryAfter)
 	}
 	defer s.End()
