--- /dev/null
+++ b/internal/coordination/merge/merge.go
@@ -0,0 +1,135 @@
+// Package merge makes one answer of the replies of all shards.
+package merge
+
+import (
+	"container/heap"
+	"fmt"
+	"slices"
+
+	"github.com/buger/jsonparser"
+
+	"github.com/hickorydock/hickorydock/internal/protocol/note"
+	"github.com/hickorydock/hickorydock/internal/protocol/query"
+)
+
+// Merged is the result of a merge. Value is set by the modes sum and count.
+type Merged struct {
+	Items []query.Item
+	Value *float64
+}
+
+// Merge combines replies, one list of items a shard, as the service states.
+func Merge(service *note.Service, replies [][]query.Item) (Merged, error) {
+	switch service.Merge {
+	case note.MergeConcat:
+		return Merged{Items: slices.Concat(replies...)}, nil
+	case note.MergeTopK:
+		return topK(replies, service.MergeField, service.TopK)
+	case note.MergeSum:
+		return sum(replies, service.MergeField)
+	case note.MergeCount:
+		return count(replies), nil
+	default:
+		return Merged{}, fmt.Errorf("merge mode %q is unknown", service.Merge)
+	}
+}
+
+// scored is an item with the number that orders it. order is its place among
+// all replies; it breaks ties, so that equal runs give equal answers.
+type scored struct {
+	score float64
+	order int
+	item  query.Item
+}
+
+// lowest is a heap of the best items so far with the worst of them on top.
+type lowest []scored
+
+func (h lowest) Len() int      { return len(h) }
+func (h lowest) Swap(i, j int) { h[i], h[j] = h[j], h[i] }
+func (h *lowest) Push(x any)   { *h = append(*h, x.(scored)) }
+
+func (h lowest) Less(i, j int) bool { return isBetter(h[j], h[i]) }
+
+// Pop removes the last element; heap.Pop moves the worst item there.
+func (h *lowest) Pop() any {
+	last := (*h)[len(*h)-1]
+	*h = (*h)[:len(*h)-1]
+	return last
+}
+
+func isBetter(a, b scored) bool {
+	if a.score != b.score {
+		return a.score > b.score
+	}
+	return a.order < b.order
+}
+
+func topK(replies [][]query.Item, field string, k int) (Merged, error) {
+	best := make(lowest, 0, k)
+	order := 0
+	for _, items := range replies {
+		for _, item := range items {
+			score, err := number(item, field)
+			if err != nil {
+				return Merged{}, err
+			}
+			order++
+			best.offer(scored{score, order, item}, k)
+		}
+	}
+	slices.SortFunc(best, func(a, b scored) int {
+		if isBetter(a, b) {
+			return -1
+		}
+		return 1
+	})
+	items := make([]query.Item, len(best))
+	for i := range best {
+		items[i] = best[i].item
+	}
+	return Merged{Items: items}, nil
+}
+
+// offer keeps s when it is among the k best.
+func (h *lowest) offer(s scored, k int) {
+	switch {
+	case len(*h) < k:
+		heap.Push(h, s)
+	case k > 0 && isBetter(s, (*h)[0]):
+		(*h)[0] = s
+		heap.Fix(h, 0)
+	}
+}
+
+func sum(replies [][]query.Item, field string) (Merged, error) {
+	total := 0.0
+	for _, items := range replies {
+		for _, item := range items {
+			v, err := number(item, field)
+			if err != nil {
+				return Merged{}, err
+			}
+			total += v
+		}
+	}
+	return Merged{Value: &total}, nil
+}
+
+func count(replies [][]query.Item) Merged {
+	total := 0.0
+	for _, items := range replies {
+		total += float64(len(items))
+	}
+	return Merged{Value: &total}
+}
+
+// number reads a numeric field of an item. Items are valid JSON, since the
+// decoder of the reply checked them.
+func number(item query.Item, field string) (float64, error) {
+	v, err := jsonparser.GetFloat(item, field)
+	if err != nil {
+		return 0, fmt.Errorf("item field %q is not a number: %w", field, err)
+	}
+	return v, nil
+}
