--- /dev/null
+++ b/internal/coordination/reconcile/accept.go
@@ -0,0 +1,104 @@
+package reconcile
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/hickorydock/hickorydock/internal/protocol/note"
+)
+
+// Verdict says what a node does with an offered catalogue.
+type Verdict string
+
+// Verdicts on an offered catalogue.
+const (
+	// Advance takes the offered catalogue into force.
+	Advance Verdict = "advance"
+	// Same changes nothing.
+	Same Verdict = "same"
+	// Older refuses a lower revision.
+	Older Verdict = "older"
+	// Drift refuses the revision in force with other content.
+	Drift Verdict = "drift"
+)
+
+// Acceptance is the decision on an offered catalogue.
+type Acceptance struct {
+	Verdict  Verdict
+	InForce  uint64 // revision in force before the decision
+	Offered  uint64 // revision offered
+	NeedUndo bool   // the platform's object has to be brought back
+}
+
+// String formats the decision as key=value pairs for a log line.
+func (a Acceptance) String() string {
+	return fmt.Sprintf("verdict=%s in_force=%d offered=%d", a.Verdict, a.InForce, a.Offered)
+}
+
+// Source says where an offered catalogue comes from.
+type Source string
+
+// Sources of catalogues.
+const (
+	SourcePlatform Source = "platform"
+	SourcePeer     Source = "peer"
+)
+
+// Accept decides on a catalogue that the platform or a peer offers. Only higher
+// revisions come into force. A lower revision, or the same one with other
+// content, is refused; when the platform itself holds it, it has to be undone.
+// A peer is not corrected: its own watch does that.
+func Accept(inForce, offered note.Catalogue, source Source) Acceptance {
+	a := Acceptance{InForce: inForce.Revision, Offered: offered.Revision}
+	switch {
+	case offered.Revision > inForce.Revision:
+		a.Verdict = Advance
+	case offered.Revision < inForce.Revision:
+		a.Verdict = Older
+		a.NeedUndo = source == SourcePlatform
+	case sameContent(inForce, offered):
+		a.Verdict = Same
+	default:
+		a.Verdict = Drift
+		a.NeedUndo = source == SourcePlatform
+	}
+	return a
+}
+
+// undoAuthor is the author of records that undo a change made without a note.
+const undoAuthor = "hickorydock"
+
+// Undo returns the catalogue that brings the platform back to the services in
+// force. It has a revision above both, so that every node takes it and no two
+// nodes write against each other.
+func Undo(inForce, offered note.Catalogue, now time.Time) note.Catalogue {
+	revision := max(inForce.Revision, offered.Revision) + 1
+	undone := Compare(offered, inForce)
+	touched := append([]string{}, undone.Added...)
+	for _, change := range undone.Changed {
+		touched = append(touched, change.Name)
+	}
+	touched = append(touched, undone.Withdrawn...)
+	return note.Catalogue{
+		Revision: revision,
+		Services: inForce.Services,
+		History: appendHistory(inForce.History, note.Applied{
+			ID:       fmt.Sprintf("undo-%d", revision),
+			Author:   undoAuthor,
+			Revision: revision,
+			At:       now.UTC(),
+			Services: touched,
+		}),
+	}
+}
+
+// Newest returns the offered catalogue with the highest revision. ok is false
+// when there is none.
+func Newest(offers []note.Catalogue) (newest note.Catalogue, ok bool) {
+	for _, offer := range offers {
+		if !ok || offer.Revision > newest.Revision {
+			newest, ok = offer, true
+		}
+	}
+	return newest, ok
+}
--- /dev/null
+++ b/internal/state/catalogue/catalogue.go
@@ -0,0 +1,106 @@
+// Package catalogue holds the catalogue in force on a node. Readers take an
+// immutable snapshot without a lock; its revision never decreases.
+package catalogue
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+
+	"github.com/hickorydock/hickorydock/internal/protocol/note"
+)
+
+// inForce is one immutable state of the store.
+type inForce struct {
+	catalogue note.Catalogue
+	services  map[string]note.Service
+	// known is false until a first catalogue was stored.
+	known bool
+	// replaced is closed when a newer catalogue comes into force.
+	replaced chan struct{}
+}
+
+// Store holds the catalogue in force. It is safe for concurrent use.
+type Store struct {
+	current atomic.Pointer[inForce]
+	writing sync.Mutex
+}
+
+// New returns a store with an empty catalogue of revision 0 that is not known yet.
+func New() *Store {
+	s := &Store{}
+	s.current.Store(&inForce{replaced: make(chan struct{})})
+	return s
+}
+
+// Current returns the catalogue in force. Callers must not change it. known is
+// false until the first Put.
+func (s *Store) Current() (current note.Catalogue, known bool) {
+	state := s.current.Load()
+	return state.catalogue, state.known
+}
+
+// Find returns a service in force.
+func (s *Store) Find(name string) (note.Service, bool) {
+	service, found := s.current.Load().services[name]
+	return service, found
+}
+
+// Revision returns the revision in force.
+func (s *Store) Revision() uint64 {
+	return s.current.Load().catalogue.Revision
+}
+
+// Put brings a catalogue into force. It refuses, with false, a revision that is
+// not above the one in force, except for the first catalogue.
+func (s *Store) Put(next note.Catalogue) bool {
+	s.writing.Lock()
+	defer s.writing.Unlock()
+	old := s.current.Load()
+	if old.known && next.Revision <= old.catalogue.Revision {
+		return false
+	}
+	state := &inForce{
+		catalogue: next,
+		services:  make(map[string]note.Service, len(next.Services)),
+		known:     true,
+		replaced:  make(chan struct{}),
+	}
+	for _, service := range next.Services {
+		state.services[service.Name] = service
+	}
+	s.current.Store(state)
+	close(old.replaced)
+	return true
+}
+
+// Wait returns the catalogue in force once it is known and its revision is at
+// least revision, or the context's error.
+func (s *Store) Wait(ctx context.Context, revision uint64) (note.Catalogue, error) {
+	for {
+		state := s.current.Load()
+		if state.known && state.catalogue.Revision >= revision {
+			return state.catalogue, nil
+		}
+		select {
+		case <-ctx.Done():
+			return note.Catalogue{}, ctx.Err()
+		case <-state.replaced:
+		}
+	}
+}
+
+// Watch calls each for the catalogue in force, once known, and for the newest
+// one after every change, until ctx ends. Catalogues that are replaced while
+// each runs are left out.
+func (s *Store) Watch(ctx context.Context, each func(note.Catalogue)) error {
+	next := uint64(0)
+	for {
+		current, err := s.Wait(ctx, next)
+		if err != nil {
+			return err
+		}
+		each(current)
+		next = current.Revision + 1
+	}
+}
