Carry out what operators ask of the catalogue

Cause: an operator must learn the true outcome of a note through outages, lost replies and races. Change: Apply by one conditional update, settled by the note's id and retried only under the same condition; Status, WaitInForce, Export and History; the status object of a node.

--- /dev/null
+++ b/internal/protocol/platform/status.go
@@ -0,0 +1,25 @@
+package platform
+
+import "time"
+
+// NodeStatus is the value of an object of KindNode. The node itself is its only
+// writer.
+type NodeStatus struct {
+	Node             string `json:"node"`
+	AvailabilityZone string `json:"availability_zone,omitempty"`
+	// Revision is that of the catalogue in force on the node.
+	Revision uint64 `json:"revision"`
+	// At is the node's time of the report.
+	At time.Time `json:"at"`
+	// FreshFor is the time in seconds within which the next report is due.
+	FreshFor float64 `json:"fresh_for_s"`
+}
+
+// staleFactor is the number of report intervals after which a node counts as gone.
+const staleFactor = 3
+
+// IsFresh reports whether the node reported recently enough to count as live.
+func (s NodeStatus) IsFresh(now time.Time) bool {
+	limit := time.Duration(staleFactor * s.FreshFor * float64(time.Second))
+	return now.Sub(s.At) <= limit
+}
--- /dev/null
+++ b/internal/transport/operator/operator.go
@@ -0,0 +1,215 @@
+// Package operator carries out what operators ask of the catalogue: apply a
+// note, show which revision each node has in force, export the services and
+// list the notes applied. It holds no state between calls.
+package operator
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"time"
+
+	"github.com/hickorydock/hickorydock/internal/coordination/reconcile"
+	"github.com/hickorydock/hickorydock/internal/protocol/fault"
+	"github.com/hickorydock/hickorydock/internal/protocol/note"
+	"github.com/hickorydock/hickorydock/internal/protocol/platform"
+)
+
+// Stored is the catalogue as the platform holds it.
+type Stored struct {
+	Catalogue note.Catalogue
+	// Version is the object's version; 0 means that there is no object yet.
+	Version uint64
+}
+
+// Read returns the stored catalogue. Without an object it is empty and has
+// revision 0.
+func Read(ctx context.Context, client platform.Client) (Stored, error) {
+	object, err := client.Get(ctx, platform.KindCatalogue, platform.CatalogueName)
+	if errors.Is(err, platform.ErrNotFound) {
+		return Stored{}, nil
+	}
+	if err != nil {
+		return Stored{}, err
+	}
+	var stored Stored
+	if err := json.Unmarshal(object.Value, &stored.Catalogue); err != nil {
+		return Stored{}, fault.Wrap(err, fault.StepPlatform, "", "stored catalogue is not readable")
+	}
+	stored.Version = object.Version
+	return stored, nil
+}
+
+// write replaces the stored catalogue if it still has the version that was read.
+func write(ctx context.Context, client platform.Client, version uint64, next note.Catalogue) error {
+	value, err := json.Marshal(next)
+	if err != nil {
+		return err
+	}
+	if version == 0 {
+		_, err = client.Create(ctx, platform.KindCatalogue, platform.CatalogueName, value)
+		return err
+	}
+	_, err = client.Update(ctx, platform.Object{
+		Kind:    platform.KindCatalogue,
+		Name:    platform.CatalogueName,
+		Version: version,
+		Value:   value,
+	})
+	return err
+}
+
+// Options bound an Apply.
+type Options struct {
+	// DryRun computes the effect and writes nothing.
+	DryRun bool
+	// Attempts bounds the platform's calls that are repeated; 0 means DefaultAttempts.
+	Attempts int
+	// Pause is the wait before a repeat, doubled each time; 0 means DefaultPause.
+	Pause time.Duration
+}
+
+// Defaults of Options.
+const (
+	DefaultAttempts = 8
+	DefaultPause    = 100 * time.Millisecond
+	maxPause        = 2 * time.Second
+)
+
+// OutcomeUnknown says that a note may or may not be in force, or may come into
+// force later. Applying it again is safe and settles it.
+type OutcomeUnknown struct {
+	ID    string
+	cause error
+}
+
+// Error names the note and the cause.
+func (e *OutcomeUnknown) Error() string {
+	return fmt.Sprintf("whether note %q is in force is unknown; apply it again to find out: %v", e.ID, e.cause)
+}
+
+// Unwrap returns the last error of the platform.
+func (e *OutcomeUnknown) Unwrap() error { return e.cause }
+
+// NotApplied says that a note is not in force and will not come into force,
+// because the platform could not be reached.
+type NotApplied struct {
+	ID    string
+	cause error
+}
+
+// Error names the note and the cause.
+func (e *NotApplied) Error() string {
+	return fmt.Sprintf("note %q is not applied: %v", e.ID, e.cause)
+}
+
+// Unwrap returns the last error of the platform.
+func (e *NotApplied) Unwrap() error { return e.cause }
+
+// applier carries out one Apply.
+type applier struct {
+	client platform.Client
+	note   note.Note
+	// pending is true while a write whose reply was lost may still take effect;
+	// it was conditional on pendingVersion.
+	pending        bool
+	pendingVersion uint64
+	// last is the effect of the newest write that was sent.
+	last reconcile.Result
+}
+
+// Apply puts a note into force, whole or not at all, by one conditional update.
+// A lost reply is settled by reading back whether the note's id is in the
+// history; the write is sent again only under the same condition, so that it
+// takes effect at most once. The error is one of those of reconcile.Apply, or
+// *OutcomeUnknown, or *NotApplied.
+func Apply(ctx context.Context, client platform.Client, n note.Note, opts Options) (reconcile.Result, error) {
+	if opts.Attempts == 0 {
+		opts.Attempts = DefaultAttempts
+	}
+	if opts.Pause == 0 {
+		opts.Pause = DefaultPause
+	}
+	a := &applier{client: client, note: n}
+	pause := opts.Pause
+	for attempt := 1; ; attempt++ {
+		result, err := a.attempt(ctx, opts.DryRun)
+		if err == nil || !isTransient(err) {
+			return result, err
+		}
+		if attempt >= opts.Attempts || !wait(ctx, pause) {
+			return reconcile.Result{}, a.giveUp(err)
+		}
+		pause = min(2*pause, maxPause)
+	}
+}
+
+// attempt reads the catalogue, applies the note and writes once.
+func (a *applier) attempt(ctx context.Context, dryRun bool) (reconcile.Result, error) {
+	stored, err := Read(ctx, a.client)
+	if err != nil {
+		return reconcile.Result{}, err
+	}
+	if a.pending && stored.Version != a.pendingVersion {
+		// The condition of the lost write no longer holds: it took effect
+		// before this read, or it never will.
+		a.pending = false
+	}
+	result, err := reconcile.Apply(stored.Catalogue, a.note, time.Now())
+	if err != nil {
+		return reconcile.Result{}, err
+	}
+	if result.Repeated && a.last.Revision == result.Revision {
+		return a.last, nil // the lost write took effect
+	}
+	if result.Repeated || dryRun {
+		return result, nil
+	}
+	a.last = result
+	err = write(ctx, a.client, stored.Version, result.Catalogue)
+	if errors.Is(err, platform.ErrLost) {
+		a.pending, a.pendingVersion = true, stored.Version
+	}
+	if err != nil {
+		return reconcile.Result{}, err
+	}
+	return result, nil
+}
+
+func (a *applier) giveUp(err error) error {
+	if a.pending {
+		return &OutcomeUnknown{ID: a.note.ID, cause: err}
+	}
+	return &NotApplied{ID: a.note.ID, cause: err}
+}
+
+// isTransient reports whether another attempt may succeed. A conflict of the
+// write is one: the next attempt reads what the other operator stored.
+func isTransient(err error) bool {
+	var conflict *reconcile.Conflict
+	if errors.As(err, &conflict) {
+		return false
+	}
+	for _, transient := range []error{
+		platform.ErrUnavailable, platform.ErrThrottled, platform.ErrLost,
+		platform.ErrConflict, platform.ErrExists, platform.ErrNotFound,
+		context.Canceled, context.DeadlineExceeded,
+	} {
+		if errors.Is(err, transient) {
+			return true
+		}
+	}
+	return false
+}
+
+func wait(ctx context.Context, d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-timer.C:
+		return ctx.Err() == nil
+	}
+}
--- /dev/null
+++ b/internal/transport/operator/status.go
@@ -0,0 +1,177 @@
+package operator
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/hickorydock/hickorydock/internal/protocol/fault"
+	"github.com/hickorydock/hickorydock/internal/protocol/note"
+	"github.com/hickorydock/hickorydock/internal/protocol/platform"
+)
+
+// NodeReport is what is known about one node.
+type NodeReport struct {
+	Node             string `json:"node"`
+	AvailabilityZone string `json:"availability_zone,omitempty"`
+	// Revision is the last one reported as in force; 0 when there is no report.
+	Revision uint64 `json:"revision"`
+	// At is the time of the report; zero when there is none.
+	At time.Time `json:"at,omitzero"`
+	// Listed is true when the platform lists the node's VM as live.
+	Listed bool `json:"listed"`
+	// Live is true when the node reported recently, or is listed and never did.
+	Live bool `json:"live"`
+	// Behind is true when the node is live and has not reported the stored revision.
+	Behind bool `json:"behind"`
+}
+
+// Report is the state of the catalogue and of every node.
+type Report struct {
+	Revision uint64         `json:"revision"`
+	Services []note.Service `json:"services"`
+	Nodes    []NodeReport   `json:"nodes"` // sorted by name
+}
+
+// Behind names the live nodes that have not reported the stored revision.
+func (r Report) Behind() []string {
+	var names []string
+	for _, n := range r.Nodes {
+		if n.Behind {
+			names = append(names, n.Node)
+		}
+	}
+	return names
+}
+
+// Status reads the stored catalogue, the nodes' reports and the platform's list
+// of nodes: three calls.
+func Status(ctx context.Context, client platform.Client) (Report, error) {
+	stored, err := Read(ctx, client)
+	if err != nil {
+		return Report{}, err
+	}
+	nodes, err := readNodes(ctx, client)
+	if err != nil {
+		return Report{}, err
+	}
+	report := Report{Revision: stored.Catalogue.Revision, Services: stored.Catalogue.Services}
+	for _, n := range nodes {
+		n.Behind = n.Live && n.Revision < report.Revision
+		report.Nodes = append(report.Nodes, n)
+	}
+	return report, nil
+}
+
+// readNodes joins reports and the platform's list, sorted by name.
+func readNodes(ctx context.Context, client platform.Client) ([]NodeReport, error) {
+	statuses, err := decodeAll[platform.NodeStatus](ctx, client, platform.KindNode)
+	if err != nil {
+		return nil, err
+	}
+	vms, err := decodeAll[platform.VM](ctx, client, platform.KindVM)
+	if err != nil {
+		return nil, err
+	}
+	now := time.Now()
+	byName := map[string]NodeReport{}
+	for _, s := range statuses {
+		byName[s.Node] = NodeReport{
+			Node: s.Node, AvailabilityZone: s.AvailabilityZone, Revision: s.Revision, At: s.At, Live: s.IsFresh(now),
+		}
+	}
+	for _, vm := range vms {
+		if vm.Group != platform.NodeGroup {
+			continue
+		}
+		n, reported := byName[vm.ID]
+		n.Node, n.AvailabilityZone = vm.ID, vm.AvailabilityZone
+		n.Listed = vm.State == platform.VMLive
+		n.Live = n.Listed && (n.Live || !reported)
+		byName[vm.ID] = n
+	}
+	nodes := make([]NodeReport, 0, len(byName))
+	for _, n := range byName {
+		nodes = append(nodes, n)
+	}
+	slices.SortFunc(nodes, func(a, b NodeReport) int { return strings.Compare(a.Node, b.Node) })
+	return nodes, nil
+}
+
+func decodeAll[T any](ctx context.Context, client platform.Client, kind platform.Kind) ([]T, error) {
+	listing, err := client.List(ctx, kind)
+	if err != nil {
+		return nil, err
+	}
+	values := make([]T, len(listing.Objects))
+	for i, object := range listing.Objects {
+		if err := json.Unmarshal(object.Value, &values[i]); err != nil {
+			return nil, fault.Wrap(err, fault.StepPlatform, object.Name, "%s is not readable", kind)
+		}
+	}
+	return values, nil
+}
+
+// waitPoll is the time between two reads while waiting for the nodes.
+const waitPoll = 500 * time.Millisecond
+
+// Behind says that live nodes have not reported a revision in time.
+type Behind struct {
+	Revision uint64
+	Nodes    []string
+}
+
+// Error names the nodes.
+func (b *Behind) Error() string {
+	return fmt.Sprintf("%d nodes have not reported revision %d: %s", len(b.Nodes), b.Revision, strings.Join(b.Nodes, ", "))
+}
+
+// WaitInForce returns when every live node reports at least a revision. When
+// ctx ends first, the error is *Behind with the nodes that are behind, or the
+// platform's error when the nodes could not be read.
+func WaitInForce(ctx context.Context, client platform.Client, revision uint64) error {
+	var last error
+	for {
+		nodes, err := readNodes(ctx, client)
+		if err == nil {
+			behind := &Behind{Revision: revision}
+			for _, n := range nodes {
+				if n.Live && n.Revision < revision {
+					behind.Nodes = append(behind.Nodes, n.Node)
+				}
+			}
+			if len(behind.Nodes) == 0 {
+				return nil
+			}
+			last = behind
+		} else if ctx.Err() == nil || last == nil {
+			last = err
+		}
+		if !wait(ctx, waitPoll) {
+			return last
+		}
+	}
+}
+
+// Export returns the services in force as a note that adds them all, written
+// against an empty catalogue.
+func Export(ctx context.Context, client platform.Client, author string) (note.Note, error) {
+	stored, err := Read(ctx, client)
+	if err != nil {
+		return note.Note{}, err
+	}
+	return note.Note{
+		ID:     fmt.Sprintf("export-%d", stored.Catalogue.Revision),
+		Author: author,
+		Added:  stored.Catalogue.Services,
+	}, nil
+}
+
+// History returns the notes in force, oldest first.
+func History(ctx context.Context, client platform.Client) ([]note.Applied, error) {
+	stored, err := Read(ctx, client)
+	return stored.Catalogue.History, err
+}
