Pay late hedges when the budget recovers, and learn from overtaken attempts

A trace of the decisions showed about 1000 hedges refused for want of budget, each for good: bursts of ordinary late attempts emptied a bucket of 20 tokens. Ruled out: a missing second replica (never seen), a wrong delay (7 to 9 ms throughout). Change: a hedge without budget asks again after an eighth of its delay, so the longest pending attempts come first; the bucket holds 100 tokens; the quantile is read from a full window and counts overtaken first attempts with the time they had taken. The tail target is now a test in virtual time, where other work on the machine does not count.

--- a/internal/coordination/budget/budget.go
+++ b/internal/coordination/budget/budget.go
@@ -5,7 +5,7 @@
 import "sync"
 
 // maxTokens bounds how many extra subrequests a quiet period may save up.
-const maxTokens = 20
+const maxTokens = 100
 
 // Budget is a token bucket that first subrequests fill. It is safe for
 // concurrent use.
--- a/internal/coordination/latency/latency.go
+++ b/internal/coordination/latency/latency.go
@@ -70,9 +70,9 @@
 
 func (w *Window) refresh() {
 	w.sinceRef = 0
-	source := w.current
-	if source.TotalCount() < minSamples {
-		source = w.previous
+	source := w.previous
+	if w.current.TotalCount() > source.TotalCount() {
+		source = w.current
 	}
 	if source.TotalCount() < minSamples {
 		return
--- a/internal/coordination/subrequest/subrequest.go
+++ b/internal/coordination/subrequest/subrequest.go
@@ -12,6 +12,14 @@
 	"github.com/hickorydock/hickorydock/internal/state/shardmap"
 )
 
+const (
+	// recheckDivisor is the part of the hedge delay after which a hedge that
+	// found no budget asks again.
+	recheckDivisor = 8
+	// minRecheck is the shortest time between two looks at the budget.
+	minRecheck = 500 * time.Microsecond
+)
+
 // Result says how an attempt ended.
 type Result int
 
@@ -107,16 +115,27 @@
 }
 
 // HedgeDue sends a second attempt when the first one is still pending and the
-// budget allows it.
-func (m *Machine) HedgeDue(now time.Time) (Attempt, bool) {
-	if m.done || m.hedged || m.pending != 1 {
-		return Attempt{}, false
+// budget allows it. When only the budget is missing, it returns the time at
+// which to ask again: the longer an attempt is pending, the more a hedge helps.
+func (m *Machine) HedgeDue(now time.Time) (attempt Attempt, send bool, again time.Time) {
+	if m.done || m.hedged || m.pending != 1 || !m.canTryAnother() {
+		return Attempt{}, false, time.Time{}
+	}
+	if !m.extra.Spend() {
+		return Attempt{}, false, m.recheckAt(now)
 	}
 	m.hedged = true
-	if !m.canTryAnother() || !m.extra.Spend() {
-		return Attempt{}, false
+	attempt, send = m.next(now, Hedge)
+	return attempt, send, time.Time{}
+}
+
+// recheckAt is when to look at the budget again, or zero when that is too late.
+func (m *Machine) recheckAt(now time.Time) time.Time {
+	at := now.Add(max(m.cfg.HedgeDelay/recheckDivisor, minRecheck))
+	if !at.Before(m.cfg.Deadline) {
+		return time.Time{}
 	}
-	return m.next(now, Hedge)
+	return at
 }
 
 // Decision tells the driver what an ended attempt means.
--- a/internal/coordination/subrequest/subrequest_test.go
+++ b/internal/coordination/subrequest/subrequest_test.go
@@ -83,7 +83,7 @@
 	}
 	m = New(configOf(2), &tokens{left: 9})
 	m.Start(start)
-	if _, ok := m.HedgeDue(late); ok {
+	if _, ok, again := m.HedgeDue(late); ok || !again.IsZero() {
 		t.Error("hedge sent at the deadline")
 	}
 	if decision, _ := m.Ended(late, Lost); decision != GiveUp {
@@ -116,7 +116,7 @@
 		record(first)
 		for pending > 0 {
 			if rapid.Bool().Draw(t, "hedge due") {
-				if a, ok := m.HedgeDue(start); ok {
+				if a, ok, _ := m.HedgeDue(start); ok {
 					record(a)
 				}
 			}
--- /dev/null
+++ b/internal/transport/entry/tail_test.go
@@ -0,0 +1,169 @@
+package entry
+
+import (
+	"context"
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/hickorydock/hickorydock/internal/coordination/replica"
+	"github.com/hickorydock/hickorydock/internal/coordination/subrequest"
+	"github.com/hickorydock/hickorydock/internal/protocol/note"
+	"github.com/hickorydock/hickorydock/internal/protocol/platform"
+	"github.com/hickorydock/hickorydock/internal/protocol/query"
+	contract "github.com/hickorydock/hickorydock/internal/protocol/upstream"
+	"github.com/hickorydock/hickorydock/internal/state/leaf"
+	"github.com/hickorydock/hickorydock/internal/state/shardmap"
+	"github.com/hickorydock/hickorydock/internal/transport/relay"
+	"github.com/hickorydock/hickorydock/internal/transport/tracing"
+	"github.com/hickorydock/hickorydock/internal/transport/upstream"
+)
+
+// slotted imitates leafs whose runs wait for a slot and take a random time.
+type slotted struct {
+	mu     sync.Mutex
+	random *rand.Rand
+	slots  map[string]chan struct{}
+	runs   int
+	// straggle is the share of runs that take stragglerFactor times as long.
+	straggle float64
+	// slow maps a leaf to the factor of its service times.
+	slow map[string]float64
+}
+
+const (
+	tailMedian      = 5 * time.Millisecond
+	tailSigma       = 0.3
+	stragglerFactor = 20
+	tailSlots       = 3
+	tailShards      = 40
+	tailQueries     = 3000
+	// tailRate is half of the capacity in queries per second.
+	tailRate = 480
+)
+
+func newSlotted(seed uint64, straggle float64) *slotted {
+	return &slotted{
+		random:   rand.New(rand.NewPCG(seed, 2)),
+		slots:    make(map[string]chan struct{}),
+		straggle: straggle,
+		slow:     make(map[string]float64),
+	}
+}
+
+// draw returns the slots of a leaf and the service time of one run.
+func (s *slotted) draw(id string) (chan struct{}, time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.slots[id] == nil {
+		s.slots[id] = make(chan struct{}, tailSlots)
+	}
+	took := float64(tailMedian) * math.Exp(tailSigma*s.random.NormFloat64())
+	if s.random.Float64() < s.straggle {
+		took *= stragglerFactor
+	}
+	if factor, ok := s.slow[id]; ok {
+		took *= factor
+	}
+	return s.slots[id], time.Duration(took)
+}
+
+func (s *slotted) Run(ctx context.Context, vm platform.VM, _ contract.Subrequest, _ time.Duration, _ []byte) upstream.Reply {
+	slot, took := s.draw(vm.ID)
+	lost := upstream.Reply{Result: subrequest.Lost, Sent: true, Err: context.Canceled}
+	select {
+	case slot <- struct{}{}:
+	case <-ctx.Done():
+		return lost
+	}
+	defer func() { <-slot }()
+	s.mu.Lock()
+	s.runs++
+	s.mu.Unlock()
+	timer := time.NewTimer(took)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return upstream.Reply{Result: subrequest.OK, Sent: true}
+	case <-ctx.Done():
+		return lost
+	}
+}
+
+// tailFigures are the latency quantile and the extra load of one run.
+type tailFigures struct {
+	p99   time.Duration
+	extra float64
+}
+
+// runTail sends queries as a Poisson process through an entry in virtual time.
+// A hedge share of 0 turns hedges and retries off.
+func runTail(seed uint64, leafs *slotted, choose replica.Chooser, hedgeShare float64) tailFigures {
+	store := shardmap.NewStore(leaf.NewTable())
+	for shard := range tailShards {
+		for r := range 2 {
+			id := fmt.Sprintf("leaf-%d-%d", shard, r)
+			vm := platform.VM{ID: id, Group: "g", AvailabilityZone: []string{"az-1", "az-2"}[(shard+r)%2]}
+			store.SetManifest(vm, contract.Manifest{Holdings: []contract.Holding{{
+				Service: "s", Snapshot: query.Snapshot{Generation: 1, Version: 1}, ShardCount: tailShards, Shards: []int{shard},
+			}}}, time.Now())
+		}
+	}
+	runner := relay.New(leafs, store, "az-1", choose, nil, tracing.Off())
+	e := New(DefaultConfig(), store, runner, nil, tracing.Off())
+	service := note.Service{Name: "s", UpstreamGroup: "g", Merge: note.MergeConcat, LongestWaitMS: 2000, HedgeShare: hedgeShare}
+	const warmup = 300
+	var mu sync.Mutex
+	var took []time.Duration
+	var running sync.WaitGroup
+	arrivals := rand.New(rand.NewPCG(seed, 3))
+	before := 0
+	for i := range warmup + tailQueries {
+		time.Sleep(time.Duration(arrivals.ExpFloat64() / tailRate * float64(time.Second)))
+		if i == warmup {
+			leafs.mu.Lock()
+			before = leafs.runs
+			leafs.mu.Unlock()
+		}
+		running.Go(func() {
+			begun := time.Now()
+			if _, err := e.Query(context.Background(), service, query.Request{Query: []byte("1")}, begun); err != nil {
+				panic(err)
+			}
+			mu.Lock()
+			defer mu.Unlock()
+			if i >= warmup {
+				took = append(took, time.Since(begun))
+			}
+		})
+	}
+	running.Wait()
+	slices.Sort(took)
+	extra := float64(leafs.runs-before)/float64(tailQueries*tailShards) - 1
+	return tailFigures{p99: took[len(took)*99/100], extra: extra}
+}
+
+// TestTailUnderStragglers holds the target for stragglers in virtual time,
+// where the machine's load does not count.
+func TestTailUnderStragglers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		baseline := runTail(1, newSlotted(1, 0.01), replica.Random, 0)
+		quiet := runTail(1, newSlotted(1, 0), replica.Choose, 0.05)
+		policy := runTail(1, newSlotted(1, 0.01), replica.Choose, 0.05)
+		t.Logf("baseline %v, quiet %v, policy %v", baseline, quiet, policy)
+		if float64(policy.p99) > 0.25*float64(baseline.p99) {
+			t.Errorf("p99 %v, above 0.25 of the baseline's %v", policy.p99, baseline.p99)
+		}
+		if float64(policy.p99) > 1.5*float64(quiet.p99) {
+			t.Errorf("p99 %v, above 1.5 of %v without stragglers", policy.p99, quiet.p99)
+		}
+		if policy.extra > 0.05 {
+			t.Errorf("extra load %.3f, above 0.05", policy.extra)
+		}
+	})
+}
--- a/internal/transport/relay/relay.go
+++ b/internal/transport/relay/relay.go
@@ -16,6 +16,7 @@
 	"github.com/hickorydock/hickorydock/internal/coordination/replica"
 	"github.com/hickorydock/hickorydock/internal/coordination/subrequest"
 	"github.com/hickorydock/hickorydock/internal/protocol/note"
+	"github.com/hickorydock/hickorydock/internal/protocol/platform"
 	"github.com/hickorydock/hickorydock/internal/protocol/query"
 	contract "github.com/hickorydock/hickorydock/internal/protocol/upstream"
 	"github.com/hickorydock/hickorydock/internal/state/leaf"
@@ -40,9 +41,14 @@
 	Subrequest(service string, kind subrequest.Kind)
 }
 
+// Sender sends one attempt to a leaf; it is met by upstream.Client.
+type Sender interface {
+	Run(ctx context.Context, vm platform.VM, sub contract.Subrequest, left time.Duration, body []byte) upstream.Reply
+}
+
 // Relay runs subrequests of all services. It is safe for concurrent use.
 type Relay struct {
-	client   *upstream.Client
+	sender   Sender
 	store    *shardmap.Store
 	zone     string
 	choose   replica.Chooser
@@ -52,8 +58,8 @@
 }
 
 // New returns a relay in an availability zone; observer may be nil.
-func New(client *upstream.Client, store *shardmap.Store, availabilityZone string, choose replica.Chooser, observer Observer, tracer *tracing.Tracer) *Relay {
-	return &Relay{client: client, store: store, zone: availabilityZone, choose: choose, observer: observer, tracer: tracer}
+func New(sender Sender, store *shardmap.Store, availabilityZone string, choose replica.Chooser, observer Observer, tracer *tracing.Tracer) *Relay {
+	return &Relay{sender: sender, store: store, zone: availabilityZone, choose: choose, observer: observer, tracer: tracer}
 }
 
 // serviceState is what the relay learned about one service.
@@ -188,8 +194,9 @@
 	}
 	u.send(first)
 	var hedge <-chan time.Time
+	var timer *time.Timer
 	if at, ok := u.machine.HedgeAt(now); ok {
-		timer := time.NewTimer(at.Sub(now))
+		timer = time.NewTimer(at.Sub(now))
 		defer timer.Stop()
 		hedge = timer.C
 	}
@@ -197,11 +204,8 @@
 		select {
 		case <-u.ctx.Done():
 			return u.failed(query.ReasonDeadline, u.ctx.Err())
-		case <-hedge:
-			hedge = nil
-			if attempt, ok := u.machine.HedgeDue(time.Now()); ok {
-				u.send(attempt)
-			}
+		case at := <-hedge:
+			u.hedge(at, timer)
 		case e := <-u.results:
 			if result, over := u.settle(e); over {
 				return result
@@ -210,6 +214,17 @@
 	}
 }
 
+// hedge sends a hedge, or sets the timer when the budget may allow one later.
+func (u *run) hedge(now time.Time, timer *time.Timer) {
+	attempt, send, again := u.machine.HedgeDue(now)
+	if send {
+		u.send(attempt)
+	}
+	if !again.IsZero() {
+		timer.Reset(again.Sub(now))
+	}
+}
+
 // settle hands the end of an attempt to the machine.
 func (u *run) settle(e ended) (Result, bool) {
 	if e.reply.Sent && e.reply.Result != subrequest.NotRun {
@@ -258,7 +273,7 @@
 	}
 	target.Record.Begin()
 	ctx, span := u.span(attempt, target)
-	go u.attempt(ctx, span, attempt.Replica, target, sub)
+	go u.attempt(ctx, span, attempt, target, sub)
 }
 
 // span starts the span of an attempt; those after the first link to it.
@@ -273,18 +288,20 @@
 	return ctx, span
 }
 
-func (u *run) attempt(ctx context.Context, span tracing.Span, index int, target shardmap.Replica, sub contract.Subrequest) {
+func (u *run) attempt(ctx context.Context, span tracing.Span, attempt subrequest.Attempt, target shardmap.Replica, sub contract.Subrequest) {
 	begun := time.Now()
-	reply := u.relay.client.Run(ctx, target.VM, sub, u.task.Deadline.Sub(begun), u.task.Body)
+	reply := u.relay.sender.Run(ctx, target.VM, sub, u.task.Deadline.Sub(begun), u.task.Body)
 	span.End(reply.Err)
 	now := time.Now()
 	elapsed := now.Sub(begun)
 	target.Record.End(now, elapsed, leafResult(u.ctx, reply))
-	if reply.Result == subrequest.OK {
+	if reply.Result == subrequest.OK || isOvertaken(u.ctx, attempt.Kind) {
+		// An overtaken first attempt counts with the time it had taken, or the
+		// window would hold too few of the slow attempts that hedges replace.
 		u.state.window.Observe(now, elapsed)
 	}
 	u.learn(now, target, reply)
-	u.results <- ended{index, reply}
+	u.results <- ended{attempt.Replica, reply}
 }
 
 // learn takes over what a reply says about its leaf.
@@ -302,6 +319,11 @@
 	u.relay.store.Deny(target.VM, u.task.Service.Name, u.task.Snapshot, now)
 }
 
+// isOvertaken reports whether a first attempt was cancelled.
+func isOvertaken(ctx context.Context, kind subrequest.Kind) bool {
+	return kind == subrequest.First && ctx.Err() != nil
+}
+
 func leafResult(ctx context.Context, reply upstream.Reply) leaf.Result {
 	switch reply.Result {
 	case subrequest.OK, subrequest.Gone, subrequest.Failed:
