Avoid slow and silent leafs, probe them, and notice moved holdings at once

Counting showed that probes were 2 of its 17 runs a second; the others were hedges, whose only other replica it was. Change: a hedge is not sent to a replica whose own latency exceeds twice the hedge delay; a replica more than twice as dear as its alternative gets one probe each 500 ms; the latency average weighs samples after a pause more; a leaf whose subrequests were overtaken twice in a row counts as failing. Replies may carry a tag of the leaf's holdings; a changed tag fetches the manifest at once.

--- a/internal/coordination/replica/replica.go
+++ b/internal/coordination/replica/replica.go
@@ -17,7 +17,15 @@
 	// crossingFactor is how much worse a leaf of the own availability zone must
 	// be before another availability zone is preferred.
 	crossingFactor = 1.25
-	// failurePenalty multiplies the cost for each failure since the last success.
+	// setAsideFactor is how much dearer than its alternative a leaf is when it is
+	// used for probes only.
+	setAsideFactor = 2
+	// probeInterval is the time between two probes of a leaf that is set aside.
+	probeInterval = 500 * time.Millisecond
+	// overtakenAllowance is the number of overtaken subrequests in a row that
+	// count as chance.
+	overtakenAllowance = 1
+	// failurePenalty multiplies the cost for each failure since the last answer.
 	failurePenalty = 4
 	// maxPenalizedFailures bounds the growth of the penalty.
 	maxPenalizedFailures = 6
@@ -34,16 +42,17 @@
 
 // Chooser picks one of the replicas outside tried, or None. random supplies
 // the randomness.
-type Chooser func(replicas []shardmap.Replica, tried Set, availabilityZone string, random uint64) int
+type Chooser func(now time.Time, replicas []shardmap.Replica, tried Set, availabilityZone string, random uint64) int
 
 // Random takes any replica; it is the baseline of measurements.
-func Random(replicas []shardmap.Replica, tried Set, _ string, random uint64) int {
+func Random(_ time.Time, replicas []shardmap.Replica, tried Set, _ string, random uint64) int {
 	return pickWhere(replicas, tried, uint32(random), true)
 }
 
 // Choose compares two random replicas outside tried and returns the index of
-// the cheaper one, or None. random supplies the randomness.
-func Choose(replicas []shardmap.Replica, tried Set, availabilityZone string, random uint64) int {
+// the cheaper one, or None. A much dearer one is chosen when a probe is due at
+// now; a zero now asks for no probes.
+func Choose(now time.Time, replicas []shardmap.Replica, tried Set, availabilityZone string, random uint64) int {
 	draining := false
 	first := pickWhere(replicas, tried, uint32(random), draining)
 	if first == None {
@@ -58,10 +67,31 @@
 	if second == None {
 		return first
 	}
-	if Cost(replicas[second], availabilityZone) < Cost(replicas[first], availabilityZone) {
-		return second
+	cheap, dear := first, second
+	cost, dearCost := Cost(replicas[first], availabilityZone), Cost(replicas[second], availabilityZone)
+	if dearCost < cost {
+		cheap, dear = second, first
+		cost, dearCost = dearCost, cost
 	}
-	return first
+	if dearCost > setAsideFactor*cost && isProbeDue(now, replicas[dear]) {
+		return dear
+	}
+	return cheap
+}
+
+// IsWorthHedging reports whether a hedge to r, sent after a wait of delay, is
+// likely to answer before an attempt that is merely late.
+func IsWorthHedging(r shardmap.Replica, delay time.Duration) bool {
+	s := r.Record.Stats()
+	s.InFlight = 0
+	return !s.Draining && statsCost(s) <= setAsideFactor*float64(delay)
+}
+
+// isProbeDue reports whether a leaf that is set aside gets one subrequest to
+// find out whether it recovered.
+func isProbeDue(now time.Time, r shardmap.Replica) bool {
+	s := r.Record.Stats()
+	return s.InFlight == 0 && now.Sub(s.LastBegin) >= probeInterval
 }
 
 // pickWhere returns a random index outside tried, or None. Draining leafs count
@@ -96,7 +126,8 @@
 		latency = untestedLatency
 	}
 	cost := float64(latency) * float64(s.InFlight+1)
-	for range min(s.Failures, maxPenalizedFailures) {
+	failures := s.Failures + max(0, s.Overtaken-overtakenAllowance)
+	for range min(failures, maxPenalizedFailures) {
 		cost *= failurePenalty
 	}
 	return cost
--- a/internal/coordination/replica/replica_test.go
+++ b/internal/coordination/replica/replica_test.go
@@ -14,14 +14,14 @@
 
 func replicaOf(zone string, latency time.Duration, inFlight, failures int) shardmap.Replica {
 	r := &leaf.Record{}
-	r.Begin()
+	r.Begin(start)
 	r.End(start, latency, leaf.Answered)
 	for range failures {
-		r.Begin()
+		r.Begin(start)
 		r.End(start, latency, leaf.Broken)
 	}
 	for range inFlight {
-		r.Begin()
+		r.Begin(start)
 	}
 	return shardmap.Replica{VM: platform.VM{AvailabilityZone: zone}, Record: r}
 }
@@ -46,7 +46,7 @@
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
 			for _, random := range []uint64{0, 1, 1 << 32, 1<<32 | 1} {
-				if got := Choose(test.replicas, test.tried, "a", random); got != test.want {
+				if got := Choose(start, test.replicas, test.tried, "a", random); got != test.want {
 					t.Errorf("random %x: replica %d, want %d", random, got, test.want)
 				}
 			}
@@ -58,16 +58,53 @@
 	replicas := []shardmap.Replica{replicaOf("a", time.Millisecond, 0, 0), replicaOf("a", time.Second, 0, 0)}
 	replicas[0].Record.SetDraining(true)
 	for random := range uint64(8) {
-		if got := Choose(replicas, 0, "a", random); got != 1 {
+		if got := Choose(start, replicas, 0, "a", random); got != 1 {
 			t.Errorf("random %d: draining replica chosen", random)
 		}
 	}
 	replicas[1].Record.SetDraining(true)
-	if got := Choose(replicas, 0, "a", 0); got == None {
+	if got := Choose(start, replicas, 0, "a", 0); got == None {
 		t.Error("no replica although all are draining")
 	}
 }
 
+// TestTrickle gives an expensive leaf one probe an interval, and no more.
+func TestTrickle(t *testing.T) {
+	replicas := []shardmap.Replica{replicaOf("a", time.Millisecond, 0, 0), replicaOf("a", time.Second, 0, 0)}
+	probes := 0
+	for tick := range 1000 {
+		now := start.Add(time.Duration(tick) * 10 * time.Millisecond)
+		i := Choose(now, replicas, 0, "a", uint64(tick))
+		replicas[i].Record.Begin(now)
+		if i == 1 {
+			probes++
+			replicas[i].Record.End(now, time.Second, leaf.Answered)
+		} else {
+			replicas[i].Record.End(now, time.Millisecond, leaf.Answered)
+		}
+	}
+	if want := int(10 * time.Second / probeInterval); probes < want-2 || probes > want {
+		t.Errorf("%d probes in 10 s, want about %d", probes, want)
+	}
+}
+
+// TestOvertakenLeafIsAvoided covers a leaf that accepts work and never answers.
+func TestOvertakenLeafIsAvoided(t *testing.T) {
+	replicas := []shardmap.Replica{replicaOf("a", time.Millisecond, 0, 0), replicaOf("a", time.Millisecond, 2, 0)}
+	for range 3 {
+		replicas[0].Record.Begin(start)
+		replicas[0].Record.End(start, 2*time.Millisecond, leaf.Cancelled)
+	}
+	if got := Choose(start, replicas, 0, "a", 0); got != 1 {
+		t.Errorf("replica %d chosen, want 1", got)
+	}
+	replicas[0].Record.Begin(start)
+	replicas[0].Record.End(start, time.Millisecond, leaf.Answered)
+	if got := replicas[0].Record.Stats().Overtaken; got != 0 {
+		t.Errorf("%d overtaken after a reply", got)
+	}
+}
+
 func BenchmarkChoose(b *testing.B) {
 	var replicas []shardmap.Replica
 	for range 3 {
@@ -76,6 +113,6 @@
 	random := rand.New(rand.NewPCG(1, 1))
 	b.ReportAllocs()
 	for b.Loop() {
-		Choose(replicas, 0, "a", random.Uint64())
+		Choose(start, replicas, 0, "a", random.Uint64())
 	}
 }
--- a/internal/coordination/subrequest/subrequest.go
+++ b/internal/coordination/subrequest/subrequest.go
@@ -121,12 +121,16 @@
 	if m.done || m.hedged || m.pending != 1 || !m.canTryAnother() {
 		return Attempt{}, false, time.Time{}
 	}
+	i := m.choose(time.Time{})
+	if i == replica.None || !now.Before(m.cfg.Deadline) || !replica.IsWorthHedging(m.cfg.Replicas[i], m.cfg.HedgeDelay) {
+		m.hedged = true
+		return Attempt{}, false, time.Time{}
+	}
 	if !m.extra.Spend() {
 		return Attempt{}, false, m.recheckAt(now)
 	}
 	m.hedged = true
-	attempt, send = m.next(now, Hedge)
-	return attempt, send, time.Time{}
+	return m.take(i, Hedge), true, time.Time{}
 }
 
 // recheckAt is when to look at the budget again, or zero when that is too late.
@@ -187,11 +191,20 @@
 	if !now.Before(m.cfg.Deadline) {
 		return Attempt{}, false
 	}
-	i := m.cfg.Choose(m.cfg.Replicas, m.tried, m.cfg.AvailabilityZone, m.cfg.Random())
+	i := m.choose(now)
 	if i == replica.None {
 		return Attempt{}, false
 	}
+	return m.take(i, kind), true
+}
+
+// choose picks a replica that was not tried; a zero now asks for no probes.
+func (m *Machine) choose(now time.Time) int {
+	return m.cfg.Choose(now, m.cfg.Replicas, m.tried, m.cfg.AvailabilityZone, m.cfg.Random())
+}
+
+func (m *Machine) take(i int, kind Kind) Attempt {
 	m.tried = m.tried.With(i)
 	m.pending++
-	return Attempt{Kind: kind, Replica: i}, true
+	return Attempt{Kind: kind, Replica: i}
 }
--- a/internal/experiment/relay_bench_test.go
+++ b/internal/experiment/relay_bench_test.go
@@ -87,7 +87,7 @@
 	store := shardmap.NewStore(stateleaf.NewTable())
 	c := client.New(client.DefaultConfig(), nil)
 	defer c.Close()
-	r := relay.New(c, store, "az-1", replica.Choose, nil, tracing.Off())
+	r := relay.New(c, store, nil, "az-1", replica.Choose, nil, tracing.Off())
 	service := experimentService(0.05)
 	service.Name = "s"
 	body, _ := json.Marshal(upstream.RunRequest{Query: json.RawMessage(`{}`)})
--- a/internal/protocol/upstream/upstream.go
+++ b/internal/protocol/upstream/upstream.go
@@ -28,12 +28,18 @@
 	HeaderClass = "Hickorydock-Class"
 	// HeaderBodyHash holds the xxHash64 of the body as 16 hexadecimal digits.
 	HeaderBodyHash = "Hickorydock-Body-Hash"
+	// HeaderHoldings holds an opaque tag of at most MaxHoldingsTag bytes that
+	// changes whenever the leaf's holdings change; it may be absent.
+	HeaderHoldings = "Hickorydock-Holdings"
 	// HeaderNotRun is "1" on a reply that declares that nothing ran.
 	HeaderNotRun = "Not-Run"
 	// HeaderDraining is "1" on replies of a leaf that is leaving.
 	HeaderDraining = "Draining"
 )
 
+// MaxHoldingsTag is the largest accepted value of HeaderHoldings, in bytes.
+const MaxHoldingsTag = 64
+
 // Classes of idempotency.
 const (
 	ClassQuery   = "query"
--- a/internal/standin/leaf/leaf.go
+++ b/internal/standin/leaf/leaf.go
@@ -15,6 +15,7 @@
 	"net"
 	"net/http"
 	"slices"
+	"strconv"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -93,6 +94,7 @@
 	mu               sync.Mutex
 	random           *rand.Rand
 	holdings         []upstream.Holding
+	holdingsChanges  int
 	manifestHoldings []upstream.Holding // nil: tell the truth
 	manifestLoad     *float64           // nil: tell the truth
 	draining         bool
@@ -167,6 +169,14 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.holdings = cloneHoldings(holdings)
+	l.holdingsChanges++
+}
+
+// holdingsTag changes with every change of the holdings.
+func (l *Leaf) holdingsTag() string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return strconv.Itoa(l.holdingsChanges)
 }
 
 // SetManifestHoldings makes GET /manifest report these holdings; nil reports the true ones.
--- a/internal/standin/leaf/run.go
+++ b/internal/standin/leaf/run.go
@@ -125,6 +125,7 @@
 	sub.SetEcho(h, body)
 	h.Set("Content-Type", "application/json")
 	h.Set("Content-Length", strconv.Itoa(len(body)))
+	h.Set(upstream.HeaderHoldings, l.holdingsTag())
 	if l.isDraining() {
 		h.Set(upstream.HeaderDraining, "1")
 	}
--- a/internal/state/leaf/leaf.go
+++ b/internal/state/leaf/leaf.go
@@ -13,8 +13,13 @@
 // tableShards is the number of locks of a Table; a power of two.
 const tableShards = 32
 
-// latencyWeight is the weight of a new sample in the moving average of latency.
-const latencyWeight = 0.1
+const (
+	// minWeight is the weight of a new sample in the moving average of latency
+	// when samples are frequent.
+	minWeight = 0.1
+	// memory is the age at which a sample has lost most of its weight.
+	memory = time.Second
+)
 
 // Stats is a copy of a record's fields.
 type Stats struct {
@@ -22,8 +27,13 @@
 	InFlight int
 	// Latency is the moving average of answered subrequests; 0 before the first.
 	Latency time.Duration
-	// Failures counts failed subrequests since the last success.
+	// Failures counts failed subrequests since the last answered one.
 	Failures int
+	// Overtaken counts subrequests since the last reply that were cancelled
+	// because another replica answered first.
+	Overtaken int
+	// LastBegin is the time of the last subrequest sent; zero before the first.
+	LastBegin time.Time
 	// LastReply is the time of the last reply; zero before the first.
 	LastReply time.Time
 	// Draining is true when a reply said that the leaf is leaving.
@@ -47,8 +57,9 @@
 
 // Record holds the measurements of one leaf. It is safe for concurrent use.
 type Record struct {
-	mu    sync.Mutex
-	stats Stats
+	mu       sync.Mutex
+	stats    Stats
+	holdings string
 }
 
 // Stats returns a copy of the measurements.
@@ -58,10 +69,11 @@
 	return r.stats
 }
 
-// Begin counts a subrequest that is about to be sent.
-func (r *Record) Begin() {
+// Begin counts a subrequest that is about to be sent at now.
+func (r *Record) Begin(now time.Time) {
 	r.mu.Lock()
 	r.stats.InFlight++
+	r.stats.LastBegin = now
 	r.mu.Unlock()
 }
 
@@ -74,25 +86,31 @@
 	switch result {
 	case Answered:
 		r.stats.Failures = 0
+		r.stats.Overtaken = 0
+		r.observe(now, elapsed)
 		r.stats.LastReply = now
-		r.observe(elapsed)
 	case Shed:
+		r.stats.Overtaken = 0
 		r.stats.LastReply = now
 	case Broken:
 		r.stats.Failures++
 	case Cancelled:
 		if elapsed > r.stats.Latency {
-			r.observe(elapsed)
+			r.stats.Overtaken++
+			r.observe(now, elapsed)
 		}
 	}
 }
 
-func (r *Record) observe(elapsed time.Duration) {
+// observe adds a sample to the moving average. A sample after a pause weighs
+// more, so that few of them are enough for a leaf that is rarely used.
+func (r *Record) observe(now time.Time, elapsed time.Duration) {
 	if r.stats.Latency == 0 {
 		r.stats.Latency = elapsed
 		return
 	}
-	r.stats.Latency += time.Duration(latencyWeight * float64(elapsed-r.stats.Latency))
+	weight := min(max(minWeight, float64(now.Sub(r.stats.LastReply))/float64(memory)), 1)
+	r.stats.Latency += time.Duration(weight * float64(elapsed-r.stats.Latency))
 }
 
 // SetDraining records whether the leaf said that it is leaving.
@@ -102,6 +120,15 @@
 	r.mu.Unlock()
 }
 
+// SetHoldings records the tag of a leaf's holdings and reports whether it changed.
+func (r *Record) SetHoldings(tag string) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	changed := r.holdings != tag
+	r.holdings = tag
+	return changed
+}
+
 // Table finds records by leaf identifier. It is safe for concurrent use.
 type Table struct {
 	shards [tableShards]tableShard
--- a/internal/transport/discovery/discovery.go
+++ b/internal/transport/discovery/discovery.go
@@ -37,6 +37,8 @@
 type poll struct {
 	vm     platform.VM
 	cancel context.CancelFunc
+	// kick asks for a fetch before the interval is over; its capacity is 1.
+	kick chan struct{}
 }
 
 // New returns a discovery that polls each leaf every interval, give or take a half.
@@ -81,16 +83,32 @@
 	}
 	d.table.Record(vm.ID).SetDraining(vm.State == platform.VMLeaving)
 	ctx, cancel := context.WithCancel(d.base)
-	d.polled[vm.ID] = poll{vm, cancel}
+	p := poll{vm, cancel, make(chan struct{}, 1)}
+	d.polled[vm.ID] = p
 	d.running.Add(1)
-	go d.poll(ctx, vm)
+	go d.poll(ctx, p)
+}
+
+// Refresh fetches the manifest of a leaf soon. Refreshes that come while one is
+// due are taken together.
+func (d *Discovery) Refresh(id string) {
+	d.mu.Lock()
+	p, ok := d.polled[id]
+	d.mu.Unlock()
+	if !ok {
+		return
+	}
+	select {
+	case p.kick <- struct{}{}:
+	default:
+	}
 }
 
 // poll fetches the manifest of one leaf until ctx ends.
-func (d *Discovery) poll(ctx context.Context, vm platform.VM) {
+func (d *Discovery) poll(ctx context.Context, p poll) {
 	defer d.running.Done()
 	for {
-		d.fetch(ctx, vm)
+		d.fetch(ctx, p.vm)
 		jitter := 0.5 + rand.Float64()
 		timer := time.NewTimer(time.Duration(jitter * float64(d.interval)))
 		select {
@@ -98,6 +116,8 @@
 			timer.Stop()
 			return
 		case <-timer.C:
+		case <-p.kick:
+			timer.Stop()
 		}
 	}
 }
--- a/internal/transport/entry/tail_test.go
+++ b/internal/transport/entry/tail_test.go
@@ -34,6 +34,8 @@
 	straggle float64
 	// slow maps a leaf to the factor of its service times.
 	slow map[string]float64
+	// runsOf counts the runs of each leaf.
+	runsOf map[string]int
 }
 
 const (
@@ -44,7 +46,8 @@
 	tailShards      = 40
 	tailQueries     = 3000
 	// tailRate is half of the capacity in queries per second.
-	tailRate = 480
+	tailRate   = 480
+	tailWarmup = 300
 )
 
 func newSlotted(seed uint64, straggle float64) *slotted {
@@ -53,6 +56,7 @@
 		slots:    make(map[string]chan struct{}),
 		straggle: straggle,
 		slow:     make(map[string]float64),
+		runsOf:   make(map[string]int),
 	}
 }
 
@@ -84,6 +88,7 @@
 	defer func() { <-slot }()
 	s.mu.Lock()
 	s.runs++
+	s.runsOf[vm.ID]++
 	s.mu.Unlock()
 	timer := time.NewTimer(took)
 	defer timer.Stop()
@@ -103,7 +108,7 @@
 
 // runTail sends queries as a Poisson process through an entry in virtual time.
 // A hedge share of 0 turns hedges and retries off.
-func runTail(seed uint64, leafs *slotted, choose replica.Chooser, hedgeShare float64) tailFigures {
+func runTail(seed uint64, leafs *slotted, choose replica.Chooser, hedgeShare, rate float64) tailFigures {
 	store := shardmap.NewStore(leaf.NewTable())
 	for shard := range tailShards {
 		for r := range 2 {
@@ -114,20 +119,20 @@
 			}}}, time.Now())
 		}
 	}
-	runner := relay.New(leafs, store, "az-1", choose, nil, tracing.Off())
+	runner := relay.New(leafs, store, nil, "az-1", choose, nil, tracing.Off())
 	e := New(DefaultConfig(), store, runner, nil, tracing.Off())
 	service := note.Service{Name: "s", UpstreamGroup: "g", Merge: note.MergeConcat, LongestWaitMS: 2000, HedgeShare: hedgeShare}
-	const warmup = 300
 	var mu sync.Mutex
 	var took []time.Duration
 	var running sync.WaitGroup
 	arrivals := rand.New(rand.NewPCG(seed, 3))
 	before := 0
-	for i := range warmup + tailQueries {
-		time.Sleep(time.Duration(arrivals.ExpFloat64() / tailRate * float64(time.Second)))
-		if i == warmup {
+	for i := range tailWarmup + tailQueries {
+		time.Sleep(time.Duration(arrivals.ExpFloat64() / rate * float64(time.Second)))
+		if i == tailWarmup {
 			leafs.mu.Lock()
 			before = leafs.runs
+			clear(leafs.runsOf)
 			leafs.mu.Unlock()
 		}
 		running.Go(func() {
@@ -137,7 +142,7 @@
 			}
 			mu.Lock()
 			defer mu.Unlock()
-			if i >= warmup {
+			if i >= tailWarmup {
 				took = append(took, time.Since(begun))
 			}
 		})
@@ -152,9 +157,9 @@
 // where the machine's load does not count.
 func TestTailUnderStragglers(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		baseline := runTail(1, newSlotted(1, 0.01), replica.Random, 0)
-		quiet := runTail(1, newSlotted(1, 0), replica.Choose, 0.05)
-		policy := runTail(1, newSlotted(1, 0.01), replica.Choose, 0.05)
+		baseline := runTail(1, newSlotted(1, 0.01), replica.Random, 0, tailRate)
+		quiet := runTail(1, newSlotted(1, 0), replica.Choose, 0.05, tailRate)
+		policy := runTail(1, newSlotted(1, 0.01), replica.Choose, 0.05, tailRate)
 		t.Logf("baseline %v, quiet %v, policy %v", baseline, quiet, policy)
 		if float64(policy.p99) > 0.25*float64(baseline.p99) {
 			t.Errorf("p99 %v, above 0.25 of the baseline's %v", policy.p99, baseline.p99)
@@ -167,3 +172,26 @@
 		}
 	})
 }
+
+// TestSlowLeaf holds the target for a leaf that is 10 times slow for good: at a
+// quarter load, since its partner must carry twice its share.
+func TestSlowLeaf(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const slowID = "leaf-7-0"
+		quiet := runTail(1, newSlotted(1, 0), replica.Choose, 0.05, tailRate/2)
+		leafs := newSlotted(1, 0)
+		leafs.slow[slowID] = 10
+		got := runTail(1, leafs, replica.Choose, 0.05, tailRate/2)
+		share := float64(leafs.runsOf[slowID]) / (tailQueries / 2)
+		t.Logf("quiet %v, with a slow leaf %v, its share %.3f", quiet, got, share)
+		if float64(got.p99) > 1.3*float64(quiet.p99) {
+			t.Errorf("p99 %v, above 1.3 of %v", got.p99, quiet.p99)
+		}
+		if share > 0.05 {
+			t.Errorf("the slow leaf got %.3f of its fair share, above 0.05", share)
+		}
+		if got.extra > 0.05 {
+			t.Errorf("extra load %.3f, above 0.05", got.extra)
+		}
+	})
+}
--- a/internal/transport/relay/module.go
+++ b/internal/transport/relay/module.go
@@ -7,6 +7,7 @@
 	"github.com/hickorydock/hickorydock/internal/coordination/subrequest"
 	"github.com/hickorydock/hickorydock/internal/protocol/settings"
 	"github.com/hickorydock/hickorydock/internal/state/shardmap"
+	"github.com/hickorydock/hickorydock/internal/transport/discovery"
 	"github.com/hickorydock/hickorydock/internal/transport/metrics"
 	"github.com/hickorydock/hickorydock/internal/transport/tracing"
 	"github.com/hickorydock/hickorydock/internal/transport/upstream"
@@ -15,8 +16,8 @@
 // Module provides the relay.
 var Module = fx.Module("relay", fx.Provide(provide))
 
-func provide(client *upstream.Client, store *shardmap.Store, s settings.Settings, choose replica.Chooser, m *metrics.Metrics, tracer *tracing.Tracer) *Relay {
-	return New(client, store, s.Node.AvailabilityZone, choose, meter{m}, tracer)
+func provide(client *upstream.Client, store *shardmap.Store, d *discovery.Discovery, s settings.Settings, choose replica.Chooser, m *metrics.Metrics, tracer *tracing.Tracer) *Relay {
+	return New(client, store, d, s.Node.AvailabilityZone, choose, meter{m}, tracer)
 }
 
 // meter counts attempts in the metrics.
--- a/internal/transport/relay/relay.go
+++ b/internal/transport/relay/relay.go
@@ -46,10 +46,16 @@
 	Run(ctx context.Context, vm platform.VM, sub contract.Subrequest, left time.Duration, body []byte) upstream.Reply
 }
 
+// Refresher fetches the manifest of a leaf soon; it is met by discovery.Discovery.
+type Refresher interface {
+	Refresh(id string)
+}
+
 // Relay runs subrequests of all services. It is safe for concurrent use.
 type Relay struct {
 	sender   Sender
 	store    *shardmap.Store
+	refresh  Refresher
 	zone     string
 	choose   replica.Chooser
 	observer Observer
@@ -57,9 +63,9 @@
 	services sync.Map // service name -> *serviceState
 }
 
-// New returns a relay in an availability zone; observer may be nil.
-func New(sender Sender, store *shardmap.Store, availabilityZone string, choose replica.Chooser, observer Observer, tracer *tracing.Tracer) *Relay {
-	return &Relay{sender: sender, store: store, zone: availabilityZone, choose: choose, observer: observer, tracer: tracer}
+// New returns a relay in an availability zone; refresh and observer may be nil.
+func New(sender Sender, store *shardmap.Store, refresh Refresher, availabilityZone string, choose replica.Chooser, observer Observer, tracer *tracing.Tracer) *Relay {
+	return &Relay{sender: sender, store: store, refresh: refresh, zone: availabilityZone, choose: choose, observer: observer, tracer: tracer}
 }
 
 // serviceState is what the relay learned about one service.
@@ -271,7 +277,7 @@
 	if u.relay.observer != nil {
 		u.relay.observer.Subrequest(u.task.Service.Name, attempt.Kind)
 	}
-	target.Record.Begin()
+	target.Record.Begin(time.Now())
 	ctx, span := u.span(attempt, target)
 	go u.attempt(ctx, span, attempt, target, sub)
 }
@@ -310,6 +316,9 @@
 	if answered {
 		target.Record.SetDraining(reply.Draining)
 	}
+	if reply.Holdings != "" && target.Record.SetHoldings(reply.Holdings) && u.relay.refresh != nil {
+		u.relay.refresh.Refresh(target.VM.ID)
+	}
 	if reply.Result != subrequest.Gone {
 		return
 	}
--- a/internal/transport/upstream/client.go
+++ b/internal/transport/upstream/client.go
@@ -11,6 +11,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"sync/atomic"
 	"time"
 
@@ -104,6 +105,8 @@
 	Sent bool
 	// Draining is true when the leaf said that it is leaving.
 	Draining bool
+	// Holdings is the tag of the leaf's holdings; empty when the reply has none.
+	Holdings string
 	// Manifest is the leaf's manifest when Result is Gone and the leaf sent one.
 	Manifest *contract.Manifest
 	// Err explains any result but OK, with step and peer.
@@ -144,7 +147,11 @@
 }
 
 func (c *Client) read(response *http.Response, vm platform.VM, sub contract.Subrequest) Reply {
-	reply := Reply{Sent: true, Draining: response.Header.Get(contract.HeaderDraining) == "1"}
+	reply := Reply{
+		Sent:     true,
+		Draining: response.Header.Get(contract.HeaderDraining) == "1",
+		Holdings: holdingsTag(response.Header),
+	}
 	body, err := readBounded(response.Body, c.cfg.MaxReplyBytes)
 	if err != nil {
 		reply.Result = subrequest.Lost
@@ -166,6 +173,15 @@
 	return reply
 }
 
+// holdingsTag reads the tag of the leaf's holdings; an oversized one is ignored.
+func holdingsTag(h http.Header) string {
+	tag := h.Get(contract.HeaderHoldings)
+	if len(tag) > contract.MaxHoldingsTag {
+		return ""
+	}
+	return strings.Clone(tag)
+}
+
 func decode(reply Reply, h http.Header, body []byte, vm platform.VM, sub contract.Subrequest) Reply {
 	reply.Result = subrequest.Bad
 	if err := sub.VerifyReply(h, body); err != nil {
