Keep a node in line with the platform

Cause: nodes must follow the catalogue and the VM list, keep both through outages, and start while the platform is down. Change: the control loop: list and watch, resume from the last version, list again when that is too old, jittered return; newest catalogue and VM list from peers at start; drift undone by one conditional write; status reports whose fleet-wide rate is bounded. Check: under virtual time against the stand-in: refusing and hanging outages with none, few and more changes than the log keeps; start in an outage; four kinds of drift seen by five nodes lead to one write.

--- /dev/null
+++ b/internal/coordination/backoff/backoff.go
@@ -0,0 +1,39 @@
+// Package backoff decides how long a client waits before it calls again, so
+// that many clients that lost the same server come back spread over time.
+package backoff
+
+import "time"
+
+// Policy bounds the waits.
+type Policy struct {
+	// First is the upper bound of the first wait.
+	First time.Duration
+	// Most is the upper bound of every wait.
+	Most time.Duration
+	// Settled is the time that a call has to last to count as a success, so that
+	// a server that accepts and drops at once is not called in a tight loop.
+	Settled time.Duration
+}
+
+// Backoff is the state of one client. It is not safe for concurrent use.
+type Backoff struct {
+	policy Policy
+	bound  time.Duration
+}
+
+// New returns a Backoff before its first failure.
+func New(policy Policy) *Backoff {
+	return &Backoff{policy: policy, bound: policy.First}
+}
+
+// Next returns the wait after a call that failed after lasting a while. draw is
+// a random number in [0, 1): the wait is uniform up to a bound that doubles
+// with each failure.
+func (b *Backoff) Next(lasted time.Duration, draw float64) time.Duration {
+	if lasted >= b.policy.Settled {
+		b.bound = b.policy.First
+	}
+	wait := time.Duration(draw * float64(b.bound))
+	b.bound = min(2*b.bound, b.policy.Most)
+	return wait
+}
--- /dev/null
+++ b/internal/node/control/control_test.go
@@ -0,0 +1,322 @@
+package control
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/apex/log/handlers/discard"
+
+	"github.com/hickorydock/hickorydock/internal/coordination/reconcile"
+	"github.com/hickorydock/hickorydock/internal/protocol/note"
+	"github.com/hickorydock/hickorydock/internal/protocol/platform"
+	standin "github.com/hickorydock/hickorydock/internal/standin/platform"
+	"github.com/hickorydock/hickorydock/internal/state/catalogue"
+	"github.com/hickorydock/hickorydock/internal/transport/operator"
+)
+
+// bench runs nodes against one stand-in under virtual time.
+type bench struct {
+	t       *testing.T
+	p       *standin.Platform
+	ctx     context.Context
+	running []func()
+}
+
+type testNode struct {
+	*Control
+	store   *catalogue.Store
+	metrics *recorder
+	vms     []platform.VM
+	stop    func()
+}
+
+type recorder struct {
+	revisions []uint64
+	refused   int
+}
+
+func (r *recorder) RevisionInForce(revision uint64) { r.revisions = append(r.revisions, revision) }
+func (r *recorder) OldRevisionRefused()             { r.refused++ }
+
+func runBench(t *testing.T, options standin.Options, body func(*bench)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		b := &bench{t: t, p: standin.New(options), ctx: t.Context()}
+		body(b)
+		for _, stop := range b.running {
+			stop()
+		}
+	})
+}
+
+func (b *bench) start(name string, peers Peers) *testNode {
+	n := &testNode{store: catalogue.New(), metrics: &recorder{}}
+	n.Control = New(Config{
+		Node:    name,
+		Client:  b.p.Client(),
+		Store:   n.store,
+		Peers:   peers,
+		VMs:     func(vms []platform.VM) { n.vms = vms },
+		Log:     &log.Logger{Handler: discard.New(), Level: log.DebugLevel},
+		Metrics: n.metrics,
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		n.Run(ctx)
+	}()
+	n.stop = func() {
+		cancel()
+		<-done
+	}
+	b.running = append(b.running, n.stop)
+	return n
+}
+
+func (b *bench) apply(id string, n note.Note) {
+	b.t.Helper()
+	if _, err := operator.Apply(b.ctx, b.p.Client(), n, operator.Options{}); err != nil {
+		b.t.Fatalf("%s: %v", id, err)
+	}
+}
+
+func (b *bench) add(name string, base uint64) {
+	b.t.Helper()
+	s := note.Service{Name: name, UpstreamGroup: name, LeafSlots: 1, LeafConnections: 25}
+	b.apply(name, note.Note{ID: "add-" + name, Author: "o", Base: base, Added: []note.Service{s.Normalize()}})
+}
+
+// settle lets virtual time pass and every goroutine finish what it does.
+func settle(d time.Duration) {
+	time.Sleep(d)
+	synctest.Wait()
+}
+
+func (b *bench) wantRevision(n *testNode, revision uint64) {
+	b.t.Helper()
+	if got := n.store.Revision(); got != revision {
+		b.t.Fatalf("revision %d in force, want %d", got, revision)
+	}
+}
+
+func TestNotesComeIntoForce(t *testing.T) {
+	runBench(t, standin.Options{}, func(b *bench) {
+		n := b.start("n1", nil)
+		if n.Ready() == nil {
+			t.Error("ready before anything is known")
+		}
+		settle(time.Second)
+		if err := n.Ready(); err != nil {
+			t.Error(err)
+		}
+		b.add("a", 0)
+		b.add("b", 1)
+		settle(time.Second)
+		b.wantRevision(n, 2)
+		if _, found := n.store.Find("b"); !found {
+			t.Error("service not in force")
+		}
+		report, err := operator.Status(b.ctx, b.p.Client())
+		if err != nil || len(report.Nodes) != 1 || report.Nodes[0].Behind || report.Nodes[0].Revision != 2 {
+			t.Fatalf("report %+v, %v", report, err)
+		}
+		n.stop()
+		report, err = operator.Status(b.ctx, b.p.Client())
+		if err != nil || report.Nodes[0].Live {
+			t.Fatalf("live after its stop: %+v, %v", report, err)
+		}
+	})
+}
+
+// TestOutages holds that nothing in force changes during an outage and that the
+// node catches up afterwards, also when its version is forgotten by then.
+func TestOutages(t *testing.T) {
+	for _, outage := range []standin.Outage{standin.OutageRefuse, standin.OutageHang} {
+		for _, changes := range []int{0, 1, 20} {
+			t.Run(fmt.Sprintf("%s with %d changes", outage, changes), func(t *testing.T) {
+				runBench(t, standin.Options{ChangeLog: 5}, func(b *bench) {
+					n := b.start("n1", nil)
+					b.add("a", 0)
+					settle(time.Minute)
+					b.p.SetFaults(standin.Faults{Outage: outage})
+					settle(5 * time.Minute)
+					b.wantRevision(n, 1)
+					if n.Ready() != nil {
+						t.Error("not ready during an outage")
+					}
+					b.p.SetFaults(standin.Faults{})
+					for i := range changes {
+						b.add(fmt.Sprintf("s%d", i), uint64(i+1))
+					}
+					settle(2 * returnPolicy.Most)
+					b.wantRevision(n, uint64(changes+1))
+					if n.metrics.refused != 0 {
+						t.Errorf("%d offers refused", n.metrics.refused)
+					}
+				})
+			})
+		}
+	}
+}
+
+// fixedPeers answers with fixed offers.
+type fixedPeers []Offer
+
+func (p fixedPeers) Offers(context.Context) []Offer { return p }
+
+func TestStartDuringOutage(t *testing.T) {
+	offers := fixedPeers{
+		{Catalogue: note.Catalogue{Revision: 3}, HasCatalogue: true, VMs: []platform.VM{{ID: "old"}}, VMsVersion: 4, HasVMs: true},
+		{},
+		{Catalogue: note.Catalogue{Revision: 7}, HasCatalogue: true, VMs: []platform.VM{{ID: "new"}}, VMsVersion: 9, HasVMs: true},
+		{Catalogue: note.Catalogue{Revision: 5}, HasCatalogue: true},
+	}
+	for _, outage := range []standin.Outage{standin.OutageRefuse, standin.OutageHang} {
+		t.Run(string(outage), func(t *testing.T) {
+			runBench(t, standin.Options{Faults: standin.Faults{Outage: outage}}, func(b *bench) {
+				alone := b.start("alone", nil)
+				n := b.start("n1", offers)
+				settle(bootstrapDelay + time.Millisecond)
+				b.wantRevision(n, 7)
+				if n.Ready() != nil || len(n.vms) != 1 || n.vms[0].ID != "new" {
+					t.Errorf("ready: %v, VMs %v", n.Ready(), n.vms)
+				}
+				settle(5 * time.Minute)
+				if alone.Ready() == nil {
+					t.Error("ready without any source")
+				}
+			})
+		})
+	}
+}
+
+// TestDriftIsUndone holds that a change without a note never comes into force
+// where a catalogue is in force, and that the platform is brought back by one
+// write however many nodes see it.
+func TestDriftIsUndone(t *testing.T) {
+	cases := []struct {
+		name   string
+		tamper func(b *bench)
+	}{
+		{"other content", func(b *bench) {
+			b.store(note.Catalogue{Revision: 2, Services: []note.Service{{Name: "x"}}})
+		}},
+		{"old state restored", func(b *bench) { b.store(note.Catalogue{Revision: 1}) }},
+		{"not readable", func(b *bench) {
+			if err := b.p.Set(platform.KindCatalogue, platform.CatalogueName, "text"); err != nil {
+				b.t.Fatal(err)
+			}
+		}},
+		{"removed", func(b *bench) {
+			if err := b.p.Remove(platform.KindCatalogue, platform.CatalogueName); err != nil {
+				b.t.Fatal(err)
+			}
+		}},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			runBench(t, standin.Options{}, func(b *bench) {
+				var nodes []*testNode
+				for i := range 5 {
+					nodes = append(nodes, b.start(fmt.Sprintf("n%d", i), nil))
+				}
+				settle(time.Second)
+				b.add("a", 0)
+				b.add("b", 1)
+				settle(time.Second)
+				before := b.catalogueWrites()
+				c.tamper(b)
+				settle(time.Minute)
+				for _, n := range nodes {
+					b.wantRevision(n, 3)
+					if len(n.metrics.revisions) != 3 || n.metrics.refused == 0 {
+						t.Errorf("revisions %v, %d refused", n.metrics.revisions, n.metrics.refused)
+					}
+				}
+				stored, err := operator.Read(b.ctx, b.p.Client())
+				if err != nil || stored.Catalogue.Revision != 3 || len(stored.Catalogue.Services) != 2 {
+					t.Errorf("stored %+v, %v", stored.Catalogue, err)
+				}
+				if writes := b.catalogueWrites() - before; writes != 1 {
+					t.Errorf("%d writes", writes)
+				}
+			})
+		})
+	}
+}
+
+func (b *bench) store(c note.Catalogue) {
+	b.t.Helper()
+	if err := b.p.Set(platform.KindCatalogue, platform.CatalogueName, c); err != nil {
+		b.t.Fatal(err)
+	}
+}
+
+func (b *bench) catalogueWrites() uint64 {
+	calls := b.p.Calls()
+	return calls[standin.Call{Method: standin.MethodUpdate, Kind: platform.KindCatalogue}] +
+		calls[standin.Call{Method: standin.MethodCreate, Kind: platform.KindCatalogue}]
+}
+
+func TestVMList(t *testing.T) {
+	runBench(t, standin.Options{ChangeLog: 4}, func(b *bench) {
+		set := func(id string, state platform.VMState) {
+			if err := b.p.Set(platform.KindVM, id, platform.VM{ID: id, Group: platform.NodeGroup, State: state}); err != nil {
+				t.Fatal(err)
+			}
+		}
+		set("b", platform.VMLive)
+		n := b.start("n1", nil)
+		settle(time.Second)
+		set("a", platform.VMLive)
+		if err := b.p.Set(platform.KindVM, "bad", json.RawMessage("3")); err != nil {
+			t.Fatal(err)
+		}
+		settle(0)
+		if len(n.vms) != 2 || n.vms[0].ID != "a" {
+			t.Fatalf("VMs %v", n.vms)
+		}
+		b.p.SetFaults(standin.Faults{Outage: standin.OutageRefuse})
+		settle(time.Minute)
+		for range 5 {
+			set("a", platform.VMLeaving)
+		}
+		if err := b.p.Remove(platform.KindVM, "b"); err != nil {
+			t.Fatal(err)
+		}
+		b.p.SetFaults(standin.Faults{})
+		settle(2 * returnPolicy.Most)
+		if len(n.vms) != 1 || n.vms[0].State != platform.VMLeaving {
+			t.Fatalf("VMs after the outage %v", n.vms)
+		}
+	})
+}
+
+// TestReportsAreBounded holds the rate of one node's writes, with and without
+// changes.
+func TestReportsAreBounded(t *testing.T) {
+	runBench(t, standin.Options{}, func(b *bench) {
+		b.start("n1", nil)
+		settle(10 * time.Minute)
+		call := standin.Call{Method: standin.MethodPutStatus, Kind: platform.KindNode}
+		quiet := b.p.Calls()[call]
+		most := uint64(2*10*time.Minute/reconcile.ReportInterval(1)) + 1
+		if quiet < most/2 || quiet > most {
+			t.Errorf("%d reports in 10 min, want %d to %d", quiet, most/2, most)
+		}
+		for i := range 100 {
+			b.add(fmt.Sprintf("s%d", i), uint64(i))
+			settle(100 * time.Millisecond)
+		}
+		settle(time.Second)
+		if busy := b.p.Calls()[call] - quiet; busy > uint64(11*time.Second/reportGap)+1 {
+			t.Errorf("%d reports during 100 changes in 11 s", busy)
+		}
+	})
+}
--- a/internal/protocol/platform/status.go
+++ b/internal/protocol/platform/status.go
@@ -11,7 +11,8 @@
 	Revision uint64 `json:"revision"`
 	// At is the node's time of the report.
 	At time.Time `json:"at"`
-	// FreshFor is the time in seconds within which the next report is due.
+	// FreshFor is the time in seconds within which the next report is due; 0 on
+	// the last report of a node that stops.
 	FreshFor float64 `json:"fresh_for_s"`
 }
 
@@ -21,5 +22,5 @@
 // IsFresh reports whether the node reported recently enough to count as live.
 func (s NodeStatus) IsFresh(now time.Time) bool {
 	limit := time.Duration(staleFactor * s.FreshFor * float64(time.Second))
-	return now.Sub(s.At) <= limit
+	return s.FreshFor > 0 && now.Sub(s.At) <= limit
 }
