--- a/cmd/hickorydock/main.go
+++ b/cmd/hickorydock/main.go
@@ -32,6 +32,11 @@
 // commands holds every subcommand in the order of the help.
 var commands = []command{
 	serveCommand,
+	checkCommand,
+	applyCommand,
+	statusCommand,
+	exportCommand,
+	historyCommand,
 	experimentCommand,
 	versionCommand,
 }
--- /dev/null
+++ b/cmd/hickorydock/platform.go
@@ -0,0 +1,71 @@
+package main
+
+import (
+	"errors"
+	"os"
+
+	"github.com/integrii/flaggy"
+
+	"github.com/hickorydock/hickorydock/internal/coordination/reconcile"
+	"github.com/hickorydock/hickorydock/internal/protocol/note"
+	"github.com/hickorydock/hickorydock/internal/protocol/platform"
+	"github.com/hickorydock/hickorydock/internal/protocol/settings"
+	transport "github.com/hickorydock/hickorydock/internal/transport/platform"
+)
+
+// platformVariable names the environment variable with the platform's URL.
+const platformVariable = "HICKORYDOCK_PLATFORM_URL"
+
+// bindPlatform declares the flag for the platform's URL.
+func bindPlatform(flags *flaggy.Subcommand, url *string) {
+	flags.String(url, "p", "platform", "Base URL of the platform's object API; "+platformVariable+" when not given.")
+}
+
+// platformURL is the URL of the flag, of the environment, or the default.
+func platformURL(flag string) string {
+	if flag != "" {
+		return flag
+	}
+	if url := os.Getenv(platformVariable); url != "" {
+		return url
+	}
+	return settings.Default().Platform.URL
+}
+
+// connectPlatform returns a client for the URL of the flag or the environment.
+func connectPlatform(flag string) platform.Client {
+	return transport.New(transport.Config{
+		BaseURL: platformURL(flag),
+		Timeout: settings.Default().Platform.Timeout(),
+	})
+}
+
+// readNote reads and parses a note. Faults are a failure, not wrong usage.
+func readNote(file string) (note.Document, error) {
+	if file == "" {
+		return note.Document{}, usageError("name the file of a release note")
+	}
+	text, err := os.ReadFile(file)
+	if err != nil {
+		return note.Document{}, usageError("release note: %w", err)
+	}
+	document, faults := note.ParseDocument(file, text)
+	if len(faults) > 0 {
+		return note.Document{}, &exitError{code: exitFailed, err: faults}
+	}
+	return document, nil
+}
+
+// placeRefusal turns entries that do not fit the catalogue into faults with
+// their lines. Other errors stay as they are.
+func placeRefusal(document note.Document, err error) error {
+	var refused *reconcile.Refused
+	if !errors.As(err, &refused) {
+		return err
+	}
+	var faults note.Faults
+	for _, entry := range refused.Entries {
+		faults = append(faults, document.Fault(entry.Field, entry.Message))
+	}
+	return &exitError{code: exitFailed, err: faults}
+}
