Add the experiments slow-upstream, versions, coverage and cancel

Cause: these targets had no measurement. Change: four experiments on the rig, with bounds from their targets.

--- /dev/null
+++ b/internal/experiment/cancel.go
@@ -0,0 +1,78 @@
+package experiment
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/hickorydock/hickorydock/internal/standin/leaf"
+)
+
+var cancelExperiment = Experiment{
+	Name:    "cancel",
+	Summary: "callers leave at random moments of queries that take 200 ms",
+	Target:  "runs that go on upstream 50 ms after their caller left: 0",
+	Run:     runCancel,
+}
+
+const (
+	cancelShards  = 10
+	cancelRounds  = 30
+	cancelCallers = 5
+	cancelService = 200 * time.Millisecond
+	// cancelGrace is the time that a cancelled run may go on.
+	cancelGrace = 50 * time.Millisecond
+)
+
+func runCancel(ctx context.Context, seed uint64) (Result, error) {
+	options := tailRig(seed, 0.05, leaf.ServiceTime{Median: cancelService, Sigma: 0.01})
+	options.shards = cancelShards
+	options.leaf.Slots = 2 * cancelCallers
+	r, err := newRig(ctx, options)
+	if err != nil {
+		return Result{}, err
+	}
+	defer r.close()
+	if err := r.awaitComplete(ctx); err != nil {
+		return Result{}, err
+	}
+	r.resetRuns()
+	random := rand.New(rand.NewPCG(seed, 5))
+	stillRunning, cancelled := 0, 0
+	for range cancelRounds {
+		r.leaveAll(ctx, random)
+		sleepUntil(ctx, time.Now().Add(cancelGrace))
+		r.each(func(l *leaf.Leaf) { stillRunning += l.Running() })
+	}
+	r.each(func(l *leaf.Leaf) {
+		for _, run := range l.AllRuns() {
+			if run.Cancelled {
+				cancelled++
+			}
+		}
+	})
+	return Result{
+		Policy: []Figure{{"runs", float64(r.runs())}, {"runs_cancelled", float64(cancelled)}, {"still_running", float64(stillRunning)}},
+		Checks: []Check{
+			AtMost("still_running", float64(stillRunning), 0),
+			AtLeast("runs_cancelled", float64(cancelled), 1),
+		},
+	}, ctx.Err()
+}
+
+// leaveAll sends queries whose callers leave at random moments before the end.
+func (r *rig) leaveAll(ctx context.Context, random *rand.Rand) {
+	c := newCaller()
+	defer c.close()
+	var callers sync.WaitGroup
+	for i := range cancelCallers {
+		patience := time.Duration(random.Float64() * 0.8 * float64(cancelService))
+		callers.Go(func() {
+			ctx, cancel := context.WithTimeout(ctx, patience)
+			defer cancel()
+			c.ask(ctx, r.url(i), r.options.service.Name, i, time.Now())
+		})
+	}
+	callers.Wait()
+}
--- a/internal/experiment/experiment.go
+++ b/internal/experiment/experiment.go
@@ -65,6 +65,10 @@
 func All() []Experiment {
 	return []Experiment{
 		tailExperiment,
+		slowExperiment,
+		versionsExperiment,
+		coverageExperiment,
+		cancelExperiment,
 	}
 }
 
--- /dev/null
+++ b/internal/experiment/slow.go
@@ -0,0 +1,60 @@
+package experiment
+
+import (
+	"context"
+	"time"
+
+	"github.com/hickorydock/hickorydock/internal/standin/leaf"
+)
+
+var slowExperiment = Experiment{
+	Name:    "slow-upstream",
+	Summary: "one of 80 leafs 10 times slow for good, its manifest says idle, quarter load",
+	Target:  "from 2 s on p99 at most 1.3 of the run without it; at most 5 % of its fair share sent to it; extra load at most 5 %",
+	Run:     runSlow,
+}
+
+const (
+	// slowRate is a quarter of the leafs' capacity in queries per second, since
+	// the slow leaf's partner has to carry both shares.
+	slowRate   = tailRate / 2
+	slowFactor = 10
+	// slowWarmup is the number of queries in the first 2 s.
+	slowWarmup = 2 * slowRate
+)
+
+func runSlow(ctx context.Context, seed uint64) (Result, error) {
+	quiet, _, err := slowRun(ctx, seed, 1)
+	if err != nil {
+		return Result{}, err
+	}
+	slow, runs, err := slowRun(ctx, seed, slowFactor)
+	if err != nil {
+		return Result{}, err
+	}
+	fair := float64(tailQueries) / tailReplicas
+	return Result{
+		Baseline: quiet.figures(),
+		Policy:   slow.figures(),
+		Checks: []Check{
+			AtMost("p99_over_quiet", slow.tally.quantileMS(0.99)/quiet.tally.quantileMS(0.99), 1.3),
+			AtMost("share_of_fair_share", float64(runs)/fair, 0.05),
+			AtMost("extra_load", slow.extraLoad, 0.05),
+			AtMost("mixed", float64(slow.tally.mixed), 0),
+		},
+	}, nil
+}
+
+// slowRun returns the figures and the runs of the leaf that was slowed.
+func slowRun(ctx context.Context, seed uint64, factor float64) (measured, int, error) {
+	service := leaf.ServiceTime{Median: 5 * time.Millisecond, Sigma: 0.3}
+	r, err := newRig(ctx, tailRig(seed, 0.05, service))
+	if err != nil {
+		return measured{}, 0, err
+	}
+	defer r.close()
+	r.leafs[0][0].SetSlowFactor(factor)
+	r.leafs[0][0].SetManifestLoad(0)
+	m, err := r.measure(ctx, slowRate, slowWarmup, tailQueries)
+	return m, r.leafs[0][0].RunCount(), err
+}
--- a/internal/experiment/tail.go
+++ b/internal/experiment/tail.go
@@ -90,20 +90,26 @@
 // tailRun measures one setting. A hedge share of 0 turns hedges and retries
 // off; choose replaces the choice of replicas unless it is nil.
 func tailRun(ctx context.Context, seed uint64, hedgeShare float64, choose replica.Chooser, service leaf.ServiceTime) (measured, error) {
-	r, err := newRig(ctx, rigOptions{
+	options := tailRig(seed, hedgeShare, service)
+	options.choose = choose
+	r, err := newRig(ctx, options)
+	if err != nil {
+		return measured{}, err
+	}
+	defer r.close()
+	return r.measure(ctx, tailRate, tailWarmup, tailQueries)
+}
+
+// tailRig is the set-up that most experiments start from.
+func tailRig(seed uint64, hedgeShare float64, service leaf.ServiceTime) rigOptions {
+	return rigOptions{
 		seed:     seed,
 		service:  experimentService(hedgeShare),
 		shards:   tailShards,
 		replicas: tailReplicas,
 		leaf:     leaf.Options{Slots: tailSlots, QueueLength: 200, ServiceTime: service, Items: 1},
 		nodes:    1,
-		choose:   choose,
-	})
-	if err != nil {
-		return measured{}, err
 	}
-	defer r.close()
-	return r.measure(ctx, tailRate, tailWarmup, tailQueries)
 }
 
 // measure sends warm-up queries, then counted ones, at a rate per second.
