Count a leaf as silent only when nothing came from it for 100 ms

Cause: overtaken attempts counted as failures in a row, so that a busy leaf could be penalised while it answered others. Change: an unanswered attempt counts only when the leaf has not replied to anything for 100 ms; it counts whatever the attempt's age. Moving versions are tested in virtual time with the real discovery, relay and entry.

--- a/internal/coordination/replica/replica.go
+++ b/internal/coordination/replica/replica.go
@@ -22,9 +22,8 @@
 	setAsideFactor = 2
 	// probeInterval is the time between two probes of a leaf that is set aside.
 	probeInterval = 500 * time.Millisecond
-	// overtakenAllowance is the number of overtaken subrequests in a row that
-	// count as chance.
-	overtakenAllowance = 1
+	// unansweredAllowance is the number of unanswered subrequests that count as chance.
+	unansweredAllowance = 1
 	// failurePenalty multiplies the cost for each failure since the last answer.
 	failurePenalty = 4
 	// maxPenalizedFailures bounds the growth of the penalty.
@@ -126,7 +125,7 @@
 		latency = untestedLatency
 	}
 	cost := float64(latency) * float64(s.InFlight+1)
-	failures := s.Failures + max(0, s.Overtaken-overtakenAllowance)
+	failures := s.Failures + max(0, s.Unanswered-unansweredAllowance)
 	for range min(failures, maxPenalizedFailures) {
 		cost *= failurePenalty
 	}
--- a/internal/state/leaf/leaf.go
+++ b/internal/state/leaf/leaf.go
@@ -17,6 +17,8 @@
 	// minWeight is the weight of a new sample in the moving average of latency
 	// when samples are frequent.
 	minWeight = 0.1
+	// silentAfter is the time without a reply after which a leaf counts as silent.
+	silentAfter = 100 * time.Millisecond
 	// memory is the age at which a sample has lost most of its weight.
 	memory = time.Second
 )
@@ -29,9 +31,9 @@
 	Latency time.Duration
 	// Failures counts failed subrequests since the last answered one.
 	Failures int
-	// Overtaken counts subrequests since the last reply that were cancelled
-	// because another replica answered first.
-	Overtaken int
+	// Unanswered counts subrequests that were cancelled while the leaf had not
+	// replied to anything for silentAfter; it is 0 after a reply.
+	Unanswered int
 	// LastBegin is the time of the last subrequest sent; zero before the first.
 	LastBegin time.Time
 	// LastReply is the time of the last reply; zero before the first.
@@ -86,22 +88,30 @@
 	switch result {
 	case Answered:
 		r.stats.Failures = 0
-		r.stats.Overtaken = 0
+		r.stats.Unanswered = 0
 		r.observe(now, elapsed)
 		r.stats.LastReply = now
 	case Shed:
-		r.stats.Overtaken = 0
+		r.stats.Unanswered = 0
 		r.stats.LastReply = now
 	case Broken:
 		r.stats.Failures++
 	case Cancelled:
+		r.countSilence(now)
 		if elapsed > r.stats.Latency {
-			r.stats.Overtaken++
 			r.observe(now, elapsed)
 		}
 	}
 }
 
+// countSilence counts a cancelled subrequest of a leaf that has not replied for
+// silentAfter. A busy leaf whose attempts are overtaken still replies to others.
+func (r *Record) countSilence(now time.Time) {
+	if now.Sub(r.stats.LastReply) >= silentAfter {
+		r.stats.Unanswered++
+	}
+}
+
 // observe adds a sample to the moving average. A sample after a pause weighs
 // more, so that few of them are enough for a leaf that is rarely used.
 func (r *Record) observe(now time.Time, elapsed time.Duration) {
--- a/internal/transport/upstream/client.go
+++ b/internal/transport/upstream/client.go
@@ -36,9 +36,13 @@
 	ManifestTimeout time.Duration
 }
 
+// defaultConnectionsPerLeaf bounds connections to a leaf where no share is known.
+const defaultConnectionsPerLeaf = 16
+
 // DefaultConfig returns the bounds used when nothing else is set.
 func DefaultConfig() Config {
 	return Config{
+		ConnectionsPerLeaf:  defaultConnectionsPerLeaf,
 		MaxReplyBytes:       4 << 20,
 		MaxReplyHeaderBytes: 16 << 10,
 		DialTimeout:         time.Second,
