Spread the return of the nodes after an outage of the platform

Cause: 610 nodes with two watches each must not call at once when the platform is back. Change: the first wait is uniform up to 1 s, later ones over the upper half of a bound that doubles to 5 s; the experiment platform-return plays it at 7, 70 and 610 nodes in virtual time.

--- a/internal/coordination/backoff/backoff.go
+++ b/internal/coordination/backoff/backoff.go
@@ -15,6 +15,13 @@
 	Settled time.Duration
 }
 
+// PlatformReturn spreads the return of all nodes after an outage of the platform.
+var PlatformReturn = Policy{
+	First:   1 * time.Second,
+	Most:    5 * time.Second,
+	Settled: 10 * time.Second,
+}
+
 // Backoff is the state of one client. It is not safe for concurrent use.
 type Backoff struct {
 	policy Policy
@@ -27,13 +34,18 @@
 }
 
 // Next returns the wait after a call that failed after lasting a while. draw is
-// a random number in [0, 1): the wait is uniform up to a bound that doubles
-// with each failure.
+// a random number in [0, 1). The first wait is uniform up to a bound, which then
+// doubles with each failure; later waits are uniform over its upper half, which
+// keeps the rate of calls of many clients lower than the whole range would.
 func (b *Backoff) Next(lasted time.Duration, draw float64) time.Duration {
 	if lasted >= b.policy.Settled {
 		b.bound = b.policy.First
 	}
-	wait := time.Duration(draw * float64(b.bound))
+	least := b.bound / 2
+	if b.bound == b.policy.First {
+		least = 0
+	}
+	wait := least + time.Duration(draw*float64(b.bound-least))
 	b.bound = min(2*b.bound, b.policy.Most)
 	return wait
 }
--- a/internal/experiment/experiment.go
+++ b/internal/experiment/experiment.go
@@ -69,6 +69,7 @@
 		versionsExperiment,
 		coverageExperiment,
 		cancelExperiment,
+		returnExperiment,
 	}
 }
 
--- /dev/null
+++ b/internal/experiment/return.go
@@ -0,0 +1,105 @@
+package experiment
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"github.com/hickorydock/hickorydock/internal/coordination/backoff"
+)
+
+var returnExperiment = Experiment{
+	Name:    "platform-return",
+	Summary: "watches of 7, 70 and 610 nodes come back after the platform refused calls for 2 min, by decisions under virtual time",
+	Target:  "610 nodes: at most 400 calls in the busiest second after the return, all watches back within 5 s",
+	Run:     runReturn,
+}
+
+const (
+	returnOutage = 2 * time.Minute
+	// watchesPerNode are those of the catalogue and of the VM list.
+	watchesPerNode = 2
+	// returnFixedWait is the wait of the baseline, which has no jitter.
+	returnFixedWait = time.Second
+	// breakSpread is the time within which the platform's end reaches every node.
+	breakSpread = 5 * time.Millisecond
+)
+
+// returnFigures are counts of one simulated return.
+type returnFigures struct {
+	busiestSecond float64 // calls
+	busiest100ms  float64 // calls
+	lastBack      float64 // seconds after the platform's return
+	outageRate    float64 // calls per second during the outage
+}
+
+// simulateReturn plays every watch from its break to its first success. wait
+// returns the time from a failure to the next call.
+func simulateReturn(nodes int, seed uint64, waitOf func() func(draw float64) time.Duration) returnFigures {
+	random := rand.New(rand.NewPCG(seed, seed))
+	var figures returnFigures
+	seconds, tenths := map[int]float64{}, map[int]float64{}
+	during := 0
+	for range nodes * watchesPerNode {
+		wait := waitOf()
+		at := time.Duration(random.Float64() * float64(breakSpread))
+		for at < returnOutage {
+			at += wait(random.Float64())
+			if at < returnOutage {
+				during++
+			}
+		}
+		back := at - returnOutage
+		seconds[int(back/time.Second)]++
+		tenths[int(back/(100*time.Millisecond))]++
+		figures.lastBack = max(figures.lastBack, back.Seconds())
+	}
+	for _, count := range seconds {
+		figures.busiestSecond = max(figures.busiestSecond, count)
+	}
+	for _, count := range tenths {
+		figures.busiest100ms = max(figures.busiest100ms, count)
+	}
+	figures.outageRate = float64(during) / returnOutage.Seconds()
+	return figures
+}
+
+func fixedWait() func(float64) time.Duration {
+	return func(float64) time.Duration { return returnFixedWait }
+}
+
+func jitteredWait() func(float64) time.Duration {
+	b := backoff.New(backoff.PlatformReturn)
+	return func(draw float64) time.Duration { return b.Next(0, draw) }
+}
+
+func (f returnFigures) list(nodes int) []Figure {
+	prefix := fmt.Sprintf("nodes_%d_", nodes)
+	return []Figure{
+		{prefix + "busiest_second_calls", f.busiestSecond},
+		{prefix + "busiest_100ms_calls", f.busiest100ms},
+		{prefix + "last_back_s", f.lastBack},
+		{prefix + "outage_calls_per_s", f.outageRate},
+	}
+}
+
+func runReturn(_ context.Context, seed uint64) (Result, error) {
+	var result Result
+	for _, nodes := range fleetSizes {
+		baseline := simulateReturn(nodes, seed, fixedWait)
+		policy := simulateReturn(nodes, seed, jitteredWait)
+		result.Baseline = append(result.Baseline, baseline.list(nodes)...)
+		result.Policy = append(result.Policy, policy.list(nodes)...)
+		if nodes == fleetSizes[len(fleetSizes)-1] {
+			result.Checks = append(result.Checks,
+				AtMost("busiest_second_calls", policy.busiestSecond, 400),
+				AtMost("last_back_s", policy.lastBack, 5),
+			)
+		}
+	}
+	return result, nil
+}
+
+// fleetSizes are the numbers of nodes that control work is measured at.
+var fleetSizes = []int{7, 70, 610}
--- a/internal/node/control/control_test.go
+++ b/internal/node/control/control_test.go
@@ -11,6 +11,7 @@
 	"github.com/apex/log"
 	"github.com/apex/log/handlers/discard"
 
+	"github.com/hickorydock/hickorydock/internal/coordination/backoff"
 	"github.com/hickorydock/hickorydock/internal/coordination/reconcile"
 	"github.com/hickorydock/hickorydock/internal/protocol/note"
 	"github.com/hickorydock/hickorydock/internal/protocol/platform"
@@ -154,7 +155,7 @@
 					for i := range changes {
 						b.add(fmt.Sprintf("s%d", i), uint64(i+1))
 					}
-					settle(2 * returnPolicy.Most)
+					settle(2 * backoff.PlatformReturn.Most)
 					b.wantRevision(n, uint64(changes+1))
 					if n.metrics.refused != 0 {
 						t.Errorf("%d offers refused", n.metrics.refused)
@@ -291,7 +292,7 @@
 			t.Fatal(err)
 		}
 		b.p.SetFaults(standin.Faults{})
-		settle(2 * returnPolicy.Most)
+		settle(2 * backoff.PlatformReturn.Most)
 		if len(n.vms) != 1 || n.vms[0].State != platform.VMLeaving {
 			t.Fatalf("VMs after the outage %v", n.vms)
 		}
--- a/internal/node/control/follow.go
+++ b/internal/node/control/follow.go
@@ -10,13 +10,6 @@
 	"github.com/hickorydock/hickorydock/internal/protocol/platform"
 )
 
-// returnPolicy spreads the return of the nodes after an outage of the platform.
-var returnPolicy = backoff.Policy{
-	First:   1 * time.Second,
-	Most:    5 * time.Second,
-	Settled: 10 * time.Second,
-}
-
 // follower keeps up with one kind of objects: it lists, watches from the list's
 // version, resumes a broken watch from the last version and lists again when
 // that is too old.
@@ -32,7 +25,7 @@
 
 // run follows until ctx ends.
 func (f *follower) run(ctx context.Context) {
-	wait := backoff.New(returnPolicy)
+	wait := backoff.New(backoff.PlatformReturn)
 	var version uint64
 	known := false
 	for ctx.Err() == nil {
--- a/internal/node/control/report.go
+++ b/internal/node/control/report.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"time"
 
+	"github.com/hickorydock/hickorydock/internal/coordination/backoff"
 	"github.com/hickorydock/hickorydock/internal/coordination/reconcile"
 	"github.com/hickorydock/hickorydock/internal/protocol/platform"
 )
@@ -39,7 +40,7 @@
 		written = written || err == nil
 		if err != nil {
 			c.cfg.Log.WithError(err).Warn("status not reported")
-			sleep(ctx, returnPolicy.Most)
+			sleep(ctx, backoff.PlatformReturn.Most)
 			continue
 		}
 		sleep(ctx, reportGap)
