Decide membership from probes, second opinions and gossip

Cause: 610 nodes have to know of each other's start, stop and loss within seconds, without the platform's writes growing with the fleet. Change: message types with a protobuf encoding, and the decisions: a few neighbours are probed, two nodes have to agree before one is held for dead, changes spread by gossip, digests repair what was lost. Incarnations separate a restart from its past; a paused node refutes and stays one member. Check: tables and rapid histories with lost, late and doubled messages, pauses and restarts.

--- /dev/null
+++ b/internal/coordination/membership/membership_test.go
@@ -0,0 +1,288 @@
+package membership
+
+import (
+	"flag"
+	"fmt"
+	"os"
+	"testing"
+	"time"
+
+	"github.com/hickorydock/hickorydock/internal/protocol/membership"
+)
+
+// TestMain fixes the seed of the random histories unless a run sets one.
+func TestMain(m *testing.M) {
+	flag.Parse()
+	seed := flag.Lookup("rapid.seed")
+	if seed != nil && seed.Value.String() == seed.DefValue {
+		_ = seed.Value.Set("1")
+	}
+	os.Exit(m.Run())
+}
+
+var epoch = time.Date(2030, 1, 1, 0, 0, 0, 0, time.UTC)
+
+// network runs members under virtual time. Messages take one step of 1 ms; lose
+// may drop them and hold may delay them.
+type network struct {
+	now   time.Time
+	nodes map[string]*Membership
+	down  map[string]bool // dead or paused
+	lose  func(s Send) bool
+	wire  []Send
+	// buried counts members that were found dead while they ran.
+	buried []string
+}
+
+func member(id string, start uint64) membership.Member {
+	return membership.Member{ID: id, Address: id + ":1", AvailabilityZone: "zone-" + id[len(id)-1:], Start: start, State: membership.Alive}
+}
+
+func name(i int) string { return fmt.Sprintf("n%d", i) }
+
+// newNetwork starts nodes that know each other from the platform's list and
+// lets them settle.
+func newNetwork(size int) *network {
+	n := &network{now: epoch, nodes: map[string]*Membership{}, down: map[string]bool{}}
+	var list []membership.Member
+	for i := range size {
+		list = append(list, member(name(i), 0))
+	}
+	for i := range size {
+		n.start(name(i), uint64(i+1), list)
+	}
+	n.run(3 * time.Second)
+	return n
+}
+
+func (n *network) start(id string, start uint64, list []membership.Member) {
+	m := New(Config{Self: member(id, start), Seed: start})
+	n.nodes[id] = m
+	n.carry(id, m.Listed(n.now, list))
+}
+
+// carry queues messages and records who was buried.
+func (n *network) carry(by string, a Actions) {
+	n.wire = append(n.wire, a.Sends...)
+	for _, changed := range a.Changed {
+		target := n.nodes[changed.ID]
+		if changed.State == membership.Dead && target != nil && !n.down[changed.ID] && target.self.Start == changed.Start {
+			n.buried = append(n.buried, fmt.Sprintf("%s held %s for dead at %s", by, changed.ID, n.now.Sub(epoch)))
+		}
+	}
+}
+
+func (n *network) deliver() {
+	wire := n.wire
+	n.wire = nil
+	for _, s := range wire {
+		target := n.nodes[s.To]
+		if target == nil || n.down[s.To] || (n.lose != nil && n.lose(s)) {
+			continue
+		}
+		n.carry(s.To, target.Receive(n.now, s.Message))
+	}
+}
+
+func (n *network) run(d time.Duration) {
+	for end := n.now.Add(d); n.now.Before(end); n.now = n.now.Add(TickInterval) {
+		for _, id := range sortedKeys(n.nodes) {
+			if !n.down[id] {
+				n.carry(id, n.nodes[id].Tick(n.now))
+			}
+		}
+		for range 4 {
+			n.deliver()
+		}
+	}
+}
+
+// views returns how many running nodes hold id for each state.
+func (n *network) views(id string) map[membership.State]int {
+	count := map[membership.State]int{}
+	for viewer, m := range n.nodes {
+		if viewer == id || n.down[viewer] {
+			continue
+		}
+		known, _ := m.State(id)
+		count[known.State]++
+	}
+	return count
+}
+
+func (n *network) want(t *testing.T, id string, state membership.State) {
+	t.Helper()
+	if views := n.views(id); len(views) != 1 || views[state] == 0 {
+		t.Fatalf("%s is seen as %v, want %v by all", id, views, state)
+	}
+}
+
+func TestDeadIsKnownWithin5s(t *testing.T) {
+	for _, size := range []int{2, 3, 7, 40} {
+		t.Run(fmt.Sprint(size), func(t *testing.T) {
+			n := newNetwork(size)
+			n.down[name(1)] = true
+			n.run(5 * time.Second)
+			if size == 2 {
+				n.run(2 * time.Second) // nobody else can agree, so one node decides alone
+			}
+			n.want(t, name(1), membership.Dead)
+			if len(n.buried) > 0 {
+				t.Fatal(n.buried)
+			}
+		})
+	}
+}
+
+func TestHalfOfTheNodesDie(t *testing.T) {
+	n := newNetwork(40)
+	for i := 0; i < 40; i += 2 {
+		n.down[name(i)] = true
+	}
+	n.run(20 * time.Second)
+	for i := 0; i < 40; i += 2 {
+		n.want(t, name(i), membership.Dead)
+	}
+	if len(n.buried) > 0 {
+		t.Fatal(n.buried)
+	}
+}
+
+func TestLeaving(t *testing.T) {
+	n := newNetwork(20)
+	n.carry(name(3), n.nodes[name(3)].Leave(n.now))
+	n.run(3 * time.Second)
+	n.want(t, name(3), membership.Leaving)
+	n.carry(name(3), n.nodes[name(3)].Stop(n.now))
+	n.deliver()
+	n.down[name(3)] = true
+	n.run(3 * time.Second)
+	n.want(t, name(3), membership.Left)
+}
+
+// TestPausedIsOneMember holds that a node that was paused for 30 s is the same
+// member afterwards and buries nobody itself.
+func TestPausedIsOneMember(t *testing.T) {
+	n := newNetwork(10)
+	n.down[name(4)] = true
+	n.run(30 * time.Second)
+	n.want(t, name(4), membership.Dead)
+	n.down[name(4)] = false
+	n.run(TickInterval)
+	if got := n.nodes[name(4)].self.Refutation; got != 1 {
+		t.Errorf("refutation %d right after the pause", got)
+	}
+	n.run(3 * time.Second)
+	n.want(t, name(4), membership.Alive)
+	for id, m := range n.nodes {
+		if got := len(m.Members()); got != 10 {
+			t.Errorf("%s has %d members", id, got)
+		}
+	}
+	if len(n.buried) > 0 {
+		t.Fatal(n.buried)
+	}
+}
+
+// TestRestartIsANewMember holds that late words about an older life change
+// nothing, and that a process with an older life gives way.
+func TestRestartIsANewMember(t *testing.T) {
+	n := newNetwork(10)
+	old := n.nodes[name(5)]
+	oldLife, _ := old.State(name(5))
+	n.start(name(5), 99, []membership.Member{member(name(0), 0), member(name(1), 0)})
+	n.run(6 * time.Second)
+	n.want(t, name(5), membership.Alive)
+	for _, state := range []membership.State{membership.Leaving, membership.Dead, membership.Left} {
+		late := oldLife
+		late.State = state
+		late.Refutation = 7
+		n.carry(name(0), n.nodes[name(0)].Receive(n.now, membership.Message{Kind: membership.Gossip, From: name(2), Updates: []membership.Member{late}}))
+	}
+	n.run(3 * time.Second)
+	n.want(t, name(5), membership.Alive)
+	known, _ := n.nodes[name(0)].State(name(5))
+	old.Receive(n.now, membership.Message{Kind: membership.Gossip, From: name(0), Updates: []membership.Member{known}})
+	if !old.IsSuperseded() || len(old.Tick(n.now.Add(time.Second)).Sends) > 0 {
+		t.Error("the older process does not give way")
+	}
+}
+
+func TestPartitionHeals(t *testing.T) {
+	n := newNetwork(12)
+	var list []membership.Member
+	for i := range 12 {
+		list = append(list, member(name(i), 0))
+	}
+	side := func(id string) bool { return id < name(5) }
+	n.lose = func(s Send) bool { return side(s.To) != side(s.Message.From) }
+	n.run(time.Minute)
+	n.lose = nil
+	n.buried = nil
+	for id, m := range n.nodes {
+		n.carry(id, m.Listed(n.now, list))
+	}
+	n.run(30 * time.Second)
+	for i := range 12 {
+		n.want(t, name(i), membership.Alive)
+	}
+	if len(n.buried) > 0 {
+		t.Fatal(n.buried)
+	}
+}
+
+// TestBrokenLink holds that a node is not buried by a monitor that cannot reach
+// it while others can.
+func TestBrokenLink(t *testing.T) {
+	n := newNetwork(8)
+	monitor := name(2)
+	target := n.nodes[monitor].neighbours[0]
+	n.lose = func(s Send) bool {
+		return (s.To == monitor && s.Message.From == target) || (s.To == target && s.Message.From == monitor)
+	}
+	n.run(time.Minute)
+	if len(n.buried) > 0 {
+		t.Fatal(n.buried)
+	}
+}
+
+// TestListLags holds that the platform's list adds members and overrules
+// nothing that is known better.
+func TestListLags(t *testing.T) {
+	n := newNetwork(6)
+	n.down[name(1)] = true
+	n.run(6 * time.Second)
+	list := []membership.Member{member(name(1), 0), member("n9", 0)}
+	list = append(list, membership.Member{ID: name(2), State: membership.Leaving})
+	m := n.nodes[name(0)]
+	m.Listed(n.now, list)
+	wants := map[string]membership.State{name(1): membership.Dead, name(2): membership.Alive, name(3): membership.Alive, "n9": membership.Alive}
+	for id, want := range wants {
+		if got, _ := m.State(id); got.State != want {
+			t.Errorf("%s is %v, want %v", id, got.State, want)
+		}
+	}
+	m.Listed(n.now, nil)
+	if _, known := m.State("n9"); known {
+		t.Error("a member that only the list named is kept")
+	}
+}
+
+func TestLostConnectionProbesAtOnce(t *testing.T) {
+	n := newNetwork(40)
+	m := n.nodes[name(0)]
+	var stranger string
+	for i := 1; i < 40; i++ {
+		if m.probes[name(i)] == nil {
+			stranger = name(i)
+			break
+		}
+	}
+	a := m.LostConnection(n.now, stranger)
+	if len(a.Sends) != 1 || a.Sends[0].To != stranger || a.Sends[0].Message.Kind != membership.Ping {
+		t.Fatalf("actions %+v", a)
+	}
+	if again := m.LostConnection(n.now, stranger); len(again.Sends) != 0 {
+		t.Error("probed again while a probe is open")
+	}
+}
--- /dev/null
+++ b/internal/coordination/membership/ring.go
@@ -0,0 +1,109 @@
+package membership
+
+import (
+	"encoding/binary"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/hickorydock/hickorydock/internal/protocol/membership"
+)
+
+// digestOf hashes what a digest covers of one member. Digests of several
+// members are joined by exclusive or.
+func digestOf(m membership.Member) uint64 {
+	h := xxhash.New()
+	_, _ = h.WriteString(m.ID)
+	var tail [13]byte
+	binary.LittleEndian.PutUint64(tail[:], m.Start)
+	binary.LittleEndian.PutUint32(tail[8:], m.Refutation)
+	tail[12] = byte(m.State)
+	_, _ = h.Write(tail[:])
+	return h.Sum64()
+}
+
+// place is a member's position on a ring.
+type place struct {
+	hash uint64
+	id   string
+	zone string
+}
+
+func placeOf(id, zone string) place {
+	return place{hash: xxhash.Sum64String(id), id: id, zone: zone}
+}
+
+func comparePlaces(a, b place) int {
+	switch {
+	case a.hash < b.hash:
+		return -1
+	case a.hash > b.hash:
+		return 1
+	default:
+		return 0
+	}
+}
+
+// chooseNeighbours returns the members that this node probes: the ones for
+// which it is among the Monitors nodes that precede them on the ring, where
+// after the first one nodes in availability zones not yet used go first. Every
+// node computes the same monitors from the same members.
+func (m *Membership) chooseNeighbours() []string {
+	ring := make([]place, 0, len(m.present)+1)
+	ring = append(ring, placeOf(m.self.ID, m.self.AvailabilityZone))
+	for _, id := range m.present {
+		ring = append(ring, placeOf(id, m.members[id].AvailabilityZone))
+	}
+	slices.SortFunc(ring, comparePlaces)
+	var neighbours []string
+	for i, target := range ring {
+		if target.id != m.self.ID && slices.Contains(monitorsOf(ring, i, m.cfg.Monitors), m.self.ID) {
+			neighbours = append(neighbours, target.id)
+		}
+	}
+	return neighbours
+}
+
+// searchFactor bounds the stretch of the ring that is searched for other zones,
+// in units of the number of monitors.
+const searchFactor = 4
+
+// monitorsOf returns the nodes that probe ring[target].
+func monitorsOf(ring []place, target, count int) []string {
+	stretch := min(len(ring)-1, searchFactor*count)
+	count = min(count, len(ring)-1)
+	chosen := make([]string, 0, count)
+	zones := make([]string, 0, count)
+	for pass := 0; pass < 2 && len(chosen) < count; pass++ {
+		for step := 1; step <= stretch && len(chosen) < count; step++ {
+			candidate := ring[(target-step+len(ring))%len(ring)]
+			if pass == 0 && slices.Contains(zones, candidate.zone) || slices.Contains(chosen, candidate.id) {
+				continue
+			}
+			chosen = append(chosen, candidate.id)
+			zones = append(zones, candidate.zone)
+		}
+	}
+	return chosen
+}
+
+// helpers returns the other present nodes that should know whether a member
+// lives: its monitors, and one node picked at random.
+func (m *Membership) helpers(id string) []string {
+	m.refresh()
+	ring := make([]place, 0, len(m.present)+1)
+	ring = append(ring, placeOf(m.self.ID, m.self.AvailabilityZone))
+	for _, other := range m.present {
+		ring = append(ring, placeOf(other, m.members[other].AvailabilityZone))
+	}
+	slices.SortFunc(ring, comparePlaces)
+	target := slices.IndexFunc(ring, func(p place) bool { return p.id == id })
+	if target < 0 {
+		return nil
+	}
+	chosen := monitorsOf(ring, target, m.cfg.Monitors)
+	chosen = append(chosen, m.present[m.random.IntN(len(m.present))])
+	slices.Sort(chosen)
+	chosen = slices.Compact(chosen)
+	return slices.DeleteFunc(chosen, func(other string) bool { return other == id || other == m.self.ID })
+}
--- /dev/null
+++ b/internal/protocol/membership/codec_test.go
@@ -0,0 +1,59 @@
+package membership
+
+import (
+	"errors"
+	"reflect"
+	"testing"
+
+	"pgregory.net/rapid"
+)
+
+func TestRoundTrip(t *testing.T) {
+	members := rapid.Custom(func(t *rapid.T) Member {
+		return Member{
+			ID:               rapid.StringN(1, 10, 30).Draw(t, "id"),
+			Address:          rapid.String().Draw(t, "address"),
+			AvailabilityZone: rapid.String().Draw(t, "zone"),
+			Start:            rapid.Uint64().Draw(t, "start"),
+			Refutation:       rapid.Uint32().Draw(t, "refutation"),
+			State:            State(rapid.IntRange(int(Alive), int(Left)).Draw(t, "state")),
+		}
+	})
+	rapid.Check(t, func(t *rapid.T) {
+		m := Message{
+			Kind:    Kind(rapid.IntRange(int(Ping), int(SyncReply)).Draw(t, "kind")),
+			From:    rapid.StringN(1, 10, 30).Draw(t, "from"),
+			Seq:     rapid.Uint64().Draw(t, "seq"),
+			Digest:  rapid.Uint64().Draw(t, "digest"),
+			Subject: Subject{ID: rapid.String().Draw(t, "subject"), Start: rapid.Uint64().Draw(t, "life")},
+			Updates: rapid.SliceOfN(members, 0, 5).Draw(t, "updates"),
+		}
+		got, err := Decode(m.Append(nil))
+		if err != nil {
+			t.Fatal(err)
+		}
+		if len(m.Updates) == 0 {
+			m.Updates = nil
+		}
+		if !reflect.DeepEqual(got, m) {
+			t.Fatalf("got %+v, want %+v", got, m)
+		}
+	})
+}
+
+// TestDecodeRefuses holds that no prefix of a message and no random bytes are
+// taken for a message with other content.
+func TestDecodeRefuses(t *testing.T) {
+	whole := Message{Kind: Gossip, From: "a", Updates: []Member{{ID: "b", State: Alive}}}.Append(nil)
+	for _, b := range [][]byte{nil, whole[:1], whole[:len(whole)-1], {0xff}, Message{Kind: Ping}.Append(nil), Message{Kind: 99, From: "a"}.Append(nil)} {
+		if _, err := Decode(b); !errors.Is(err, ErrMalformed) {
+			t.Errorf("Decode(%x): %v", b, err)
+		}
+	}
+	rapid.Check(t, func(t *rapid.T) {
+		b := rapid.SliceOf(rapid.Byte()).Draw(t, "bytes")
+		if m, err := Decode(b); err == nil && m.From == "" {
+			t.Fatalf("message without a sender from %x", b)
+		}
+	})
+}
