Measure membership at 7, 70 and 610 nodes

Cause: the share of control work has to hold at 610 nodes. Change: the experiment membership runs the decisions of a whole fleet in one process under virtual time.

--- a/internal/coordination/membership/membership.go
+++ b/internal/coordination/membership/membership.go
@@ -60,7 +60,8 @@
 	// tombstoneLife is the time for which a member that is gone is remembered.
 	tombstoneLife = 10 * time.Minute
 	// recheckInterval is the time between two probes of members that are held
-	// for dead although the platform lists them.
+	// for dead although the platform lists them, and between two sweeps of
+	// tombstones.
 	recheckInterval = 5 * time.Second
 	// pauseGap is the time between two ticks from which on this node itself was paused.
 	pauseGap = time.Second
@@ -98,8 +99,10 @@
 	random  *rand.Rand
 	members map[string]*entry // without self
 	digest  uint64            // of present members and self
-	// present and neighbours follow from members; refresh brings them up to date.
+	// present, ring and neighbours follow from the ids and zones of present
+	// members; refresh brings them up to date.
 	stale      bool
+	ring       []place
 	present    []string // ids of present members, sorted, without self
 	neighbours []string
 
@@ -240,6 +243,7 @@
 		m.digest ^= digestOf(e.Member)
 	}
 	newLife := known && update.Start != e.Start
+	m.stale = m.stale || !known || e.State.IsPresent() != update.State.IsPresent() || e.AvailabilityZone != update.AvailabilityZone
 	e.Member = update
 	if update.State.IsPresent() {
 		m.digest ^= digestOf(update)
@@ -250,7 +254,6 @@
 		delete(m.probes, update.ID)
 		delete(m.accused, update.ID)
 	}
-	m.stale = true
 	a.Changed = append(a.Changed, update)
 	if spread {
 		m.announce(update)
@@ -300,6 +303,7 @@
 		}
 	}
 	slices.Sort(m.present)
+	m.ring = m.buildRing()
 	m.neighbours = m.chooseNeighbours()
 }
 
--- a/internal/coordination/membership/probe.go
+++ b/internal/coordination/membership/probe.go
@@ -45,11 +45,14 @@
 		m.probeMember(now, id, &a)
 	}
 	m.judge(now, &a)
-	m.recheck(now, &a)
+	if !now.Before(m.nextRecheck) {
+		m.nextRecheck = now.Add(recheckInterval)
+		m.recheck(&a)
+		m.expire(now)
+	}
 	if !now.Before(m.nextGossip) {
 		m.gossip(now, &a)
 	}
-	m.expire(now)
 	return a
 }
 
@@ -161,11 +164,7 @@
 
 // recheck probes one member that is held for dead although the platform lists
 // it, so that two sides of a partition find each other again.
-func (m *Membership) recheck(now time.Time, a *Actions) {
-	if now.Before(m.nextRecheck) {
-		return
-	}
-	m.nextRecheck = now.Add(recheckInterval)
+func (m *Membership) recheck(a *Actions) {
 	var lost []string
 	for id, e := range m.members {
 		if e.State == membership.Dead && e.listed {
--- a/internal/coordination/membership/ring.go
+++ b/internal/coordination/membership/ring.go
@@ -44,26 +44,38 @@
 	}
 }
 
-// chooseNeighbours returns the members that this node probes: the ones for
-// which it is among the Monitors nodes that precede them on the ring, where
-// after the first one nodes in availability zones not yet used go first. Every
-// node computes the same monitors from the same members.
-func (m *Membership) chooseNeighbours() []string {
+// buildRing returns the present members and this node in the order of the ring.
+func (m *Membership) buildRing() []place {
 	ring := make([]place, 0, len(m.present)+1)
 	ring = append(ring, placeOf(m.self.ID, m.self.AvailabilityZone))
 	for _, id := range m.present {
 		ring = append(ring, placeOf(id, m.members[id].AvailabilityZone))
 	}
 	slices.SortFunc(ring, comparePlaces)
+	return ring
+}
+
+// chooseNeighbours returns the members that this node probes: the ones for
+// which it is among the Monitors nodes that precede them on the ring, where
+// after the first one nodes in availability zones not yet used go first. Every
+// node computes the same monitors from the same members.
+func (m *Membership) chooseNeighbours() []string {
+	self := slices.IndexFunc(m.ring, func(p place) bool { return p.id == m.self.ID })
 	var neighbours []string
-	for i, target := range ring {
-		if target.id != m.self.ID && slices.Contains(monitorsOf(ring, i, m.cfg.Monitors), m.self.ID) {
-			neighbours = append(neighbours, target.id)
+	for step := 1; step <= m.stretch(); step++ {
+		target := (self + step) % len(m.ring)
+		if slices.Contains(monitorsOf(m.ring, target, m.cfg.Monitors), m.self.ID) {
+			neighbours = append(neighbours, m.ring[target].id)
 		}
 	}
 	return neighbours
 }
 
+// stretch is the number of places before a member that may hold its monitors.
+func (m *Membership) stretch() int {
+	return min(len(m.ring)-1, searchFactor*m.cfg.Monitors)
+}
+
 // searchFactor bounds the stretch of the ring that is searched for other zones,
 // in units of the number of monitors.
 const searchFactor = 4
@@ -91,17 +103,11 @@
 // lives: its monitors, and one node picked at random.
 func (m *Membership) helpers(id string) []string {
 	m.refresh()
-	ring := make([]place, 0, len(m.present)+1)
-	ring = append(ring, placeOf(m.self.ID, m.self.AvailabilityZone))
-	for _, other := range m.present {
-		ring = append(ring, placeOf(other, m.members[other].AvailabilityZone))
-	}
-	slices.SortFunc(ring, comparePlaces)
-	target := slices.IndexFunc(ring, func(p place) bool { return p.id == id })
+	target := slices.IndexFunc(m.ring, func(p place) bool { return p.id == id })
 	if target < 0 {
 		return nil
 	}
-	chosen := monitorsOf(ring, target, m.cfg.Monitors)
+	chosen := monitorsOf(m.ring, target, m.cfg.Monitors)
 	chosen = append(chosen, m.present[m.random.IntN(len(m.present))])
 	slices.Sort(chosen)
 	chosen = slices.Compact(chosen)
--- a/internal/experiment/experiment.go
+++ b/internal/experiment/experiment.go
@@ -70,6 +70,7 @@
 		coverageExperiment,
 		cancelExperiment,
 		returnExperiment,
+		membershipExperiment,
 	}
 }
 
--- /dev/null
+++ b/internal/experiment/membership.go
@@ -0,0 +1,343 @@
+package experiment
+
+import (
+	"container/heap"
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"runtime"
+	"syscall"
+	"time"
+
+	decisions "github.com/hickorydock/hickorydock/internal/coordination/membership"
+	"github.com/hickorydock/hickorydock/internal/protocol/membership"
+)
+
+var membershipExperiment = Experiment{
+	Name:    "membership",
+	Summary: "membership of 7, 70 and 610 nodes by decisions under virtual time, 1 % of messages lost; baseline: figures worked out for heartbeats between all nodes and by platform objects",
+	Target:  "dead known everywhere within 5 s, leaving within 3 s, no false suspicion; at 610 at most 20 KB/s, 4.9 % of a core and 32 MB a node",
+	Run:     runMembership,
+}
+
+const (
+	membershipLoss = 0.01
+	// packetOverhead is that of IP and TCP with timestamps, in bytes a message.
+	packetOverhead = 52
+	latencyLeast   = 300 * time.Microsecond
+	latencySpread  = 2700 * time.Microsecond
+
+	membershipSettle = 20 * time.Second
+	quietPhase       = 10 * time.Second
+	eventPhase       = 10 * time.Second
+	pausePhase       = 30 * time.Second
+)
+
+// delivery is a message under way or a node's next tick.
+type delivery struct {
+	at      time.Time
+	to      string
+	message *membership.Message // nil for a tick
+}
+
+type deliveries []delivery
+
+func (d deliveries) Len() int           { return len(d) }
+func (d deliveries) Less(i, j int) bool { return d[i].at.Before(d[j].at) }
+func (d deliveries) Swap(i, j int)      { d[i], d[j] = d[j], d[i] }
+func (d *deliveries) Push(x any)        { *d = append(*d, x.(delivery)) }
+func (d *deliveries) Pop() any {
+	old := *d
+	last := old[len(old)-1]
+	*d = old[:len(old)-1]
+	return last
+}
+
+// fleet runs nodes' decisions under virtual time.
+type fleet struct {
+	now    time.Time
+	random *rand.Rand
+	queue  deliveries
+	nodes  map[string]*decisions.Membership
+	names  []string
+	down   map[string]bool
+	buffer []byte
+
+	messages, bytes float64
+	// learned holds the last time at which a node came to see a member in a state.
+	learned map[string]map[membership.State]time.Time
+	false   int
+}
+
+func fleetMember(i int, start uint64) membership.Member {
+	return membership.Member{
+		ID:               fmt.Sprintf("node-%04d", i),
+		Address:          fmt.Sprintf("10.1.%d.%d:7070", i/250, 1+i%250),
+		AvailabilityZone: fmt.Sprintf("zone-%d", i%6),
+		Start:            start,
+		State:            membership.Alive,
+	}
+}
+
+func newFleet(size int, seed uint64) *fleet {
+	f := &fleet{
+		now:     time.Unix(1_900_000_000, 0),
+		random:  rand.New(rand.NewPCG(seed, uint64(size))),
+		nodes:   make(map[string]*decisions.Membership),
+		down:    make(map[string]bool),
+		learned: make(map[string]map[membership.State]time.Time),
+	}
+	list := make([]membership.Member, size)
+	for i := range list {
+		list[i] = fleetMember(i, 0)
+	}
+	for i := range size {
+		f.start(fleetMember(i, membership.StartAt(f.now)+uint64(i)), list)
+	}
+	return f
+}
+
+func (f *fleet) start(self membership.Member, list []membership.Member) {
+	if f.nodes[self.ID] == nil {
+		f.names = append(f.names, self.ID)
+		phase := time.Duration(f.random.Int64N(int64(decisions.TickInterval)))
+		heap.Push(&f.queue, delivery{at: f.now.Add(phase), to: self.ID})
+	}
+	m := decisions.New(decisions.Config{Self: self, Seed: f.random.Uint64()})
+	f.nodes[self.ID] = m
+	delete(f.down, self.ID)
+	f.carry(m.Listed(f.now, list))
+}
+
+// carry sends messages and records what was learned.
+func (f *fleet) carry(a decisions.Actions) {
+	for _, s := range a.Sends {
+		f.buffer = s.Message.Append(f.buffer[:0])
+		f.messages++
+		f.bytes += float64(len(f.buffer) + packetOverhead)
+		if f.random.Float64() < membershipLoss {
+			continue
+		}
+		latency := latencyLeast + time.Duration(f.random.Int64N(int64(latencySpread)))
+		heap.Push(&f.queue, delivery{at: f.now.Add(latency), to: s.To, message: &s.Message})
+	}
+	for _, changed := range a.Changed {
+		if f.learned[changed.ID] == nil {
+			f.learned[changed.ID] = make(map[membership.State]time.Time)
+		}
+		f.learned[changed.ID][changed.State] = f.now
+		if changed.State == membership.Dead && !f.down[changed.ID] {
+			f.false++
+		}
+	}
+}
+
+func (f *fleet) run(ctx context.Context, d time.Duration) error {
+	end := f.now.Add(d)
+	for steps := 0; len(f.queue) > 0 && f.queue[0].at.Before(end); steps++ {
+		if steps%10_000 == 0 && ctx.Err() != nil {
+			return ctx.Err()
+		}
+		next := heap.Pop(&f.queue).(delivery)
+		f.now = next.at
+		node := f.nodes[next.to]
+		if next.message == nil {
+			heap.Push(&f.queue, delivery{at: next.at.Add(decisions.TickInterval), to: next.to})
+		}
+		switch {
+		case node == nil || f.down[next.to]:
+		case next.message == nil:
+			f.carry(node.Tick(f.now))
+		default:
+			f.carry(node.Receive(f.now, *next.message))
+		}
+	}
+	f.now = end
+	return nil
+}
+
+// knownEverywhere returns the seconds from begin until the last running node saw
+// id in a state, and whether all of them do.
+func (f *fleet) knownEverywhere(id string, state membership.State, begin time.Time) (float64, bool) {
+	for _, viewer := range f.names {
+		if viewer == id || f.down[viewer] {
+			continue
+		}
+		if known, _ := f.nodes[viewer].State(id); known.State != state {
+			return 0, false
+		}
+	}
+	return f.learned[id][state].Sub(begin).Seconds(), true
+}
+
+// membershipFigures are the results for one size of the fleet.
+type membershipFigures struct {
+	messagesPerS, bytesPerS      float64 // sent by each node while nothing changes
+	eventBytesPerS               float64 // sent by each node over the whole run
+	deadS, rackDeadS             float64
+	leavingS, joinS, resumeS     float64
+	falseSuspicions, notEveryone float64
+	corePercent, heapMB          float64
+}
+
+func (m membershipFigures) list(size int) []Figure {
+	prefix := fmt.Sprintf("nodes_%d_", size)
+	return []Figure{
+		{prefix + "messages_per_node_s", m.messagesPerS},
+		{prefix + "bytes_per_node_s", m.bytesPerS},
+		{prefix + "bytes_per_node_s_with_changes", m.eventBytesPerS},
+		{prefix + "dead_known_s", m.deadS},
+		{prefix + "many_dead_known_s", m.rackDeadS},
+		{prefix + "leaving_known_s", m.leavingS},
+		{prefix + "joined_known_s", m.joinS},
+		{prefix + "resumed_known_s", m.resumeS},
+		{prefix + "false_suspicions", m.falseSuspicions},
+		{prefix + "changes_not_known_everywhere", m.notEveryone},
+		{prefix + "core_percent_per_node", m.corePercent},
+		{prefix + "heap_mb_per_node", m.heapMB},
+	}
+}
+
+// scenario plays the changes of one fleet in turn.
+type scenario struct {
+	*fleet
+	ctx     context.Context
+	figures membershipFigures
+}
+
+// expect runs until the changes are known and returns the longest time taken.
+func (s *scenario) expect(ids []string, state membership.State) (float64, error) {
+	begin := s.now
+	if err := s.run(s.ctx, eventPhase); err != nil {
+		return 0, err
+	}
+	longest := 0.0
+	for _, id := range ids {
+		took, everywhere := s.knownEverywhere(id, state, begin)
+		if !everywhere {
+			s.figures.notEveryone++
+			took = eventPhase.Seconds()
+		}
+		longest = max(longest, took)
+	}
+	return longest, nil
+}
+
+func (s *scenario) stopAll(ids []string) {
+	for _, id := range ids {
+		s.down[id] = true
+	}
+}
+
+func (s *scenario) play(size int) error {
+	if err := s.run(s.ctx, membershipSettle); err != nil {
+		return err
+	}
+	s.messages, s.bytes = 0, 0
+	if err := s.run(s.ctx, quietPhase); err != nil {
+		return err
+	}
+	perNode := float64(size) * quietPhase.Seconds()
+	s.figures.messagesPerS, s.figures.bytesPerS = s.messages/perNode, s.bytes/perNode
+
+	var err error
+	dead := s.names[:1]
+	s.stopAll(dead)
+	if s.figures.deadS, err = s.expect(dead, membership.Dead); err != nil {
+		return err
+	}
+	leaving := s.names[1:2]
+	s.carry(s.nodes[leaving[0]].Leave(s.now))
+	if s.figures.leavingS, err = s.expect(leaving, membership.Leaving); err != nil {
+		return err
+	}
+	s.start(fleetMember(0, membership.StartAt(s.now)), []membership.Member{fleetMember(2, 0), fleetMember(3, 0)})
+	if s.figures.joinS, err = s.expect(dead, membership.Alive); err != nil {
+		return err
+	}
+	paused := s.names[2:3]
+	s.stopAll(paused)
+	if err := s.run(s.ctx, pausePhase); err != nil {
+		return err
+	}
+	delete(s.down, paused[0])
+	if s.figures.resumeS, err = s.expect(paused, membership.Alive); err != nil {
+		return err
+	}
+	many := s.names[size-max(1, size/20):]
+	s.stopAll(many)
+	s.figures.rackDeadS, err = s.expect(many, membership.Dead)
+	return err
+}
+
+func measureMembership(ctx context.Context, size int, seed uint64) (membershipFigures, error) {
+	var before, after runtime.MemStats
+	runtime.GC()
+	runtime.ReadMemStats(&before)
+	used := cpuTime()
+	s := &scenario{fleet: newFleet(size, seed), ctx: ctx}
+	begin := s.now
+	if err := s.play(size); err != nil {
+		return s.figures, err
+	}
+	virtual := s.now.Sub(begin).Seconds() * float64(size)
+	s.figures.corePercent = 100 * (cpuTime() - used).Seconds() / virtual
+	s.figures.eventBytesPerS = s.bytes / (virtual - membershipSettle.Seconds()*float64(size))
+	s.figures.falseSuspicions = float64(s.false)
+	runtime.GC()
+	runtime.ReadMemStats(&after)
+	s.figures.heapMB = (float64(after.HeapAlloc) - float64(before.HeapAlloc)) / float64(size) / (1 << 20)
+	runtime.KeepAlive(s)
+	return s.figures, nil
+}
+
+// cpuTime is the processor time of this process.
+func cpuTime() time.Duration {
+	var usage syscall.Rusage
+	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &usage); err != nil {
+		return 0
+	}
+	return time.Duration(usage.Utime.Nano() + usage.Stime.Nano())
+}
+
+// workedOut gives the baseline figures of a node for a heartbeat to every other
+// node each second, and for heartbeat objects in the platform every 5 s that all
+// nodes watch.
+func workedOut(size int) []Figure {
+	ping := membership.Message{Kind: membership.Ping, From: "node-0000", Seq: 1 << 20, Digest: 1}
+	message := float64(len(ping.Append(nil)) + packetOverhead)
+	const (
+		objectInterval = 5   // seconds
+		eventBytes     = 200 // one line of a watch
+	)
+	prefix := fmt.Sprintf("nodes_%d_", size)
+	objects := float64(size) / objectInterval
+	return []Figure{
+		{prefix + "all_to_all_bytes_per_node_s", 2 * float64(size-1) * message},
+		{prefix + "objects_platform_writes_per_s", objects},
+		{prefix + "objects_watch_bytes_per_node_s", objects * eventBytes},
+	}
+}
+
+func runMembership(ctx context.Context, seed uint64) (Result, error) {
+	var result Result
+	for _, size := range fleetSizes {
+		figures, err := measureMembership(ctx, size, seed)
+		if err != nil {
+			return result, err
+		}
+		result.Baseline = append(result.Baseline, workedOut(size)...)
+		result.Policy = append(result.Policy, figures.list(size)...)
+		prefix := fmt.Sprintf("nodes_%d_", size)
+		result.Checks = append(result.Checks,
+			AtMost(prefix+"dead_known_s", max(figures.deadS, figures.rackDeadS), 5),
+			AtMost(prefix+"leaving_known_s", figures.leavingS, 3),
+			AtMost(prefix+"false_suspicions", figures.falseSuspicions, 0),
+			AtMost(prefix+"changes_not_known_everywhere", figures.notEveryone, 0),
+			AtMost(prefix+"bytes_per_node_s_with_changes", figures.eventBytesPerS, 20_000),
+			AtMost(prefix+"core_percent_per_node", figures.corePercent, 4.9),
+			AtMost(prefix+"heap_mb_per_node", figures.heapMB, 32),
+		)
+	}
+	return result, nil
+}
