Serve a query through platform, nodes and leafs: demo, serve and stand-ins

Cause: the parts could not be run by a person. Change: the control module joins catalogue and VM list to the node; serve runs a node against a platform; demo holds the whole system in one process; standin runs a platform or a leaf as a process of its own.

--- a/cmd/hickorydock/main.go
+++ b/cmd/hickorydock/main.go
@@ -32,6 +32,8 @@
 // commands holds every subcommand in the order of the help.
 var commands = []command{
 	serveCommand,
+	demoCommand,
+	standinCommand,
 	experimentCommand,
 	versionCommand,
 }
--- a/cmd/hickorydock/serve.go
+++ b/cmd/hickorydock/serve.go
@@ -8,7 +8,10 @@
 
 	"github.com/integrii/flaggy"
 
+	"github.com/hickorydock/hickorydock/internal/node"
+	"github.com/hickorydock/hickorydock/internal/protocol/platform"
 	"github.com/hickorydock/hickorydock/internal/protocol/settings"
+	client "github.com/hickorydock/hickorydock/internal/transport/platform"
 )
 
 var serveCommand = command{
@@ -36,7 +39,7 @@
 	}
 }
 
-func runServe(_ context.Context, opts serveOptions, out, _ io.Writer) error {
+func runServe(ctx context.Context, opts serveOptions, out, errOut io.Writer) error {
 	s, err := loadSettings(opts.config)
 	if err != nil {
 		return err
@@ -44,7 +47,25 @@
 	if opts.printSettings {
 		return s.Print(out)
 	}
-	return usageError("serve needs --print-settings")
+	n, err := node.New(node.Config{
+		Settings: s,
+		Logs:     errOut,
+		Control:  node.PlatformControl(platformClient(s)),
+	})
+	if err != nil {
+		return err
+	}
+	if err := n.Start(ctx); err != nil {
+		return fmt.Errorf("start node: %w", err)
+	}
+	<-ctx.Done()
+	// The stop limit in the settings bounds the stop; the ended ctx must not.
+	return n.Stop(context.WithoutCancel(ctx))
+}
+
+// platformClient reaches the platform that the settings name.
+func platformClient(s settings.Settings) platform.Client {
+	return client.New(client.Config{BaseURL: s.Platform.URL, Timeout: s.Platform.Timeout()})
 }
 
 // loadSettings reads a settings file and the environment. Without a file the
--- a/internal/experiment/drive.go
+++ b/internal/experiment/drive.go
@@ -98,6 +98,22 @@
 	return s
 }
 
+// settlePause is the wait between two looks at a state that is still settling.
+const settlePause = 20 * time.Millisecond
+
+// awaitComplete waits until a node answers a query of a service completely.
+func (c *caller) awaitComplete(ctx context.Context, url, service string) error {
+	for {
+		s := c.ask(ctx, url, service, 0, time.Now())
+		if s.ok() && len(s.answer.Coverage.Missing) == 0 {
+			return nil
+		}
+		if !sleepUntil(ctx, time.Now().Add(settlePause)) {
+			return ctx.Err()
+		}
+	}
+}
+
 func (c *caller) post(ctx context.Context, url, body string) (int, query.Answer, error) {
 	var answer query.Answer
 	request, err := http.NewRequestWithContext(ctx, http.MethodPost, url, bytes.NewReader([]byte(body)))
--- a/internal/experiment/tail.go
+++ b/internal/experiment/tail.go
@@ -139,18 +139,9 @@
 	c := newCaller()
 	defer c.close()
 	for i := range r.nodes {
-		for {
-			s := c.ask(ctx, r.url(i), r.options.service.Name, i, time.Now())
-			if s.ok() && len(s.answer.Coverage.Missing) == 0 {
-				break
-			}
-			if !sleepUntil(ctx, time.Now().Add(settlePause)) {
-				return ctx.Err()
-			}
+		if err := c.awaitComplete(ctx, r.url(i), r.options.service.Name); err != nil {
+			return err
 		}
 	}
 	return nil
 }
-
-// settlePause is the wait between two looks at a state that is still settling.
-const settlePause = 20 * time.Millisecond
--- a/internal/node/control/module.go
+++ b/internal/node/control/module.go
@@ -11,40 +11,30 @@
 	"github.com/hickorydock/hickorydock/internal/state/catalogue"
 	"github.com/hickorydock/hickorydock/internal/transport/discovery"
 	"github.com/hickorydock/hickorydock/internal/transport/metrics"
-	transport "github.com/hickorydock/hickorydock/internal/transport/platform"
 	"github.com/hickorydock/hickorydock/internal/transport/server"
 )
 
-// Module provides the platform's client, the catalogue in force, the node's
-// readiness and the control loop, which runs from start to stop. Peers are
-// taken from the graph when something provides them.
+// Module runs the control loop against the platform.Client that the
+// application provides, and serves the catalogue to the other packages.
 var Module = fx.Module("control",
-	fx.Provide(
-		provideClient,
-		catalogue.New,
-		provide,
-		func(store *catalogue.Store) server.Services { return store },
-		func(c *Control) server.Readiness { return c.Ready },
-	),
+	fx.Provide(catalogue.New, provide, services, readiness),
+	fx.Invoke(func(*Control) {}),
 )
 
-func provideClient(s settings.Settings) platform.Client {
-	return transport.New(transport.Config{BaseURL: s.Platform.URL, Timeout: s.Platform.Timeout()})
-}
-
-type parameters struct {
+// params are the values that the control loop is made of.
+type params struct {
 	fx.In
 	Settings  settings.Settings
 	Client    platform.Client
 	Store     *catalogue.Store
 	Discovery *discovery.Discovery
-	Peers     Peers `optional:"true"`
-	Log       log.Interface
+	Logger    log.Interface
 	Metrics   *metrics.Metrics
+	Peers     Peers `optional:"true"`
 	Lifecycle fx.Lifecycle
 }
 
-func provide(p parameters) *Control {
+func provide(p params) *Control {
 	c := New(Config{
 		Node:             p.Settings.Node.ID,
 		AvailabilityZone: p.Settings.Node.AvailabilityZone,
@@ -52,28 +42,18 @@
 		Store:            p.Store,
 		Peers:            p.Peers,
 		VMs:              p.Discovery.SetVMs,
-		Log:              p.Log,
+		Log:              p.Logger,
 		Metrics:          p.Metrics,
 	})
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
-	p.Lifecycle.Append(fx.Hook{
-		OnStart: func(context.Context) error {
-			go func() {
-				defer close(done)
-				c.Run(ctx)
-			}()
-			return nil
-		},
-		OnStop: func(stop context.Context) error {
-			cancel()
-			select {
-			case <-done:
-				return nil
-			case <-stop.Done():
-				return stop.Err()
-			}
-		},
-	})
+	p.Lifecycle.Append(fx.StartStopHook(
+		func() { go func() { defer close(done); c.Run(ctx) }() },
+		func() { cancel(); <-done },
+	))
 	return c
 }
+
+func services(store *catalogue.Store) server.Services { return store }
+
+func readiness(c *Control) server.Readiness { return c.Ready }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -13,6 +13,8 @@
 	"go.uber.org/fx"
 
 	"github.com/hickorydock/hickorydock/internal/coordination/replica"
+	"github.com/hickorydock/hickorydock/internal/node/control"
+	"github.com/hickorydock/hickorydock/internal/protocol/platform"
 	"github.com/hickorydock/hickorydock/internal/protocol/settings"
 	"github.com/hickorydock/hickorydock/internal/transport/admin"
 	"github.com/hickorydock/hickorydock/internal/transport/discovery"
@@ -37,6 +39,11 @@
 	Choose replica.Chooser
 }
 
+// PlatformControl keeps a node in line with a platform.
+func PlatformControl(c platform.Client) fx.Option {
+	return fx.Options(fx.Provide(func() platform.Client { return c }), control.Module)
+}
+
 // Node is an assembled node. Start and Stop are called once each, by one goroutine.
 type Node struct {
 	app       *fx.App
@@ -115,8 +122,11 @@
 	return n.app.Stop(ctx)
 }
 
+// Address is where callers reach the node, host:port.
+func (n *Node) Address() string { return n.listener.Address() }
+
 // URL is the base URL for callers.
-func (n *Node) URL() string { return "http://" + n.listener.Address() }
+func (n *Node) URL() string { return "http://" + n.Address() }
 
 // AdminURL is the base URL for operators.
 func (n *Node) AdminURL() string { return "http://" + n.admin.Address() }
