Read the counts of the imitated leafs under their lock

Cause: the race detector saw the test read run counts while cancelled attempts still ended. Change: the counts are read through methods that lock. Figures: TestSlowLeaf passes with -race; before, it failed for the race only. Conclusion: a fault of the test, not of the relay.

--- a/internal/transport/entry/tail_test.go
+++ b/internal/transport/entry/tail_test.go
@@ -100,6 +100,26 @@
 	}
 }
 
+// restart clears the runs of each leaf and returns the runs so far.
+func (s *slotted) restart() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	clear(s.runsOf)
+	return s.runs
+}
+
+func (s *slotted) total() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.runs
+}
+
+func (s *slotted) count(id string) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.runsOf[id]
+}
+
 // tailFigures are the latency quantile and the extra load of one run.
 type tailFigures struct {
 	p99   time.Duration
@@ -130,10 +150,7 @@
 	for i := range tailWarmup + tailQueries {
 		time.Sleep(time.Duration(arrivals.ExpFloat64() / rate * float64(time.Second)))
 		if i == tailWarmup {
-			leafs.mu.Lock()
-			before = leafs.runs
-			clear(leafs.runsOf)
-			leafs.mu.Unlock()
+			before = leafs.restart()
 		}
 		running.Go(func() {
 			begun := time.Now()
@@ -149,7 +166,7 @@
 	}
 	running.Wait()
 	slices.Sort(took)
-	extra := float64(leafs.runs-before)/float64(tailQueries*tailShards) - 1
+	extra := float64(leafs.total()-before)/float64(tailQueries*tailShards) - 1
 	return tailFigures{p99: took[len(took)*99/100], extra: extra}
 }
 
@@ -182,7 +199,7 @@
 		leafs := newSlotted(1, 0)
 		leafs.slow[slowID] = 10
 		got := runTail(1, leafs, replica.Choose, 0.05, tailRate/2)
-		share := float64(leafs.runsOf[slowID]) / (tailQueries / 2)
+		share := float64(leafs.count(slowID)) / (tailQueries / 2)
 		t.Logf("quiet %v, with a slow leaf %v, its share %.3f", quiet, got, share)
 		if float64(got.p99) > 1.3*float64(quiet.p99) {
 			t.Errorf("p99 %v, above 1.3 of %v", got.p99, quiet.p99)
