Add the decisions of commands that run at most once

Cause: a command must run at most once whatever fails, and its outcome must be told truly. Change: internal/protocol/command (key rules, claim record, tickets, results) and internal/coordination/once (claim machine and ticket redemption, both without input or output, invariants asserted in each step). A refusal while the platform cannot be read is told as unknown unless the caller states that it sends the key for the first time: an earlier send may have run.

--- /dev/null
+++ b/internal/coordination/once/messages.go
@@ -0,0 +1,116 @@
+package once
+
+import (
+	"time"
+
+	"github.com/hickorydock/hickorydock/internal/protocol/command"
+)
+
+// Fault is how a call of the platform failed.
+type Fault uint8
+
+// Faults of platform calls.
+const (
+	FaultNone Fault = iota
+	// FaultExists means that a create found an object of that name.
+	FaultExists
+	// FaultConflict means that the stored version differs.
+	FaultConflict
+	// FaultNotFound means that there is no such object.
+	FaultNotFound
+	// FaultRefused means that the call had no effect and never will.
+	FaultRefused
+	// FaultUncertain means that the call may have had its effect or may have it later.
+	FaultUncertain
+)
+
+// Event is something that happened to a command.
+type Event interface{ event() }
+
+// Begin starts the machine.
+type Begin struct{}
+
+// Created is the end of ActCreate; Version is set without a fault.
+type Created struct {
+	Version uint64
+	Fault   Fault
+}
+
+// Found is the end of ActRead; Record and Version are set without a fault.
+type Found struct {
+	Record  command.Record
+	Version uint64
+	Fault   Fault
+}
+
+// Dispatched is the end of ActDispatch.
+type Dispatched struct{ Result command.DispatchResult }
+
+// Updated is the end of ActUpdate.
+type Updated struct {
+	Version uint64
+	Fault   Fault
+}
+
+// Deleted is the end of ActDelete.
+type Deleted struct{ Fault Fault }
+
+// Woke is the end of ActWait.
+type Woke struct{}
+
+// Left means that no caller waits any more. It may come at any time.
+type Left struct{}
+
+func (Begin) event()      {}
+func (Created) event()    {}
+func (Found) event()      {}
+func (Dispatched) event() {}
+func (Updated) event()    {}
+func (Deleted) event()    {}
+func (Woke) event()       {}
+func (Left) event()       {}
+
+// Action is something for the driver to do. Except ActTell and ActEnd, each
+// action ends with one event, and only one is outstanding at a time.
+type Action interface{ action() }
+
+// ActCreate stores the claim.
+type ActCreate struct{ Record command.Record }
+
+// ActRead reads the claim's object.
+type ActRead struct{}
+
+// ActDispatch sends the command to one leaf. The driver must not send a byte
+// after Until.
+type ActDispatch struct {
+	Attempt int
+	Target  command.Target
+	Until   time.Time
+}
+
+// ActUpdate replaces the claim's object, stored at Version.
+type ActUpdate struct {
+	Version uint64
+	Record  command.Record
+}
+
+// ActDelete removes the claim's object, stored at Version.
+type ActDelete struct{ Version uint64 }
+
+// ActWait lets time pass.
+type ActWait struct{ For time.Duration }
+
+// ActTell tells the callers the result. It comes at most once.
+type ActTell struct{ Result command.Result }
+
+// ActEnd ends the machine.
+type ActEnd struct{}
+
+func (ActCreate) action()   {}
+func (ActRead) action()     {}
+func (ActDispatch) action() {}
+func (ActUpdate) action()   {}
+func (ActDelete) action()   {}
+func (ActWait) action()     {}
+func (ActTell) action()     {}
+func (ActEnd) action()      {}
--- /dev/null
+++ b/internal/protocol/command/ticket.go
@@ -0,0 +1,178 @@
+package command
+
+import (
+	"crypto/hmac"
+	"crypto/sha256"
+	"encoding/base64"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"strings"
+	"time"
+
+	"github.com/hickorydock/hickorydock/internal/protocol/query"
+)
+
+// TicketPrefix begins every ticket.
+const TicketPrefix = "hdt1."
+
+// MaxTicketBytes is the longest ticket.
+const MaxTicketBytes = 512
+
+// macBytes is the length of a ticket's authentication code.
+const macBytes = 16
+
+// ErrTicket is a ticket that cannot be read or was changed.
+var ErrTicket = errors.New("ticket is not valid")
+
+// TicketRequest is the body of a request for a ticket.
+type TicketRequest struct {
+	Service string `json:"service"`
+}
+
+// TicketReply is the body of the reply to a TicketRequest.
+type TicketReply struct {
+	Ticket  string    `json:"ticket"`
+	Expires time.Time `json:"expires"`
+}
+
+// Ticket is a key for one command that only the incarnation that issued it may
+// run.
+type Ticket struct {
+	Issuer  Incarnation `json:"issuer"`
+	Service string      `json:"service"`
+	// Serial is unique for the issuer.
+	Serial uint64 `json:"serial"`
+	// ExpiresMS is the end of redemption, in milliseconds since 1970, by the issuer's clock.
+	ExpiresMS int64 `json:"expires_ms"`
+}
+
+// Expires is the end of redemption.
+func (t Ticket) Expires() time.Time { return time.UnixMilli(t.ExpiresMS) }
+
+// Name identifies the ticket among all tickets.
+func (t Ticket) Name() string {
+	return hashParts(t.Issuer.Node, fmt.Sprint(t.Issuer.Number), fmt.Sprint(t.Serial))
+}
+
+// IsTicket reports whether a key has the form of a ticket.
+func IsTicket(key string) bool { return strings.HasPrefix(key, TicketPrefix) }
+
+// Seal encodes a ticket; secret is known to its issuer only.
+func (t Ticket) Seal(secret []byte) (string, error) {
+	payload, err := json.Marshal(t)
+	if err != nil {
+		return "", fmt.Errorf("ticket: %w", err)
+	}
+	code := ticketCode(secret, payload)
+	enc := base64.RawURLEncoding
+	return TicketPrefix + enc.EncodeToString(payload) + "." + enc.EncodeToString(code), nil
+}
+
+func ticketCode(secret, payload []byte) []byte {
+	mac := hmac.New(sha256.New, secret)
+	_, _ = mac.Write(payload)
+	return mac.Sum(nil)[:macBytes]
+}
+
+// OpenTicket reads a ticket without checking its code: enough to know where to
+// forward it. It fails with ErrTicket.
+func OpenTicket(text string) (Ticket, error) {
+	ticket, _, _, err := splitTicket(text)
+	return ticket, err
+}
+
+// VerifyTicket reads a ticket and checks its code. It fails with ErrTicket.
+func VerifyTicket(text string, secret []byte) (Ticket, error) {
+	ticket, payload, code, err := splitTicket(text)
+	if err != nil {
+		return Ticket{}, err
+	}
+	if !hmac.Equal(code, ticketCode(secret, payload)) {
+		return Ticket{}, fmt.Errorf("%w: authentication code differs", ErrTicket)
+	}
+	return ticket, nil
+}
+
+func splitTicket(text string) (ticket Ticket, payload, code []byte, err error) {
+	if len(text) > MaxTicketBytes {
+		return Ticket{}, nil, nil, fmt.Errorf("%w: more than %d bytes", ErrTicket, MaxTicketBytes)
+	}
+	first, second, found := strings.Cut(strings.TrimPrefix(text, TicketPrefix), ".")
+	if !found || !IsTicket(text) {
+		return Ticket{}, nil, nil, fmt.Errorf("%w: not of two parts", ErrTicket)
+	}
+	payload, err = base64.RawURLEncoding.DecodeString(first)
+	if err != nil {
+		return Ticket{}, nil, nil, fmt.Errorf("%w: %w", ErrTicket, err)
+	}
+	code, err = base64.RawURLEncoding.DecodeString(second)
+	if err != nil {
+		return Ticket{}, nil, nil, fmt.Errorf("%w: %w", ErrTicket, err)
+	}
+	if err = json.Unmarshal(payload, &ticket); err != nil {
+		return Ticket{}, nil, nil, fmt.Errorf("%w: %w", ErrTicket, err)
+	}
+	return ticket, payload, code, nil
+}
+
+// Redemption is what the issuer remembers of a redeemed ticket.
+type Redemption struct {
+	Serial   uint64 `json:"serial"`
+	BodyHash string `json:"body_hash"`
+	// RequestID is the id under which upstreams see the command.
+	RequestID string `json:"request_id"`
+	// State is StateClaimed while the command runs.
+	State State `json:"state"`
+	// Answer is set in StateDone, unless Ledger had no room for it.
+	Answer *Answer `json:"answer,omitempty"`
+}
+
+// Result is what a caller is told of a settled redemption.
+func (r Redemption) Result() Result {
+	return FromRecord(Record{RequestID: r.RequestID, State: r.State, Answer: r.Answer})
+}
+
+// Forward is a ticket's command on its way to the issuer.
+type Forward struct {
+	Ticket  string  `json:"ticket"`
+	Service string  `json:"service"`
+	Request Request `json:"request"`
+	// LeftMS is the time left in milliseconds.
+	LeftMS int64 `json:"left_ms"`
+}
+
+// Ledger is what a stopping incarnation leaves in the platform about its
+// tickets. It is the value of the object LedgerName.
+type Ledger struct {
+	Issuer Incarnation `json:"issuer"`
+	// Whole is true when the ledger names every ticket redeemed: others are void.
+	Whole       bool         `json:"whole"`
+	EndedAt     time.Time    `json:"ended_at"`
+	Redemptions []Redemption `json:"redemptions"`
+}
+
+// LedgerName is the name of an incarnation's ledger among the claims.
+func LedgerName(issuer Incarnation) string {
+	return "ledger-" + hashParts(issuer.Node, fmt.Sprint(issuer.Number))
+}
+
+// LedgerPrefix begins the names of all ledgers.
+const LedgerPrefix = "ledger-"
+
+// Lookup is the result that a ledger gives for a serial number and a body.
+func (l Ledger) Lookup(serial uint64, bodyHash string) Result {
+	for _, r := range l.Redemptions {
+		if r.Serial != serial {
+			continue
+		}
+		if r.BodyHash != bodyHash {
+			return Result{Outcome: query.NotRun, Cause: CauseOtherBody, Final: true}
+		}
+		return r.Result()
+	}
+	if l.Whole {
+		return Result{Outcome: query.NotRun, Cause: CauseTicketVoid, Final: true}
+	}
+	return Result{Outcome: query.Unknown, Cause: CauseTicketNodeGone, Final: true}
+}
