--- a/internal/protocol/command/ticket.go
+++ b/internal/protocol/command/ticket.go
@@ -124,7 +124,7 @@
 	RequestID string `json:"request_id"`
 	// State is StateClaimed while the command runs.
 	State State `json:"state"`
-	// Answer is set in StateDone, unless Ledger had no room for it.
+	// Answer is set in StateDone.
 	Answer *Answer `json:"answer,omitempty"`
 }
 
--- /dev/null
+++ b/internal/state/record/record.go
@@ -0,0 +1,104 @@
+// Package record caches settled claims of commands, so that a repeat at the
+// same node needs no call of the platform. It is sharded; each shard has its
+// own lock and drops its oldest records when it is full.
+package record
+
+import (
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/hickorydock/hickorydock/internal/protocol/command"
+)
+
+const (
+	shardCount = 16
+	// recordBytes is the assumed size of a record without its items.
+	recordBytes = 1 << 10
+)
+
+// Cache holds settled claims by name. It is safe for concurrent use.
+type Cache struct {
+	retention time.Duration
+	shards    [shardCount]shard
+}
+
+type shard struct {
+	mu    sync.Mutex
+	limit int // bytes
+	size  int // bytes
+	byKey map[string]entry
+	order []string // oldest first; names that are gone are skipped
+}
+
+type entry struct {
+	record command.Record
+	size   int
+}
+
+// New returns a cache of at most maxBytes that forgets a record when retention
+// has passed since it was settled.
+func New(maxBytes int, retention time.Duration) *Cache {
+	c := &Cache{retention: retention}
+	for i := range c.shards {
+		c.shards[i].limit = maxBytes / shardCount
+		c.shards[i].byKey = make(map[string]entry)
+	}
+	return c
+}
+
+func (c *Cache) shard(name string) *shard {
+	return &c.shards[xxhash.Sum64String(name)%shardCount]
+}
+
+// Get returns the record of a name that is still valid at now.
+func (c *Cache) Get(name string, now time.Time) (command.Record, bool) {
+	s := c.shard(name)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	e, ok := s.byKey[name]
+	if !ok || !now.Before(e.record.SettledAt.Add(c.retention)) {
+		return command.Record{}, false
+	}
+	return e.record, true
+}
+
+// Put stores a settled record; others are ignored.
+func (c *Cache) Put(name string, r command.Record) {
+	if !r.Settled() {
+		return
+	}
+	e := entry{record: r, size: sizeOf(r)}
+	s := c.shard(name)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if old, ok := s.byKey[name]; ok {
+		s.size -= old.size
+	} else {
+		s.order = append(s.order, name)
+	}
+	s.byKey[name] = e
+	s.size += e.size
+	for s.size > s.limit && len(s.order) > 0 {
+		s.dropOldest()
+	}
+}
+
+// dropOldest removes one record. The caller holds s.mu.
+func (s *shard) dropOldest() {
+	name := s.order[0]
+	s.order = s.order[1:]
+	s.size -= s.byKey[name].size
+	delete(s.byKey, name)
+}
+
+func sizeOf(r command.Record) int {
+	size := recordBytes
+	if r.Answer != nil {
+		for _, item := range r.Answer.Items {
+			size += len(item)
+		}
+	}
+	return size
+}
