--- a/internal/coordination/once/once.go
+++ b/internal/coordination/once/once.go
@@ -47,10 +47,13 @@
 		MaxReadFailures: 2,
 		RecordWait:      500 * time.Millisecond,
 		SettleFor:       2 * time.Minute,
-		MaxAnswerBytes:  16 << 10,
+		MaxAnswerBytes:  4 << 10,
 	}
 }
 
+// watchParts is the least number of waits in which a late effect is looked for.
+const watchParts = 4
+
 // Spec is one command at one node.
 type Spec struct {
 	// Record is the claim to be stored, in StateClaimed.
@@ -141,6 +144,14 @@
 // Ended reports whether the machine has ended.
 func (m *Machine) Ended() bool { return m.phase == phaseEnded }
 
+// Watching reports whether only the late effect of a create is still looked for.
+func (m *Machine) Watching() bool {
+	return m.phase == phaseWatching || m.phase == phaseWatchReading || m.phase == phaseWatchDeleting
+}
+
+// Version is the version of the stored claim; 0 when there is none.
+func (m *Machine) Version() uint64 { return m.version }
+
 // Settled returns the final record of a command that ran or may have run.
 func (m *Machine) Settled() (command.Record, bool) {
 	return m.outcome, m.mayHaveRun && m.outcome.Settled()
@@ -298,7 +309,11 @@
 func (m *Machine) wait(now time.Time, next phase) Action {
 	m.phase = next
 	d := m.backoff
-	m.backoff = min(2*d, m.config.RetryMax)
+	longest := m.config.RetryMax
+	if next == phaseWatching {
+		longest = m.config.SettleFor / watchParts
+	}
+	m.backoff = min(2*d, longest)
 	if left := m.spec.Deadline.Sub(now); !m.told && left > 0 {
 		d = min(d, left)
 	}
--- a/internal/coordination/once/settle.go
+++ b/internal/coordination/once/settle.go
@@ -26,6 +26,7 @@
 }
 
 func (m *Machine) dispatched(now time.Time, r command.DispatchResult) ([]Action, error) {
+	m.peer = r.Leaf
 	switch r.Kind {
 	case command.DispatchReplied:
 		m.mayHaveRun = true
@@ -50,6 +51,7 @@
 		Cause:     command.CauseReplyLost,
 		Final:     true,
 		RequestID: m.spec.Record.RequestID,
+		Peer:      m.peer,
 	}
 	return m.settle(now, command.StateUnknown, nil, result)
 }
@@ -65,6 +67,7 @@
 		Final:     true,
 		Answer:    &answer,
 		RequestID: answer.RequestID,
+		Peer:      m.peer,
 	}
 	bounded := answer.Bounded(m.config.MaxAnswerBytes)
 	return m.settle(now, command.StateDone, &bounded, result), nil
@@ -98,6 +101,7 @@
 	switch e.Fault {
 	case FaultNone, FaultNotFound:
 		// Not found: the claim's retention has ended.
+		m.version = e.Version
 		return append(m.tell(m.result), m.end()...)
 	case FaultConflict:
 		// An earlier update of this machine took effect without a reply, or came doubled.
@@ -143,7 +147,13 @@
 
 // freeKey removes the claim of a command that certainly did not run.
 func (m *Machine) freeKey(now time.Time, cause command.Cause) []Action {
-	m.result = command.Result{Outcome: query.NotRun, Cause: cause, Final: true, RequestID: m.spec.Record.RequestID}
+	m.result = command.Result{
+		Outcome:   query.NotRun,
+		Cause:     cause,
+		Final:     true,
+		RequestID: m.spec.Record.RequestID,
+		Peer:      m.peer,
+	}
 	m.startSettling(now)
 	if m.spec.Unclaimed {
 		return append(m.tell(m.result), m.end()...)
--- a/internal/protocol/command/command.go
+++ b/internal/protocol/command/command.go
@@ -210,6 +210,8 @@
 	CauseDeadline Cause = "deadline"
 	// CauseCallerLeft means that the caller left before anything was sent.
 	CauseCallerLeft Cause = "caller_left"
+	// CauseNoTarget means that no shard map of the service is known.
+	CauseNoTarget Cause = "no_shard_map"
 	// CauseBudget means that the budget of platform writes is used up.
 	CauseBudget Cause = "write_budget"
 	// CauseStopping means that the node is stopping.
@@ -236,6 +238,8 @@
 	Answer *Answer `json:"answer,omitempty"`
 	// RequestID names the claim behind the outcome; empty when there is none.
 	RequestID string `json:"request_id,omitempty"`
+	// Peer is the leaf or node at which the outcome arose; it may be empty.
+	Peer string `json:"peer,omitempty"`
 }
 
 // FromRecord is the result that a settled record gives.
--- /dev/null
+++ b/internal/transport/command/budget.go
@@ -0,0 +1,70 @@
+package command
+
+import (
+	"sync"
+	"time"
+
+	"golang.org/x/time/rate"
+)
+
+// writesPerCommand is the number of writes that a command needs while it runs:
+// the claim, and its outcome or its removal.
+const writesPerCommand = 2
+
+// budgetBurst is how much of the rate may be taken at once.
+const budgetBurst = time.Second
+
+// Budget bounds the platform writes of a node by its share of the fleet's
+// budget. It is safe for concurrent use.
+type Budget struct {
+	fleet, node float64
+	mu          sync.Mutex
+	limiter     *rate.Limiter
+}
+
+// NewBudget returns the budget of a node that knows of no other; see SetNodes.
+func NewBudget(fleet, node float64) *Budget {
+	b := &Budget{fleet: fleet, node: node, limiter: rate.NewLimiter(1, 1)}
+	b.SetNodes(1)
+	return b
+}
+
+// SetNodes sets the number of live nodes that share the fleet's budget.
+func (b *Budget) SetNodes(n int) {
+	share := min(b.node, b.fleet/float64(max(1, n)))
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.limiter.SetLimit(rate.Limit(share))
+	b.limiter.SetBurst(max(writesPerCommand, int(share*budgetBurst.Seconds())))
+}
+
+// Take reserves the writes of one command, or returns false.
+func (b *Budget) Take(now time.Time) bool {
+	return b.limiter.AllowN(now, writesPerCommand)
+}
+
+// Charge books one more write of a command that has begun. It never refuses:
+// later commands pay for it.
+func (b *Budget) Charge(now time.Time) {
+	b.limiter.ReserveN(now, 1)
+}
+
+// TakeSpare reserves one write of clean-up, or returns false while less than
+// half of the burst is left.
+func (b *Budget) TakeSpare(now time.Time) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.limiter.TokensAt(now) < float64(b.limiter.Burst())/2 {
+		return false
+	}
+	return b.limiter.AllowN(now, 1)
+}
+
+// Wait is how long it takes until the next command is likely to be admitted.
+func (b *Budget) Wait(now time.Time) time.Duration {
+	missing := writesPerCommand - b.limiter.TokensAt(now)
+	if missing <= 0 {
+		return 0
+	}
+	return time.Duration(missing / float64(b.limiter.Limit()) * float64(time.Second))
+}
