--- a/internal/coordination/once/once.go
+++ b/internal/coordination/once/once.go
@@ -128,6 +128,7 @@
 	wasFree    bool   // the key was seen without a claim since the command arrived, and none since
 	contested  bool   // another claim of the key was seen
 	mayHaveRun bool
+	peer       string // the leaf of the last attempt
 	attempts   int
 	failures   int // reads failed in a row
 	backoff    time.Duration
