--- a/internal/coordination/once/claim.go
+++ b/internal/coordination/once/claim.go
@@ -130,15 +130,20 @@
 }
 
 // giveUp ends a command of which nothing was dispatched and whose claim is not
-// confirmed. Without having seen the key free since the command arrived, an
-// earlier send may have run: only the caller's word then allows not_run.
+// confirmed.
 func (m *Machine) giveUp(now time.Time, cause command.Cause) []Action {
-	result := command.Result{Outcome: query.NotRun, Cause: cause, Final: true}
+	return m.tellAndFinish(now, m.refusal(cause))
+}
+
+// refusal is the result of a command that was not dispatched and has no
+// confirmed claim. Without having seen the key free since the command arrived,
+// an earlier send may have run: only the caller's word then allows not_run.
+func (m *Machine) refusal(cause command.Cause) command.Result {
 	neverSent := m.spec.FirstSend && !m.contested
-	if !m.wasFree && !neverSent {
-		result = command.Result{Outcome: query.Unknown, Cause: cause}
+	if m.wasFree || neverSent {
+		return command.Result{Outcome: query.NotRun, Cause: cause, Final: true}
 	}
-	return m.tellAndFinish(now, result)
+	return command.Result{Outcome: query.Unknown, Cause: cause}
 }
 
 func (m *Machine) tellAndFinish(now time.Time, result command.Result) []Action {
--- a/internal/coordination/once/messages.go
+++ b/internal/coordination/once/messages.go
@@ -61,6 +61,10 @@
 // Left means that no caller waits any more. It may come at any time.
 type Left struct{}
 
+// Cut means that the node must end. The action outstanding, if any, was not
+// carried out and will not be.
+type Cut struct{}
+
 func (Begin) event()      {}
 func (Created) event()    {}
 func (Found) event()      {}
@@ -69,6 +73,7 @@
 func (Deleted) event()    {}
 func (Woke) event()       {}
 func (Left) event()       {}
+func (Cut) event()        {}
 
 // Action is something for the driver to do. Except ActTell and ActEnd, each
 // action ends with one event, and only one is outstanding at a time.
--- a/internal/coordination/once/model_test.go
+++ b/internal/coordination/once/model_test.go
@@ -388,6 +388,18 @@
 	}
 }
 
+// cut ends a command whose node must end.
+func (w *world) cut(t *rapid.T) {
+	c := w.live[rapid.IntRange(0, len(w.live)-1).Draw(t, "command")]
+	if c.pending == nil {
+		return
+	}
+	w.step(c, Cut{})
+	if !c.machine.Ended() || c.tells != 1 {
+		w.fail("cut left phase %d after telling %d times", c.machine.phase, c.tells)
+	}
+}
+
 // restart replaces a node. What it had sent may still take effect.
 func (w *world) restart(t *rapid.T) {
 	node := rapid.IntRange(0, modelNodes-1).Draw(t, "node")
@@ -481,6 +493,8 @@
 		w.pass(t)
 	case n < 95 && len(w.live) > 0:
 		w.leave(t)
+	case n < 96 && len(w.live) > 0:
+		w.cut(t)
 	case n < 98:
 		w.restart(t)
 	default:
--- a/internal/coordination/once/once.go
+++ b/internal/coordination/once/once.go
@@ -200,6 +200,8 @@
 		return m.deleted(now, e)
 	case Woke:
 		return m.woke(now)
+	case Cut:
+		return m.cut(), nil
 	}
 	return nil, m.broken(fmt.Sprintf("event %T in phase %d", event, m.phase))
 }
@@ -235,6 +237,17 @@
 	}
 }
 
+// cut tells what is certain and ends.
+func (m *Machine) cut() []Action {
+	result := m.refusal(command.CauseStopping)
+	if m.mayHaveRun || m.result.Outcome != "" {
+		result = m.result
+	} else if m.confirmed {
+		result = command.Result{Outcome: query.NotRun, Cause: command.CauseStopping, Final: true}
+	}
+	return append(m.tell(result), m.end()...)
+}
+
 // gaveUp reports that nothing may be dispatched any more.
 func (m *Machine) gaveUp(now time.Time) bool {
 	return m.left || !now.Before(m.spec.Deadline)
--- a/internal/protocol/command/command.go
+++ b/internal/protocol/command/command.go
@@ -33,7 +33,7 @@
 	}
 	for i := range len(key) {
 		if !isKeyByte(key[i]) {
-			return fmt.Errorf("key byte %d is %q, want letters, digits or one of -_.:", i, key[i])
+			return fmt.Errorf("key byte %d is %q, want a letter, a digit or one of - _ . : there", i, key[i])
 		}
 	}
 	if IsTicket(key) {
@@ -224,6 +224,8 @@
 	CauseTicketExpired Cause = "ticket_expired"
 	// CauseTicketNodeGone means that the only node that knows the ticket cannot be asked.
 	CauseTicketNodeGone Cause = "ticket_node_gone"
+	// CauseTicketsFull means that the node remembers as many redemptions as it may.
+	CauseTicketsFull Cause = "tickets_full"
 	// CauseInvariant means that a check inside the decisions failed.
 	CauseInvariant Cause = "invariant"
 )
--- a/internal/transport/command/budget.go
+++ b/internal/transport/command/budget.go
@@ -20,6 +20,7 @@
 	fleet, node float64
 	mu          sync.Mutex
 	limiter     *rate.Limiter
+	nodes       int
 }
 
 // NewBudget returns the budget of a node that knows of no other; see SetNodes.
@@ -34,10 +35,18 @@
 	share := min(b.node, b.fleet/float64(max(1, n)))
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	b.nodes = max(1, n)
 	b.limiter.SetLimit(rate.Limit(share))
 	b.limiter.SetBurst(max(writesPerCommand, int(share*budgetBurst.Seconds())))
 }
 
+// Nodes is the number of nodes that share the fleet's budget.
+func (b *Budget) Nodes() int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.nodes
+}
+
 // Take reserves the writes of one command, or returns false.
 func (b *Budget) Take(now time.Time) bool {
 	return b.limiter.AllowN(now, writesPerCommand)
--- /dev/null
+++ b/internal/transport/command/dispatch.go
@@ -0,0 +1,165 @@
+package command
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"go.opentelemetry.io/otel/attribute"
+
+	"github.com/hickorydock/hickorydock/internal/coordination/replica"
+	"github.com/hickorydock/hickorydock/internal/coordination/subrequest"
+	"github.com/hickorydock/hickorydock/internal/protocol/command"
+	"github.com/hickorydock/hickorydock/internal/protocol/fault"
+	"github.com/hickorydock/hickorydock/internal/protocol/note"
+	"github.com/hickorydock/hickorydock/internal/protocol/query"
+	contract "github.com/hickorydock/hickorydock/internal/protocol/upstream"
+	"github.com/hickorydock/hickorydock/internal/state/leaf"
+	"github.com/hickorydock/hickorydock/internal/state/shardmap"
+	"github.com/hickorydock/hickorydock/internal/transport/tracing"
+	"github.com/hickorydock/hickorydock/internal/transport/upstream"
+)
+
+// LeafDispatcher sends commands to leafs over the upstream client. It is safe
+// for concurrent use.
+type LeafDispatcher struct {
+	client *upstream.Client
+	store  *shardmap.Store
+	zone   string
+	tracer *tracing.Tracer
+}
+
+// NewLeafDispatcher returns a dispatcher of a node in an availability zone.
+func NewLeafDispatcher(client *upstream.Client, store *shardmap.Store, availabilityZone string, tracer *tracing.Tracer) *LeafDispatcher {
+	return &LeafDispatcher{client: client, store: store, zone: availabilityZone, tracer: tracer}
+}
+
+// Target fixes the shard of a key by the newest snapshot that has every shard,
+// or by the one that has the most.
+func (d *LeafDispatcher) Target(service note.Service, shardKey string) (command.Target, error) {
+	view := d.store.View(service.UpstreamGroup, service.Name)
+	if view == nil {
+		return command.Target{}, fault.New(fault.StepPlan, "", "no shard map of service %q is known", service.Name)
+	}
+	var best *shardmap.SnapshotView
+	for _, v := range view.Snapshots {
+		if best == nil || share(v) > share(best) {
+			best = v
+		}
+	}
+	if best == nil || best.ShardCount() == 0 {
+		return command.Target{}, fault.New(fault.StepPlan, "", "no shard of service %q is known", service.Name)
+	}
+	count := best.ShardCount()
+	return command.Target{
+		Generation: best.Snapshot.Generation,
+		ShardCount: count,
+		Shard:      int(xxhash.Sum64String(shardKey) % uint64(count)),
+	}, nil
+}
+
+func share(v *shardmap.SnapshotView) float64 {
+	return float64(v.Covered) / float64(max(1, v.ShardCount()))
+}
+
+// Dispatch sends an attempt to a leaf that holds the target's shard in the
+// newest index version of its generation.
+func (d *LeafDispatcher) Dispatch(ctx context.Context, a Attempt) command.DispatchResult {
+	target, snapshot, ok := d.choose(a)
+	if !ok {
+		return command.DispatchResult{
+			Kind: command.DispatchNotSent,
+			Err:  fault.New(fault.StepPlan, "", "no leaf left for shard %d of generation %d", a.Target.Shard, a.Target.Generation),
+		}
+	}
+	body, err := json.Marshal(contract.RunRequest{Query: a.Query})
+	if err != nil {
+		return command.DispatchResult{Kind: command.DispatchNotSent, Err: fmt.Errorf("encode command: %w", err)}
+	}
+	return d.send(ctx, a, target, snapshot, body)
+}
+
+// choose picks a replica that was not tried.
+func (d *LeafDispatcher) choose(a Attempt) (shardmap.Replica, query.Snapshot, bool) {
+	view := d.store.View(a.Service.UpstreamGroup, a.Service.Name)
+	if view == nil {
+		return shardmap.Replica{}, query.Snapshot{}, false
+	}
+	for _, v := range view.Snapshots {
+		if v.Snapshot.Generation != a.Target.Generation || v.ShardCount() != a.Target.ShardCount {
+			continue
+		}
+		replicas := v.Replicas[a.Target.Shard]
+		tried := replica.Set(0)
+		for i, r := range replicas {
+			if slices.Contains(a.Tried, r.VM.ID) {
+				tried = tried.With(i)
+			}
+		}
+		if i := replica.Choose(replicas, tried, d.zone, rand.Uint64()); i != replica.None {
+			return replicas[i], v.Snapshot, true
+		}
+	}
+	return shardmap.Replica{}, query.Snapshot{}, false
+}
+
+func (d *LeafDispatcher) send(ctx context.Context, a Attempt, target shardmap.Replica, snapshot query.Snapshot, body []byte) command.DispatchResult {
+	sub := contract.Subrequest{
+		RequestID: a.RequestID,
+		Attempt:   a.Number,
+		Service:   a.Service.Name,
+		Shard:     a.Target.Shard,
+		Snapshot:  snapshot,
+		Class:     contract.ClassCommand,
+	}
+	begun := time.Now()
+	deadline, ok := ctx.Deadline()
+	if !ok {
+		deadline = begun.Add(a.Service.LongestWait())
+	}
+	ctx, span := d.tracer.Start(ctx, tracing.HopAttempt, attribute.String("leaf", target.VM.ID), attribute.Int("shard", sub.Shard))
+	target.Record.Begin()
+	reply := d.client.Run(ctx, target.VM, sub, deadline.Sub(begun), body)
+	span.End(reply.Err)
+	now := time.Now()
+	target.Record.End(now, now.Sub(begun), leafResult(reply))
+	if reply.Result == subrequest.Gone {
+		d.store.Deny(target.VM, a.Service.Name, snapshot, now)
+	}
+	return command.DispatchResult{
+		Kind:     kindOf(reply),
+		Leaf:     target.VM.ID,
+		Snapshot: snapshot,
+		Items:    reply.Items,
+		Err:      reply.Err,
+	}
+}
+
+// kindOf says what a reply proves about a command.
+func kindOf(reply upstream.Reply) command.DispatchKind {
+	switch {
+	case reply.Result == subrequest.OK:
+		return command.DispatchReplied
+	case reply.Result == subrequest.NotRun, reply.Result == subrequest.Gone:
+		return command.DispatchNotRun
+	case reply.Result == subrequest.Lost && !reply.Sent:
+		return command.DispatchNotSent
+	default:
+		return command.DispatchLost
+	}
+}
+
+func leafResult(reply upstream.Reply) leaf.Result {
+	switch reply.Result {
+	case subrequest.OK, subrequest.Gone, subrequest.Failed:
+		return leaf.Answered
+	case subrequest.NotRun:
+		return leaf.Shed
+	default:
+		return leaf.Broken
+	}
+}
--- a/internal/transport/metrics/metrics.go
+++ b/internal/transport/metrics/metrics.go
@@ -133,6 +133,9 @@
 // Gatherer gives read access to the registry.
 func (m *Metrics) Gatherer() prometheus.Gatherer { return m.registry }
 
+// Registerer takes the collectors of packages that keep their own.
+func (m *Metrics) Registerer() prometheus.Registerer { return m.registry }
+
 // QueryStarted counts a request as in flight until the returned function runs.
 func (m *Metrics) QueryStarted() (done func()) {
 	if m == nil {
--- a/internal/transport/upstream/client.go
+++ b/internal/transport/upstream/client.go
@@ -151,6 +151,14 @@
 		reply.Err = fault.Wrap(err, fault.StepReply, vm.ID, "read body")
 		return reply
 	}
+	if sub.Class == contract.ClassCommand {
+		// What lets a command go to another leaf must itself name the command.
+		if err := sub.VerifyReply(response.Header, body); err != nil {
+			reply.Result = subrequest.Bad
+			reply.Err = fault.Wrap(err, fault.StepReply, vm.ID, "verify")
+			return reply
+		}
+	}
 	switch {
 	case response.StatusCode == http.StatusOK:
 		return decode(reply, response.Header, body, vm, sub)
