Test the command runner over tables of faults

Cause: the driver needs its fault cases proved. Change: tables for faults of the platform and of the upstream, for tickets, stopping, budget and retention, all under virtual time; the write budget now starts full (the first run of the tables showed that it refused everything).

--- a/internal/transport/command/budget.go
+++ b/internal/transport/command/budget.go
@@ -23,21 +23,25 @@
 	nodes       int
 }
 
-// NewBudget returns the budget of a node that knows of no other; see SetNodes.
+// NewBudget returns the full budget of a node that knows of no other; see SetNodes.
 func NewBudget(fleet, node float64) *Budget {
-	b := &Budget{fleet: fleet, node: node, limiter: rate.NewLimiter(1, 1)}
-	b.SetNodes(1)
-	return b
+	share := min(fleet, node)
+	return &Budget{fleet: fleet, node: node, nodes: 1, limiter: rate.NewLimiter(rate.Limit(share), burst(share))}
+}
+
+// burst is the number of writes that a share allows at once.
+func burst(share float64) int {
+	return max(writesPerCommand, int(share*budgetBurst.Seconds()))
 }
 
 // SetNodes sets the number of live nodes that share the fleet's budget.
 func (b *Budget) SetNodes(n int) {
-	share := min(b.node, b.fleet/float64(max(1, n)))
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.nodes = max(1, n)
+	share := min(b.node, b.fleet/float64(b.nodes))
 	b.limiter.SetLimit(rate.Limit(share))
-	b.limiter.SetBurst(max(writesPerCommand, int(share*budgetBurst.Seconds())))
+	b.limiter.SetBurst(burst(share))
 }
 
 // Nodes is the number of nodes that share the fleet's budget.
--- /dev/null
+++ b/internal/transport/command/fake_test.go
@@ -0,0 +1,310 @@
+package command
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/apex/log/handlers/discard"
+
+	"github.com/hickorydock/hickorydock/internal/protocol/command"
+	"github.com/hickorydock/hickorydock/internal/protocol/note"
+	"github.com/hickorydock/hickorydock/internal/protocol/platform"
+	"github.com/hickorydock/hickorydock/internal/protocol/query"
+)
+
+// course is how a call of the fake platform goes.
+type course int
+
+const (
+	works    course = iota
+	down            // refused without effect
+	lostDone        // effect, reply lost
+	lostGone        // no effect, reply lost
+	slow            // effect at once, reply after an hour
+	late            // effect after lateBy, reply lost when the caller gives up
+)
+
+const lateBy = 5 * time.Second
+
+// fakePlatform stores objects in memory. next gives the course of the calls of
+// a method, in order; calls beyond it work.
+type fakePlatform struct {
+	mu      sync.Mutex
+	version uint64
+	objects map[string]platform.Object
+	next    map[string][]course
+	all     course // of every call without a course of its own
+	calls   map[string]int
+}
+
+func newFakePlatform() *fakePlatform {
+	return &fakePlatform{objects: map[string]platform.Object{}, next: map[string][]course{}, calls: map[string]int{}}
+}
+
+func (p *fakePlatform) course(method string) course {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.calls[method]++
+	if list := p.next[method]; len(list) > 0 {
+		p.next[method] = list[1:]
+		return list[0]
+	}
+	return p.all
+}
+
+// setAll sets the course of all calls without one of their own.
+func (p *fakePlatform) setAll(c course) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.all = c
+}
+
+func (p *fakePlatform) writes() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.calls["create"] + p.calls["update"] + p.calls["delete"]
+}
+
+func (p *fakePlatform) call(ctx context.Context, method string, effect func() (platform.Object, error)) (platform.Object, error) {
+	locked := func() (platform.Object, error) {
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		return effect()
+	}
+	if ctx.Err() != nil {
+		return platform.Object{}, ctx.Err()
+	}
+	switch p.course(method) {
+	case down:
+		return platform.Object{}, platform.ErrUnavailable
+	case lostDone:
+		_, _ = locked()
+		return platform.Object{}, platform.ErrLost
+	case lostGone:
+		return platform.Object{}, platform.ErrLost
+	case slow:
+		_, _ = locked()
+		<-ctx.Done()
+		return platform.Object{}, ctx.Err()
+	case late:
+		time.AfterFunc(lateBy, func() { _, _ = locked() })
+		<-ctx.Done()
+		return platform.Object{}, ctx.Err()
+	}
+	return locked()
+}
+
+func (p *fakePlatform) Get(ctx context.Context, _ platform.Kind, name string) (platform.Object, error) {
+	return p.call(ctx, "get", func() (platform.Object, error) {
+		o, ok := p.objects[name]
+		if !ok {
+			return o, platform.ErrNotFound
+		}
+		return o, nil
+	})
+}
+
+func (p *fakePlatform) List(ctx context.Context, _ platform.Kind) (platform.Listing, error) {
+	var listing platform.Listing
+	_, err := p.call(ctx, "list", func() (platform.Object, error) {
+		for _, o := range p.objects {
+			listing.Objects = append(listing.Objects, o)
+		}
+		return platform.Object{}, nil
+	})
+	return listing, err
+}
+
+func (p *fakePlatform) Create(ctx context.Context, kind platform.Kind, name string, value json.RawMessage) (platform.Object, error) {
+	return p.call(ctx, "create", func() (platform.Object, error) {
+		if _, ok := p.objects[name]; ok {
+			return platform.Object{}, platform.ErrExists
+		}
+		p.version++
+		o := platform.Object{Kind: kind, Name: name, Version: p.version, Value: value}
+		p.objects[name] = o
+		return o, nil
+	})
+}
+
+func (p *fakePlatform) Update(ctx context.Context, object platform.Object) (platform.Object, error) {
+	return p.call(ctx, "update", func() (platform.Object, error) {
+		if err := p.matches(object.Name, object.Version); err != nil {
+			return platform.Object{}, err
+		}
+		p.version++
+		object.Version = p.version
+		p.objects[object.Name] = object
+		return object, nil
+	})
+}
+
+func (p *fakePlatform) Delete(ctx context.Context, _ platform.Kind, name string, version uint64) error {
+	_, err := p.call(ctx, "delete", func() (platform.Object, error) {
+		if err := p.matches(name, version); err != nil {
+			return platform.Object{}, err
+		}
+		delete(p.objects, name)
+		return platform.Object{}, nil
+	})
+	return err
+}
+
+func (p *fakePlatform) matches(name string, version uint64) error {
+	o, ok := p.objects[name]
+	switch {
+	case !ok:
+		return platform.ErrNotFound
+	case o.Version != version:
+		return platform.ErrConflict
+	}
+	return nil
+}
+
+func (p *fakePlatform) Watch(context.Context, platform.Kind, uint64, func(platform.Event) error) error {
+	return errors.New("not used")
+}
+
+func (p *fakePlatform) PutStatus(context.Context, platform.Kind, string, json.RawMessage) error {
+	return errors.New("not used")
+}
+
+func (p *fakePlatform) stored(t *testing.T, name string) (command.Record, bool) {
+	t.Helper()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	o, ok := p.objects[name]
+	if !ok {
+		return command.Record{}, false
+	}
+	var r command.Record
+	if err := json.Unmarshal(o.Value, &r); err != nil {
+		t.Fatal(err)
+	}
+	return r, true
+}
+
+// fakeDispatcher plays the upstream: next gives the ends of the attempts, in
+// order; later ones reply. Each takes the time took.
+type fakeDispatcher struct {
+	mu       sync.Mutex
+	next     []command.DispatchKind
+	took     time.Duration
+	noMap    bool
+	runs     int
+	attempts []Attempt
+}
+
+func (d *fakeDispatcher) Target(note.Service, string) (command.Target, error) {
+	if d.noMap {
+		return command.Target{}, errors.New("no shard map")
+	}
+	return command.Target{Generation: 1, ShardCount: 4, Shard: 2}, nil
+}
+
+func (d *fakeDispatcher) Dispatch(ctx context.Context, a Attempt) command.DispatchResult {
+	d.mu.Lock()
+	kind := command.DispatchReplied
+	if len(d.next) > 0 {
+		kind = d.next[0]
+		d.next = d.next[1:]
+	}
+	d.attempts = append(d.attempts, a)
+	if kind == command.DispatchReplied || kind == command.DispatchLost {
+		d.runs++
+	}
+	d.mu.Unlock()
+	select {
+	case <-time.After(d.took):
+	case <-ctx.Done():
+		kind = command.DispatchLost
+	}
+	result := command.DispatchResult{Kind: kind, Leaf: "leaf"}
+	if kind == command.DispatchReplied {
+		result.Items = []query.Item{query.Item(a.Query)}
+	}
+	return result
+}
+
+func (d *fakeDispatcher) count() int {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.runs
+}
+
+// fakePeers reaches the runners of one process; a missing one cannot be reached.
+type fakePeers map[string]*Runner
+
+func (p fakePeers) Forward(ctx context.Context, node string, f command.Forward) (command.Result, error) {
+	r, ok := p[node]
+	if !ok {
+		return command.Result{}, errors.New("connection refused")
+	}
+	return r.ServeForward(ctx, f)
+}
+
+var desk = note.Service{Name: "complaints", UpstreamGroup: "complaints", LongestWaitMS: 2000, Commands: true}
+
+type fakeServices struct{}
+
+func (fakeServices) Find(name string) (note.Service, bool) { return desk, name == desk.Name }
+
+// bench is a platform and an upstream with any number of nodes.
+type bench struct {
+	platform *fakePlatform
+	upstream *fakeDispatcher
+	peers    fakePeers
+	settings Settings
+}
+
+func newBench() *bench {
+	return &bench{
+		platform: newFakePlatform(),
+		upstream: &fakeDispatcher{},
+		peers:    fakePeers{},
+		settings: DefaultSettings(),
+	}
+}
+
+func (b *bench) node(t *testing.T, name string) *Runner {
+	t.Helper()
+	o := Options{
+		Self:       command.Incarnation{Node: name, Number: uint64(len(b.peers) + 1)},
+		Settings:   b.settings,
+		Platform:   b.platform,
+		Dispatcher: b.upstream,
+		Peers:      b.peers,
+		Services:   fakeServices{},
+	}
+	r, err := New(o, []byte("secret of "+name), &log.Logger{Handler: discard.New(), Level: log.FatalLevel})
+	if err != nil {
+		t.Fatal(err)
+	}
+	b.peers[name] = r
+	return r
+}
+
+func stop(t *testing.T, r *Runner) {
+	t.Helper()
+	if err := r.Stop(t.Context()); err != nil {
+		t.Errorf("stop: %v", err)
+	}
+}
+
+func request(body string) command.Request {
+	return command.Request{Query: json.RawMessage(body), ShardKey: "dealer-1"}
+}
+
+func send(t *testing.T, r *Runner, key string, req command.Request) command.Result {
+	t.Helper()
+	result, err := r.Command(t.Context(), desk, key, req)
+	if err != nil {
+		t.Errorf("command: %v", err)
+	}
+	return result
+}
