--- a/internal/coordination/once/model_test.go
+++ b/internal/coordination/once/model_test.go
@@ -33,6 +33,7 @@
 	keys     [modelKeys]keyTruth
 	claims   map[string]*claimTruth // by request id
 	broken   string                 // the first invariant found broken
+	causes   map[command.Cause]int  // of what was told
 }
 
 type stored struct {
@@ -75,6 +76,7 @@
 		now:    time.Unix(1_000_000, 0),
 		store:  map[int]*stored{},
 		claims: map[string]*claimTruth{},
+		causes: map[command.Cause]int{},
 	}
 	for k := range w.keys {
 		w.keys[k] = keyTruth{bodies: map[string]bool{}, done: map[int]string{}}
@@ -168,6 +170,7 @@
 // told compares what a caller is told with the truth.
 func (w *world) told(c *sent, r command.Result) {
 	c.tells++
+	w.causes[r.Cause]++
 	truth := &w.keys[c.key]
 	switch r.Outcome {
 	case query.Done:
@@ -466,7 +469,8 @@
 }
 
 // history runs one random history and returns the invariant it broke, if any.
-func history(t *rapid.T, mutate mutation) string {
+// It adds what was told to causes.
+func history(t *rapid.T, mutate mutation, causes map[command.Cause]int) string {
 	w := newWorld(mutate)
 	steps := rapid.IntRange(5, 80).Draw(t, "steps")
 	for range steps {
@@ -477,6 +481,9 @@
 		}
 	}
 	w.finish()
+	for cause, n := range w.causes {
+		causes[cause] += n
+	}
 	return w.broken
 }
 
--- a/internal/coordination/once/once_test.go
+++ b/internal/coordination/once/once_test.go
@@ -1,12 +1,17 @@
 package once
 
 import (
+	"errors"
 	"flag"
 	"os"
 	"strconv"
 	"testing"
+	"time"
 
 	"pgregory.net/rapid"
+
+	"github.com/hickorydock/hickorydock/internal/protocol/command"
+	"github.com/hickorydock/hickorydock/internal/protocol/query"
 )
 
 const (
@@ -48,14 +53,105 @@
 // over the real decisions.
 func TestHistories(t *testing.T) {
 	ran := 0
+	causes := map[command.Cause]int{}
 	rapid.Check(t, func(t *rapid.T) {
 		ran++
-		if broken := history(t, mutateNothing); broken != "" {
+		if broken := history(t, mutateNothing, causes); broken != "" {
 			t.Fatal(broken)
 		}
 	})
-	if want := flag.Lookup("rapid.checks").Value.String(); strconv.Itoa(ran) != want {
-		t.Errorf("%d histories ran, want %s", ran, want)
+	want, err := strconv.Atoi(flag.Lookup("rapid.checks").Value.String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	if testing.Short() {
+		want /= 5 // rapid does so
+	}
+	if ran < want {
+		t.Errorf("%d histories ran, want %d", ran, want)
+	}
+	for _, cause := range []command.Cause{
+		command.CauseRan, command.CauseRecorded, command.CauseReplyLost, command.CauseRefused,
+		command.CausePending, command.CausePlatform, command.CauseDeadline, command.CauseCallerLeft,
+		command.CauseBudget, command.CauseStopping, command.CauseOtherBody,
+	} {
+		if causes[cause] < 100 {
+			t.Errorf("only %d ends by %s", causes[cause], cause)
+		}
+	}
+}
+
+// TestInvariants shows that each check inside the decisions can fail.
+func TestInvariants(t *testing.T) {
+	now := time.Unix(1_000_000, 0)
+	spec := Spec{Record: command.Record{RequestID: "r"}, Deadline: now.Add(time.Second)}
+	settled := command.Record{RequestID: "r", State: command.StateDone}
+	claimed := command.Record{RequestID: "r", State: command.StateClaimed}
+	dispatch, update, remove := ActDispatch{}, ActUpdate{Record: settled}, ActDelete{}
+	cases := []struct {
+		name    string
+		machine Machine
+		action  Action
+		broken  bool
+	}{
+		{"dispatch", Machine{confirmed: true}, dispatch, false},
+		{"dispatch without a claim", Machine{}, dispatch, true},
+		{"dispatch twice", Machine{confirmed: true, mayHaveRun: true}, dispatch, true},
+		{"dispatch after telling", Machine{confirmed: true, told: true}, dispatch, true},
+		{"dispatch for nobody", Machine{confirmed: true, left: true}, dispatch, true},
+		{"settle", Machine{confirmed: true, mayHaveRun: true}, update, false},
+		{"settle without a claim", Machine{mayHaveRun: true}, update, true},
+		{"settle what did not run", Machine{confirmed: true}, update, true},
+		{"settle without an outcome", Machine{confirmed: true, mayHaveRun: true}, ActUpdate{Record: claimed}, true},
+		{"free", Machine{confirmed: true}, remove, false},
+		{"free what may have run", Machine{confirmed: true, mayHaveRun: true}, remove, true},
+		{"told not run of what may have run", Machine{mayHaveRun: true}, ActTell{command.Result{Outcome: query.NotRun}}, true},
+		{"told done without an answer", Machine{mayHaveRun: true}, ActTell{command.Result{Outcome: query.Done}}, true},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			m := c.machine
+			m.spec = spec
+			var invariant *InvariantError
+			err := m.check(now, []Action{c.action})
+			if errors.As(err, &invariant) != c.broken {
+				t.Errorf("got %v", err)
+			}
+		})
+	}
+}
+
+// TestUnexpectedEvents checks that events out of order end the machine.
+func TestUnexpectedEvents(t *testing.T) {
+	now := time.Unix(1_000_000, 0)
+	own := command.Record{RequestID: "r", State: command.StateDone}
+	cases := []struct {
+		name   string
+		before []Event
+		event  Event
+	}{
+		{"reply before the start", nil, Dispatched{}},
+		{"start twice", []Event{Begin{}}, Begin{}},
+		{"update that was not asked for", []Event{Begin{}}, Updated{}},
+		{"delete that was not asked for", []Event{Begin{}}, Deleted{}},
+		{"wake that was not asked for", []Event{Begin{}}, Woke{}},
+		{"read that was not asked for", []Event{Begin{}}, Found{}},
+		{"own claim settled by another", []Event{Begin{}, Created{Fault: FaultExists}}, Found{Record: own}},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			m := New(DefaultConfig(), Spec{Record: command.Record{RequestID: "r"}, Deadline: now.Add(time.Second)})
+			for _, event := range c.before {
+				if _, err := m.Step(now, event); err != nil {
+					t.Fatal(err)
+				}
+			}
+			actions, err := m.Step(now, c.event)
+			var invariant *InvariantError
+			if !errors.As(err, &invariant) || len(actions) != 0 || !m.Ended() {
+				t.Errorf("actions %v, error %v", actions, err)
+			}
+		})
 	}
 }
 
@@ -72,7 +168,7 @@
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
-			generator := rapid.Custom(func(t *rapid.T) string { return history(t, c.mutate) })
+			generator := rapid.Custom(func(t *rapid.T) string { return history(t, c.mutate, map[command.Cause]int{}) })
 			for seed := 1; seed <= mutationHistories; seed++ {
 				if broken := generator.Example(seed); broken != "" {
 					t.Logf("history %d: %s", seed, broken)
--- a/internal/protocol/command/ticket.go
+++ b/internal/protocol/command/ticket.go
@@ -147,8 +147,11 @@
 type Ledger struct {
 	Issuer Incarnation `json:"issuer"`
 	// Whole is true when the ledger names every ticket redeemed: others are void.
-	Whole       bool         `json:"whole"`
-	EndedAt     time.Time    `json:"ended_at"`
+	Whole   bool      `json:"whole"`
+	EndedAt time.Time `json:"ended_at"`
+	// RetentionMS is how long after a ticket's end its redemption was
+	// remembered, in milliseconds: the ledger does not name older ones.
+	RetentionMS int64        `json:"retention_ms"`
 	Redemptions []Redemption `json:"redemptions"`
 }
 
@@ -160,10 +163,10 @@
 // LedgerPrefix begins the names of all ledgers.
 const LedgerPrefix = "ledger-"
 
-// Lookup is the result that a ledger gives for a serial number and a body.
-func (l Ledger) Lookup(serial uint64, bodyHash string) Result {
+// Lookup is the result that a ledger gives for a ticket and a body.
+func (l Ledger) Lookup(t Ticket, bodyHash string) Result {
 	for _, r := range l.Redemptions {
-		if r.Serial != serial {
+		if r.Serial != t.Serial {
 			continue
 		}
 		if r.BodyHash != bodyHash {
@@ -171,8 +174,13 @@
 		}
 		return r.Result()
 	}
-	if l.Whole {
+	forgotten := l.EndedAt.After(t.Expires().Add(time.Duration(l.RetentionMS) * time.Millisecond))
+	switch {
+	case forgotten:
+		return Result{Outcome: query.Unknown, Cause: CauseTicketExpired, Final: true}
+	case l.Whole:
 		return Result{Outcome: query.NotRun, Cause: CauseTicketVoid, Final: true}
+	default:
+		return Result{Outcome: query.Unknown, Cause: CauseTicketNodeGone, Final: true}
 	}
-	return Result{Outcome: query.Unknown, Cause: CauseTicketNodeGone, Final: true}
 }
--- a/internal/state/ticket/ticket.go
+++ b/internal/state/ticket/ticket.go
@@ -155,7 +155,12 @@
 // Ledger lists the redemptions for those who ask after this incarnation has
 // ended. It names at most limit of them, with at most answerBytes of items in all.
 func (s *Store) Ledger(now time.Time, limit, answerBytes int) command.Ledger {
-	ledger := command.Ledger{Issuer: s.options.Issuer, Whole: true, EndedAt: now}
+	ledger := command.Ledger{
+		Issuer:      s.options.Issuer,
+		Whole:       true,
+		EndedAt:     now,
+		RetentionMS: s.options.Retention.Milliseconds(),
+	}
 	for i := range s.shards {
 		sh := &s.shards[i]
 		sh.mu.Lock()
--- a/internal/transport/command/tickets.go
+++ b/internal/transport/command/tickets.go
@@ -191,7 +191,7 @@
 	if json.Unmarshal(object.Value, &ledger) != nil || ledger.Issuer != t.Issuer {
 		return r.tell(unknown)
 	}
-	return r.tell(ledger.Lookup(t.Serial, bodyHash))
+	return r.tell(ledger.Lookup(t, bodyHash))
 }
 
 // leaveLedger stores what other nodes are to tell of this incarnation's
