Read before writing when a send is not marked as the first

Cause: a repeat that creates first spends a write on an object that exists, and a lost reply to the outcome spent a second update. Change: only sends marked as the first create at once; others read first. After a failed update or removal the claim is read before it is written again. The tables follow the new order; a case for a read before a failed create and a table of writes per command are added.

--- a/internal/coordination/once/once.go
+++ b/internal/coordination/once/once.go
@@ -213,9 +213,9 @@
 	case phaseHolding:
 		return m.proceed(now), nil
 	case phaseUpdatePausing:
-		return m.update(), nil
+		return m.read(phaseUpdateReading), nil
 	case phaseDeletePausing:
-		return m.delete(phaseDeleting), nil
+		return m.read(phaseDeleteReading), nil
 	case phaseWatching:
 		return m.read(phaseWatchReading), nil
 	default:
@@ -232,8 +232,11 @@
 		return m.read(phaseReading)
 	case m.mutate == mutateDispatchEarly:
 		return m.dispatch()
-	default:
+	case m.spec.FirstSend:
 		return m.create(now)
+	default:
+		// The key may be claimed: a read is cheaper than a write that fails.
+		return m.read(phaseReading)
 	}
 }
 
--- a/internal/coordination/once/once_test.go
+++ b/internal/coordination/once/once_test.go
@@ -140,7 +140,8 @@
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
-			m := New(DefaultConfig(), Spec{Record: command.Record{RequestID: "r"}, Deadline: now.Add(time.Second)})
+			spec := Spec{Record: command.Record{RequestID: "r"}, Deadline: now.Add(time.Second), FirstSend: true}
+			m := New(DefaultConfig(), spec)
 			for _, event := range c.before {
 				if _, err := m.Step(now, event); err != nil {
 					t.Fatal(err)
--- a/internal/transport/command/runner_test.go
+++ b/internal/transport/command/runner_test.go
@@ -41,7 +41,8 @@
 		{"create answers late, read back", calls{"create": {slow}}, nil, false, query.Done, command.CauseRan, 1, query.Done, 1},
 		{"create takes effect late", calls{"create": {late, late}, "get": {works, down, down}}, nil, false, query.NotRun, command.CauseDeadline, 0, query.Done, 1},
 		{"platform down, first send", calls{"create": {down}, "get": {down, down}}, nil, false, query.NotRun, command.CausePlatform, 0, query.Done, 1},
-		{"platform down, resend", calls{"create": {down}, "get": {down, down}}, nil, true, query.Unknown, command.CausePlatform, 0, query.Done, 1},
+		{"platform down, resend", calls{"get": {down, down}}, nil, true, query.Unknown, command.CausePlatform, 0, query.Done, 1},
+		{"platform down for the create, resend", calls{"create": {lostGone}, "get": {works, down, down}}, nil, true, query.NotRun, command.CausePlatform, 0, query.Done, 1},
 		{"platform throttles writes, resend", calls{"create": {down}}, nil, true, query.NotRun, command.CausePlatform, 0, query.Done, 1},
 		{"outcome lost, took effect", calls{"update": {lostDone}}, nil, false, query.Done, command.CauseRan, 1, query.Done, 1},
 		{"outcome lost, no effect", calls{"update": {lostGone, down, lostGone}}, nil, false, query.Done, command.CauseRan, 1, query.Done, 1},
@@ -319,6 +320,40 @@
 	})
 }
 
+// TestWritesPerCommand counts the platform writes of a first send, of a send
+// whose writes lose their replies, and of a repeat.
+func TestWritesPerCommand(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		calls  map[string][]course
+		first  bool
+		writes int
+	}{
+		{"first send", nil, true, 2},
+		{"unmarked send", nil, false, 2},
+		{"replies lost", map[string][]course{"create": {lostDone}, "update": {lostDone}}, true, 2},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				b := newBench()
+				for method, courses := range c.calls {
+					b.platform.next[method] = courses
+				}
+				one, two := b.node(t, "one"), b.node(t, "two")
+				req := request(`1`)
+				req.FirstSend = c.first
+				send(t, one, key, req)
+				send(t, two, key, request(`1`))
+				if writes := b.platform.writes(); writes != c.writes {
+					t.Errorf("%d writes, want %d", writes, c.writes)
+				}
+				stop(t, two)
+				stop(t, one)
+			})
+		})
+	}
+}
+
 func TestStopRecordsWhatRuns(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		b := newBench()
