--- a/internal/protocol/settings/settings.go
+++ b/internal/protocol/settings/settings.go
@@ -83,8 +83,9 @@
 
 // Commands bounds the claims of commands.
 type Commands struct {
-	RetentionS      int64   `toml:"retention_s" min:"60" max:"31536000" doc:"Time that the outcome of a command is kept, in seconds."`
-	WritesPerSecond float64 `toml:"writes_per_second" min:"0.1" max:"1000" doc:"Most platform writes for commands by this node, per second."`
+	RetentionS           int64   `toml:"retention_s" min:"600" max:"31536000" doc:"Time that the outcome of a command is kept, in seconds."`
+	WritesPerSecond      float64 `toml:"writes_per_second" min:"1" max:"1000" doc:"Most platform writes for commands by this node, per second."`
+	FleetWritesPerSecond float64 `toml:"fleet_writes_per_second" min:"1" max:"10000" doc:"Most platform writes for commands by all nodes together, per second."`
 }
 
 // TLS holds certificates and keys as PEM text; empty fields turn TLS off for
@@ -117,7 +118,7 @@
 		Stop:     Stop{LimitMS: 30_000},
 		Log:      Log{Level: "info"},
 		Trace:    Trace{SampleShare: 0.01},
-		Commands: Commands{RetentionS: 7 * 24 * 3600, WritesPerSecond: 20},
+		Commands: Commands{RetentionS: 24 * 3600, WritesPerSecond: 20, FleetWritesPerSecond: 200},
 	}
 }
 
