--- a/internal/coordination/once/claim.go
+++ b/internal/coordination/once/claim.go
@@ -140,7 +140,7 @@
 // an earlier send may have run: only the caller's word then allows not_run.
 func (m *Machine) refusal(cause command.Cause) command.Result {
 	neverSent := m.spec.FirstSend && !m.contested
-	if m.wasFree || neverSent {
+	if m.wasFree || neverSent || m.mutate == mutateClaimNotRun {
 		return command.Result{Outcome: query.NotRun, Cause: cause, Final: true}
 	}
 	return command.Result{Outcome: query.Unknown, Cause: cause}
--- a/internal/coordination/once/once.go
+++ b/internal/coordination/once/once.go
@@ -111,6 +111,7 @@
 	mutateTakeOver
 	mutateFreeAfterLoss
 	mutateRetryLost
+	mutateClaimNotRun
 )
 
 // Machine is one command at one node.
--- a/internal/coordination/once/once_test.go
+++ b/internal/coordination/once/once_test.go
@@ -166,6 +166,7 @@
 		{"takeover of another's claim", mutateTakeOver},
 		{"key freed after a lost reply", mutateFreeAfterLoss},
 		{"second attempt after a lost reply", mutateRetryLost},
+		{"told not run without knowing", mutateClaimNotRun},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
--- a/internal/transport/command/dispatch.go
+++ b/internal/transport/command/dispatch.go
@@ -100,7 +100,7 @@
 				tried = tried.With(i)
 			}
 		}
-		if i := replica.Choose(replicas, tried, d.zone, rand.Uint64()); i != replica.None {
+		if i := replica.Choose(time.Now(), replicas, tried, d.zone, rand.Uint64()); i != replica.None {
 			return replicas[i], v.Snapshot, true
 		}
 	}
@@ -122,7 +122,7 @@
 		deadline = begun.Add(a.Service.LongestWait())
 	}
 	ctx, span := d.tracer.Start(ctx, tracing.HopAttempt, attribute.String("leaf", target.VM.ID), attribute.Int("shard", sub.Shard))
-	target.Record.Begin()
+	target.Record.Begin(begun)
 	reply := d.client.Run(ctx, target.VM, sub, deadline.Sub(begun), body)
 	span.End(reply.Err)
 	now := time.Now()
