--- a/internal/transport/command/http.go
+++ b/internal/transport/command/http.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"time"
 
+	"github.com/apex/log"
 	"github.com/gin-gonic/gin"
 	"go.opentelemetry.io/otel/attribute"
 
@@ -48,12 +49,21 @@
 	answer, err := h.run(ctx, c, name)
 	span.End(err)
 	if err != nil {
+		h.log(name, err)
 		server.Problem(c, err)
 		return
 	}
 	c.JSON(http.StatusOK, answer)
 }
 
+// log writes one event for a command that was not done.
+func (h *Handler) log(service string, err error) {
+	e := fault.From(err)
+	h.runner.logger.WithFields(log.Fields{
+		"service": service, "step": string(e.Step), "peer": e.Peer, "outcome": string(e.Outcome), "error": e.Detail(),
+	}).Warn("command not done")
+}
+
 func (h *Handler) run(ctx context.Context, c *gin.Context, name string) (*command.Answer, error) {
 	service, err := h.service(name)
 	if err != nil {
