--- /dev/null
+++ b/internal/transport/command/budget_test.go
@@ -0,0 +1,142 @@
+package command
+
+import (
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/hickorydock/hickorydock/internal/protocol/command"
+	"github.com/hickorydock/hickorydock/internal/protocol/query"
+)
+
+func TestWriteBudget(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBench()
+		b.settings.FleetWrites = 4
+		one := b.node(t, "one")
+		defer stop(t, one)
+		outcomes := map[command.Cause]int{}
+		for i := range 5 {
+			outcomes[send(t, one, fmt.Sprint("key-", i), request(`1`)).Cause]++
+		}
+		if outcomes[command.CauseRan] != 2 || outcomes[command.CauseBudget] != 3 || b.platform.writes() != 4 {
+			t.Errorf("outcomes %v with %d writes", outcomes, b.platform.writes())
+		}
+		if got := send(t, one, "key-0", request(`1`)); got.Outcome != query.Done {
+			t.Errorf("a recorded key without budget: %+v", got)
+		}
+		if wait := one.budget.Wait(one.now()); wait != 500*time.Millisecond {
+			t.Errorf("advice is %s", wait)
+		}
+		time.Sleep(time.Second)
+		if got := send(t, one, "key-4", request(`1`)); got.Outcome != query.Done {
+			t.Errorf("after the budget has filled: %+v", got)
+		}
+	})
+}
+
+func TestBudgetIsSharedByTheFleet(t *testing.T) {
+	b := NewBudget(200, 100)
+	now := time.Unix(1_000_000, 0)
+	for _, c := range []struct{ nodes, commands int }{{1, 50}, {4, 25}, {610, 1}} {
+		b.SetNodes(c.nodes)
+		now = now.Add(time.Hour)
+		taken := 0
+		for b.Take(now) {
+			taken++
+		}
+		if taken != c.commands {
+			t.Errorf("%d nodes: %d commands at once, want %d", c.nodes, taken, c.commands)
+		}
+		if b.TakeSpare(now) {
+			t.Errorf("%d nodes: clean-up took from an empty budget", c.nodes)
+		}
+	}
+}
+
+// TestRetention checks that claims are removed when their retention has passed,
+// by their node or, when that is gone, by another.
+func TestRetention(t *testing.T) {
+	for _, owner := range []bool{true, false} {
+		t.Run(fmt.Sprint("owner alive ", owner), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				b := newBench()
+				one, two := b.node(t, "one"), b.node(t, "two")
+				defer stop(t, two)
+				defer stop(t, one)
+				if owner {
+					one.Start()
+				} else {
+					two.Start()
+				}
+				send(t, one, key, request(`1`))
+				time.Sleep(b.settings.Retention - time.Minute)
+				name := command.ClaimName(desk.Name, key)
+				if _, ok := b.platform.stored(t, name); !ok {
+					t.Error("removed before its retention had passed")
+				}
+				time.Sleep(time.Minute + 3*b.settings.SweepEvery)
+				if _, ok := b.platform.stored(t, name); ok {
+					t.Error("not removed")
+				}
+			})
+		})
+	}
+}
+
+// TestUnsettledClaimIsKept checks that a claim without an outcome outlives the
+// retention of settled ones: its node may only be paused.
+func TestUnsettledClaimIsKept(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBench()
+		two := b.node(t, "two")
+		defer stop(t, two)
+		two.Start()
+		name := command.ClaimName(desk.Name, key)
+		claim := command.Record{RequestID: "x", BodyHash: request(`1`).BodyHash(), State: command.StateClaimed, ClaimedAt: time.Now()}
+		storeRecord(t, b, name, claim)
+		time.Sleep(b.settings.UnsettledRetention - time.Minute)
+		if got := send(t, two, key, request(`1`)); got.Outcome != query.Unknown || got.Final || b.upstream.count() != 0 {
+			t.Errorf("told %+v after %d runs", got, b.upstream.count())
+		}
+		time.Sleep(time.Hour)
+		if _, ok := b.platform.stored(t, name); ok {
+			t.Error("never removed")
+		}
+	})
+}
+
+// TestWritesPerCommand counts the platform writes of a first send, of a send
+// whose writes lose their replies, and of a repeat.
+func TestWritesPerCommand(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		calls  map[string][]course
+		first  bool
+		writes int
+	}{
+		{"first send", nil, true, 2},
+		{"unmarked send", nil, false, 2},
+		{"replies lost", map[string][]course{"create": {lostDone}, "update": {lostDone}}, true, 2},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				b := newBench()
+				for method, courses := range c.calls {
+					b.platform.next[method] = courses
+				}
+				one, two := b.node(t, "one"), b.node(t, "two")
+				req := request(`1`)
+				req.FirstSend = c.first
+				send(t, one, key, req)
+				send(t, two, key, request(`1`))
+				if writes := b.platform.writes(); writes != c.writes {
+					t.Errorf("%d writes, want %d", writes, c.writes)
+				}
+				stop(t, two)
+				stop(t, one)
+			})
+		})
+	}
+}
