--- a/internal/experiment/experiment.go
+++ b/internal/experiment/experiment.go
@@ -67,6 +67,10 @@
 		tailExperiment,
 		commandsExperiment,
 		commandsOutageExperiment,
+		slowExperiment,
+		versionsExperiment,
+		coverageExperiment,
+		cancelExperiment,
 	}
 }
 
