Let a node run commands

Cause: the routes of commands were not part of a node. Change: PlatformControl includes the command module; peers are optional until nodes reach each other.

--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -17,6 +17,7 @@
 	"github.com/hickorydock/hickorydock/internal/protocol/platform"
 	"github.com/hickorydock/hickorydock/internal/protocol/settings"
 	"github.com/hickorydock/hickorydock/internal/transport/admin"
+	"github.com/hickorydock/hickorydock/internal/transport/command"
 	"github.com/hickorydock/hickorydock/internal/transport/discovery"
 	"github.com/hickorydock/hickorydock/internal/transport/entry"
 	"github.com/hickorydock/hickorydock/internal/transport/logging"
@@ -39,9 +40,9 @@
 	Choose replica.Chooser
 }
 
-// PlatformControl keeps a node in line with a platform.
+// PlatformControl keeps a node in line with a platform and lets it run commands.
 func PlatformControl(c platform.Client) fx.Option {
-	return fx.Options(fx.Provide(func() platform.Client { return c }), control.Module)
+	return fx.Options(fx.Provide(func() platform.Client { return c }), control.Module, command.Module)
 }
 
 // Node is an assembled node. Start and Stop are called once each, by one goroutine.
--- a/internal/transport/command/module.go
+++ b/internal/transport/command/module.go
@@ -20,8 +20,8 @@
 	"github.com/hickorydock/hickorydock/internal/transport/upstream"
 )
 
-// Module provides the runner and mounts its routes. It needs a platform.Client,
-// Peers and server.Services.
+// Module provides the runner and mounts its routes. It needs a platform.Client
+// and server.Services; without Peers, tickets of other nodes cannot be asked about.
 var Module = fx.Module("command", fx.Provide(provide, provideDispatcher), fx.Invoke(mount))
 
 // incarnationBits keeps incarnation numbers exact in every JSON decoder.
@@ -68,7 +68,7 @@
 	Settings   settings.Settings
 	Platform   platform.Client
 	Dispatcher Dispatcher
-	Peers      Peers
+	Peers      Peers `optional:"true"`
 	Services   server.Services
 	Metrics    *metrics.Metrics
 	Logger     log.Interface
--- a/internal/transport/command/options.go
+++ b/internal/transport/command/options.go
@@ -49,6 +49,15 @@
 	Forward(ctx context.Context, node string, f command.Forward) (command.Result, error)
 }
 
+// noPeers reaches no node.
+type noPeers struct{}
+
+var errNoPeers = errors.New("other nodes cannot be reached")
+
+func (noPeers) Forward(context.Context, string, command.Forward) (command.Result, error) {
+	return command.Result{}, errNoPeers
+}
+
 // Services finds the services in force.
 type Services interface {
 	Find(name string) (note.Service, bool)
@@ -134,8 +143,9 @@
 	Settings   Settings
 	Platform   platform.Client
 	Dispatcher Dispatcher
-	Peers      Peers
-	Services   Services
+	// Peers reaches the other nodes; nil means that none can be reached.
+	Peers    Peers
+	Services Services
 	// Registerer takes the metrics; nil leaves them unregistered.
 	Registerer prometheus.Registerer
 }
--- a/internal/transport/command/runner.go
+++ b/internal/transport/command/runner.go
@@ -56,6 +56,9 @@
 		return nil, err
 	}
 	s := o.Settings
+	if o.Peers == nil {
+		o.Peers = noPeers{}
+	}
 	base, end := context.WithCancel(context.Background())
 	r := &Runner{
 		self:       o.Self,
