--- a/internal/experiment/commandfleet.go
+++ b/internal/experiment/commandfleet.go
@@ -169,6 +169,8 @@
 	s := runner.DefaultSettings()
 	s.FleetWrites = commandWrites
 	s.NodeWrites = commandWrites
+	budget := runner.NewBudget(s.FleetWrites, s.NodeWrites)
+	budget.SetNodes(commandNodes)
 	n.runner, err = runner.New(runner.Options{
 		Self:       self,
 		Settings:   s,
@@ -176,11 +178,11 @@
 		Dispatcher: gatedDispatcher{runner.NewLeafDispatcher(n.client, store, zones[0], tracing.Off()), n.gate},
 		Peers:      fleetPeers{f},
 		Services:   f,
+		Budget:     budget,
 	}, secret, &log.Logger{Handler: discard.New(), Level: log.FatalLevel})
 	if err != nil {
 		return nil, err
 	}
-	n.runner.Budget().SetNodes(commandNodes)
 	n.runner.Start()
 	n.server, n.address, err = serveHTTP(n.routes())
 	if err != nil {
--- a/internal/node/control/module.go
+++ b/internal/node/control/module.go
@@ -9,6 +9,7 @@
 	"github.com/hickorydock/hickorydock/internal/protocol/platform"
 	"github.com/hickorydock/hickorydock/internal/protocol/settings"
 	"github.com/hickorydock/hickorydock/internal/state/catalogue"
+	"github.com/hickorydock/hickorydock/internal/transport/command"
 	"github.com/hickorydock/hickorydock/internal/transport/discovery"
 	"github.com/hickorydock/hickorydock/internal/transport/metrics"
 	"github.com/hickorydock/hickorydock/internal/transport/server"
@@ -28,6 +29,7 @@
 	Client    platform.Client
 	Store     *catalogue.Store
 	Discovery *discovery.Discovery
+	Budget    *command.Budget `optional:"true"`
 	Logger    log.Interface
 	Metrics   *metrics.Metrics
 	Peers     Peers `optional:"true"`
@@ -41,7 +43,7 @@
 		Client:           p.Client,
 		Store:            p.Store,
 		Peers:            p.Peers,
-		VMs:              p.Discovery.SetVMs,
+		VMs:              p.setVMs,
 		Log:              p.Logger,
 		Metrics:          p.Metrics,
 	})
@@ -54,6 +56,14 @@
 	return c
 }
 
+// setVMs hands the platform's list to those who follow it.
+func (p params) setVMs(vms []platform.VM) {
+	p.Discovery.SetVMs(vms)
+	if p.Budget != nil {
+		p.Budget.SetVMs(vms)
+	}
+}
+
 func services(store *catalogue.Store) server.Services { return store }
 
 func readiness(c *Control) server.Readiness { return c.Ready }
--- a/internal/transport/command/budget.go
+++ b/internal/transport/command/budget.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"golang.org/x/time/rate"
+
+	"github.com/hickorydock/hickorydock/internal/protocol/platform"
 )
 
 // writesPerCommand is the number of writes that a command needs while it runs:
@@ -44,6 +46,17 @@
 	b.limiter.SetBurst(burst(share))
 }
 
+// SetVMs takes the number of live nodes from the platform's list.
+func (b *Budget) SetVMs(vms []platform.VM) {
+	nodes := 0
+	for _, vm := range vms {
+		if vm.Group == platform.NodeGroup && vm.State == platform.VMLive {
+			nodes++
+		}
+	}
+	b.SetNodes(nodes)
+}
+
 // Nodes is the number of nodes that share the fleet's budget.
 func (b *Budget) Nodes() int {
 	b.mu.Lock()
--- a/internal/transport/command/budget_test.go
+++ b/internal/transport/command/budget_test.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/hickorydock/hickorydock/internal/protocol/command"
+	"github.com/hickorydock/hickorydock/internal/protocol/platform"
 	"github.com/hickorydock/hickorydock/internal/protocol/query"
 )
 
@@ -36,6 +37,18 @@
 	})
 }
 
+func TestBudgetCountsLiveNodes(t *testing.T) {
+	b := NewBudget(200, 100)
+	vm := func(group string, state platform.VMState) platform.VM { return platform.VM{Group: group, State: state} }
+	b.SetVMs([]platform.VM{
+		vm(platform.NodeGroup, platform.VMLive), vm(platform.NodeGroup, platform.VMLive),
+		vm(platform.NodeGroup, platform.VMLeaving), vm("complaints", platform.VMLive),
+	})
+	if b.Nodes() != 2 {
+		t.Errorf("%d nodes", b.Nodes())
+	}
+}
+
 func TestBudgetIsSharedByTheFleet(t *testing.T) {
 	b := NewBudget(200, 100)
 	now := time.Unix(1_000_000, 0)
--- a/internal/transport/command/module.go
+++ b/internal/transport/command/module.go
@@ -22,7 +22,7 @@
 
 // Module provides the runner and mounts its routes. It needs a platform.Client
 // and server.Services; without Peers, tickets of other nodes cannot be asked about.
-var Module = fx.Module("command", fx.Provide(provide, provideDispatcher), fx.Invoke(mount))
+var Module = fx.Module("command", fx.Provide(provide, provideBudget, provideDispatcher), fx.Invoke(mount))
 
 // incarnationBits keeps incarnation numbers exact in every JSON decoder.
 const incarnationBits = 53
@@ -58,6 +58,11 @@
 	return c
 }
 
+func provideBudget(s settings.Settings) *Budget {
+	c := SettingsOf(s)
+	return NewBudget(c.FleetWrites, c.NodeWrites)
+}
+
 func provideDispatcher(s settings.Settings, client *upstream.Client, store *shardmap.Store, tracer *tracing.Tracer) Dispatcher {
 	return NewLeafDispatcher(client, store, s.Node.AvailabilityZone, tracer)
 }
@@ -70,6 +75,7 @@
 	Dispatcher Dispatcher
 	Peers      Peers `optional:"true"`
 	Services   server.Services
+	Budget     *Budget
 	Metrics    *metrics.Metrics
 	Logger     log.Interface
 	Lifecycle  fx.Lifecycle
@@ -91,6 +97,7 @@
 		Dispatcher: in.Dispatcher,
 		Peers:      in.Peers,
 		Services:   in.Services,
+		Budget:     in.Budget,
 		Registerer: in.Metrics.Registerer(),
 	}, secret, in.Logger)
 	if err != nil {
--- a/internal/transport/command/options.go
+++ b/internal/transport/command/options.go
@@ -146,6 +146,8 @@
 	// Peers reaches the other nodes; nil means that none can be reached.
 	Peers    Peers
 	Services Services
+	// Budget is the budget of platform writes; nil means one that knows of no other node.
+	Budget *Budget
 	// Registerer takes the metrics; nil leaves them unregistered.
 	Registerer prometheus.Registerer
 }
--- a/internal/transport/command/runner.go
+++ b/internal/transport/command/runner.go
@@ -59,6 +59,9 @@
 	if o.Peers == nil {
 		o.Peers = noPeers{}
 	}
+	if o.Budget == nil {
+		o.Budget = NewBudget(s.FleetWrites, s.NodeWrites)
+	}
 	base, end := context.WithCancel(context.Background())
 	r := &Runner{
 		self:       o.Self,
@@ -68,7 +71,7 @@
 		peers:      o.Peers,
 		services:   o.Services,
 		logger:     logger,
-		budget:     NewBudget(s.FleetWrites, s.NodeWrites),
+		budget:     o.Budget,
 		cache:      record.New(s.CacheBytes, s.Retention),
 		tickets: ticket.New(ticket.Options{
 			Issuer:    o.Self,
@@ -88,9 +91,6 @@
 	return r, nil
 }
 
-// Budget is the runner's budget of platform writes; membership sets its nodes.
-func (r *Runner) Budget() *Budget { return r.budget }
-
 // now is the time since epoch added to it, so that it never steps back.
 func (r *Runner) now() time.Time { return r.epoch.Add(time.Since(r.epoch)) }
 
