Tell a command that never got a connection from one that was sent

Cause: with every connection to a leaf in use until the deadline, a command was taken as possibly sent and told unknown.

--- a/internal/transport/command/dispatch_test.go
+++ b/internal/transport/command/dispatch_test.go
@@ -187,6 +187,31 @@
 	}
 }
 
+// TestDispatchWithoutFreeConnection waits for a connection until its time ends:
+// nothing was sent.
+func TestDispatchWithoutFreeConnection(t *testing.T) {
+	seen := make(chan contract.Subrequest, 10)
+	release := make(chan struct{})
+	vm := serveLeaf(t, "leaf-1", seen, func(http.ResponseWriter, contract.Subrequest) { <-release })
+	config := upstream.DefaultConfig()
+	config.ConnectionsPerLeaf = 1
+	d := dispatcher(t, map[platform.VM]query.Snapshot{vm: firstVersion})
+	d.client = upstream.New(config, nil)
+	defer d.client.Close()
+	first := make(chan command.DispatchResult)
+	go func() { first <- d.Dispatch(t.Context(), attemptOf(onlyShard)) }()
+	<-seen
+	ctx, cancel := context.WithTimeout(t.Context(), 20*time.Millisecond)
+	defer cancel()
+	if got := d.Dispatch(ctx, attemptOf(onlyShard)); got.Kind != command.DispatchNotSent {
+		t.Errorf("got %+v", got)
+	}
+	close(release)
+	if got := <-first; got.Kind != command.DispatchLost || len(seen) != 0 {
+		t.Errorf("the holder of the connection got %+v", got)
+	}
+}
+
 // TestDispatchFollowsTheVersion runs a command in the newest version of its
 // own generation, whatever newer maps there are.
 func TestDispatchFollowsTheVersion(t *testing.T) {
--- a/internal/transport/upstream/client.go
+++ b/internal/transport/upstream/client.go
@@ -11,6 +11,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptrace"
 	"strings"
 	"sync/atomic"
 	"time"
@@ -121,11 +122,18 @@
 // left is the time that the leaf is given; body is the encoded RunRequest.
 func (c *Client) Run(ctx context.Context, vm platform.VM, sub contract.Subrequest, left time.Duration, body []byte) Reply {
 	url := "http://" + vm.Address + contract.RunPath(sub.Shard)
+	isCommand := sub.Class == contract.ClassCommand
+	connected := &atomic.Bool{}
+	if isCommand {
+		ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
+			GotConn: func(httptrace.GotConnInfo) { connected.Store(true) },
+		})
+	}
 	request, err := http.NewRequestWithContext(ctx, http.MethodPost, url, bytes.NewReader(body))
 	if err != nil {
 		return Reply{Result: subrequest.Lost, Err: fault.Wrap(err, fault.StepSend, vm.ID, "build request")}
 	}
-	if sub.Class == contract.ClassCommand {
+	if isCommand {
 		// Without GetBody, net/http cannot send the request a second time.
 		request.GetBody = nil
 	}
@@ -136,15 +144,17 @@
 	}
 	response, err := c.http.Do(request)
 	if err != nil {
-		return failedSend(err, vm)
+		return failedSend(err, vm, isCommand && !connected.Load())
 	}
 	defer response.Body.Close()
 	return c.read(response, vm, sub)
 }
 
-func failedSend(err error, vm platform.VM) Reply {
+// failedSend is the reply to a request that failed before its reply began.
+// unsent is true when it certainly had no connection.
+func failedSend(err error, vm platform.VM, unsent bool) Reply {
 	var op *net.OpError
-	if errors.As(err, &op) && op.Op == "dial" {
+	if unsent || errors.As(err, &op) && op.Op == "dial" {
 		return Reply{Result: subrequest.Lost, Err: fault.Wrap(err, fault.StepConnect, vm.ID, "connect")}
 	}
 	return Reply{Result: subrequest.Lost, Sent: true, Err: fault.Wrap(err, fault.StepSend, vm.ID, "send")}
