--- a/cmd/hickorydock/main.go
+++ b/cmd/hickorydock/main.go
@@ -34,6 +34,11 @@
 	serveCommand,
 	demoCommand,
 	standinCommand,
+	checkCommand,
+	applyCommand,
+	statusCommand,
+	exportCommand,
+	historyCommand,
 	experimentCommand,
 	versionCommand,
 }
--- a/internal/experiment/experiment.go
+++ b/internal/experiment/experiment.go
@@ -71,6 +71,7 @@
 		versionsExperiment,
 		coverageExperiment,
 		cancelExperiment,
+		returnExperiment,
 	}
 }
 
