Add TLS credentials and caller tokens

Cause: callers need TLS, nodes must authenticate each other, and a service may be closed to callers without a token. Change: PEM settings become configurations for callers (TLS 1.2 and up), nodes (mutual, 1.3, one name), upstreams and the platform; a reload takes effect with the next handshake; a node's handshake is bounded; tokens are compared by their hash in constant time.

--- /dev/null
+++ b/internal/transport/credentials/credentials_test.go
@@ -0,0 +1,366 @@
+package credentials
+
+import (
+	"context"
+	"crypto/ecdsa"
+	"crypto/elliptic"
+	"crypto/rand"
+	"crypto/tls"
+	"crypto/x509"
+	"crypto/x509/pkix"
+	"encoding/pem"
+	"fmt"
+	"io"
+	"math/big"
+	"net"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/hickorydock/hickorydock/internal/protocol/settings"
+)
+
+// authority signs certificates for tests.
+type authority struct {
+	cert *x509.Certificate
+	key  *ecdsa.PrivateKey
+	pem  string
+}
+
+func newAuthority(t *testing.T) *authority {
+	t.Helper()
+	key := newKey(t)
+	template := &x509.Certificate{
+		SerialNumber: big.NewInt(1), Subject: pkix.Name{CommonName: "test authority"},
+		NotBefore: time.Now().Add(-time.Hour), NotAfter: time.Now().Add(time.Hour),
+		IsCA: true, BasicConstraintsValid: true, KeyUsage: x509.KeyUsageCertSign,
+	}
+	der, err := x509.CreateCertificate(rand.Reader, template, template, &key.PublicKey, key)
+	if err != nil {
+		t.Fatal(err)
+	}
+	cert, err := x509.ParseCertificate(der)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return &authority{cert: cert, key: key, pem: encode("CERTIFICATE", der)}
+}
+
+func newKey(t *testing.T) *ecdsa.PrivateKey {
+	t.Helper()
+	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return key
+}
+
+func encode(kind string, der []byte) string {
+	return string(pem.EncodeToMemory(&pem.Block{Type: kind, Bytes: der}))
+}
+
+// issue returns a certificate and key for a DNS name, valid until end.
+func (a *authority) issue(t *testing.T, name string, end time.Time) (cert, key string) {
+	t.Helper()
+	private := newKey(t)
+	template := &x509.Certificate{
+		SerialNumber: big.NewInt(2), DNSNames: []string{name}, IPAddresses: []net.IP{net.IPv4(127, 0, 0, 1)},
+		NotBefore: end.Add(-2 * time.Hour), NotAfter: end,
+		ExtKeyUsage: []x509.ExtKeyUsage{x509.ExtKeyUsageServerAuth, x509.ExtKeyUsageClientAuth},
+	}
+	der, err := x509.CreateCertificate(rand.Reader, template, a.cert, &private.PublicKey, a.key)
+	if err != nil {
+		t.Fatal(err)
+	}
+	keyDER, err := x509.MarshalPKCS8PrivateKey(private)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return encode("CERTIFICATE", der), encode("PRIVATE KEY", keyDER)
+}
+
+const nodeName = "nodes.test"
+
+func nodeSettings(t *testing.T, signer, trusted *authority, name string, end time.Time) settings.TLS {
+	t.Helper()
+	cert, key := signer.issue(t, name, end)
+	return settings.TLS{NodeCert: cert, NodeKey: key, NodeCA: trusted.pem, NodeName: nodeName}
+}
+
+func load(t *testing.T, s settings.TLS) *Credentials {
+	t.Helper()
+	c, err := New(s)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return c
+}
+
+// echo serves connections of l until it is closed.
+func echo(l net.Listener) {
+	for {
+		conn, err := l.Accept()
+		if err != nil {
+			return
+		}
+		go func() {
+			defer conn.Close()
+			io.Copy(conn, conn)
+		}()
+	}
+}
+
+func listen(t *testing.T, wrap func(net.Listener) net.Listener) string {
+	t.Helper()
+	raw, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	l := wrap(raw)
+	t.Cleanup(func() { l.Close() })
+	go echo(l)
+	return raw.Addr().String()
+}
+
+// ping sends a line and reads it back; a TLS 1.3 client learns only then
+// whether its certificate was accepted.
+func ping(conn net.Conn) error {
+	line := []byte("a line that is no TLS record\n")
+	if _, err := conn.Write(line); err != nil {
+		return err
+	}
+	back := make([]byte, len(line))
+	if _, err := io.ReadFull(conn, back); err != nil {
+		return err
+	}
+	if string(back) != string(line) {
+		return fmt.Errorf("got %q back", back)
+	}
+	return nil
+}
+
+func dialPing(dial DialFunc, address string) error {
+	conn, err := dial(context.Background(), "tcp", address)
+	if err != nil {
+		return err
+	}
+	defer conn.Close()
+	return ping(conn)
+}
+
+func TestNodesAuthenticateEachOther(t *testing.T) {
+	ours, theirs := newAuthority(t), newAuthority(t)
+	later, past := time.Now().Add(time.Hour), time.Now().Add(-time.Hour)
+	good := nodeSettings(t, ours, ours, nodeName, later)
+	cases := []struct {
+		name           string
+		server, client settings.TLS
+		ok             bool
+		want           string // part of the client's error
+	}{
+		{"both right", good, good, true, ""},
+		{"server of another name", nodeSettings(t, ours, ours, "other.test", later), good, false, "not nodes.test"},
+		{"client of another name", good, nodeSettings(t, ours, ours, "other.test", later), false, "bad certificate"},
+		{"server of another authority", nodeSettings(t, theirs, ours, nodeName, later), good, false, "unknown authority"},
+		{"client of another authority", good, nodeSettings(t, theirs, ours, nodeName, later), false, "unknown certificate authority"},
+		{"server expired", nodeSettings(t, ours, ours, nodeName, past), good, false, "expired"},
+		{"client expired", good, nodeSettings(t, ours, ours, nodeName, past), false, "expired"},
+		{"client without TLS", good, settings.TLS{}, false, ""},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			address := listen(t, load(t, c.server).NodeListener)
+			err := dialPing(load(t, c.client).Dialer(Nodes, new(net.Dialer).DialContext), address)
+			if (err == nil) != c.ok {
+				t.Fatalf("got %v, want success %v", err, c.ok)
+			}
+			if err != nil && !strings.Contains(err.Error(), c.want) {
+				t.Fatalf("got %v, want an error with %q", err, c.want)
+			}
+		})
+	}
+}
+
+func TestSlowHandshakeFails(t *testing.T) {
+	ca := newAuthority(t)
+	c := load(t, nodeSettings(t, ca, ca, nodeName, time.Now().Add(time.Hour)))
+	synctest.Test(t, func(t *testing.T) {
+		client, server := net.Pipe()
+		defer client.Close()
+		l := c.NodeListener(&oneConn{conn: server})
+		conn, err := l.Accept()
+		if err != nil {
+			t.Fatal(err)
+		}
+		start := time.Now()
+		if _, err := conn.Read(make([]byte, 1)); err == nil {
+			t.Fatal("a silent peer passed the handshake")
+		}
+		if took := time.Since(start); took != handshakeTimeout {
+			t.Errorf("the handshake ended after %s, want %s", took, handshakeTimeout)
+		}
+	})
+}
+
+// oneConn is a listener with a single connection.
+type oneConn struct {
+	net.Listener
+	conn net.Conn
+}
+
+func (l *oneConn) Accept() (net.Conn, error) { return l.conn, nil }
+
+func TestLowestVersions(t *testing.T) {
+	ca := newAuthority(t)
+	s := nodeSettings(t, ca, ca, nodeName, time.Now().Add(time.Hour))
+	s.CallerCert, s.CallerKey = s.NodeCert, s.NodeKey
+	c := load(t, s)
+	pair, err := tls.X509KeyPair([]byte(s.NodeCert), []byte(s.NodeKey))
+	if err != nil {
+		t.Fatal(err)
+	}
+	pool := x509.NewCertPool()
+	pool.AddCert(ca.cert)
+	cases := []struct {
+		name    string
+		wrap    func(net.Listener) net.Listener
+		version uint16
+		ok      bool
+	}{
+		{"node 1.2", c.NodeListener, tls.VersionTLS12, false},
+		{"node 1.3", c.NodeListener, tls.VersionTLS13, true},
+		{"caller 1.1", c.CallerListener, tls.VersionTLS11, false},
+		{"caller 1.2", c.CallerListener, tls.VersionTLS12, true},
+		{"caller 1.3", c.CallerListener, tls.VersionTLS13, true},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			config := &tls.Config{
+				RootCAs: pool, ServerName: nodeName, Certificates: []tls.Certificate{pair},
+				MinVersion: tls.VersionTLS10, MaxVersion: tc.version,
+			}
+			conn, err := tls.Dial("tcp", listen(t, tc.wrap), config)
+			if err == nil {
+				err = ping(conn)
+				conn.Close()
+			}
+			if (err == nil) != tc.ok {
+				t.Errorf("got %v, want success %v", err, tc.ok)
+			}
+		})
+	}
+}
+
+func TestReloadKeepsOpenConnections(t *testing.T) {
+	first, second := newAuthority(t), newAuthority(t)
+	later := time.Now().Add(time.Hour)
+	old := nodeSettings(t, first, first, nodeName, later)
+	next := nodeSettings(t, second, second, nodeName, later)
+	server := load(t, old)
+	address := listen(t, server.NodeListener)
+	oldDial := load(t, old).Dialer(Nodes, new(net.Dialer).DialContext)
+	open, err := oldDial(t.Context(), "tcp", address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer open.Close()
+	if err := ping(open); err != nil {
+		t.Fatal(err)
+	}
+	if err := server.Reload(next); err != nil {
+		t.Fatal(err)
+	}
+	if err := ping(open); err != nil {
+		t.Errorf("open connection broke: %v", err)
+	}
+	if err := dialPing(oldDial, address); err == nil {
+		t.Error("a node with the old authority was accepted after the reload")
+	}
+	if err := dialPing(load(t, next).Dialer(Nodes, new(net.Dialer).DialContext), address); err != nil {
+		t.Errorf("a node with the new authority was refused: %v", err)
+	}
+}
+
+func TestFaultyReloadKeepsTheOldMaterial(t *testing.T) {
+	ca := newAuthority(t)
+	good := nodeSettings(t, ca, ca, nodeName, time.Now().Add(time.Hour))
+	c := load(t, good)
+	bad := good
+	bad.NodeKey, bad.NodeCA = "x", "y"
+	for _, s := range []settings.TLS{bad, {}} {
+		if err := c.Reload(s); err == nil {
+			t.Error("a faulty reload was accepted")
+		}
+	}
+	address := listen(t, c.NodeListener)
+	if err := dialPing(c.Dialer(Nodes, new(net.Dialer).DialContext), address); err != nil {
+		t.Errorf("old material is gone: %v", err)
+	}
+}
+
+func TestNewReportsEveryFault(t *testing.T) {
+	_, err := New(settings.TLS{CallerCert: "x", NodeCA: "y", UpstreamCA: "z"})
+	if err == nil {
+		t.Fatal("faulty settings were accepted")
+	}
+	for _, field := range []string{"tls.caller_cert", "tls.node_ca", "tls.upstream_ca"} {
+		if !strings.Contains(err.Error(), field) {
+			t.Errorf("%v does not name %s", err, field)
+		}
+	}
+}
+
+func TestUpstreamsAndPlatformAreVerified(t *testing.T) {
+	ca, other := newAuthority(t), newAuthority(t)
+	cert, key := ca.issue(t, "leaf.test", time.Now().Add(time.Hour))
+	address := listen(t, load(t, settings.TLS{CallerCert: cert, CallerKey: key}).CallerListener)
+	cases := []struct {
+		name string
+		side Side
+		s    settings.TLS
+		ok   bool
+	}{
+		{"upstream by its address", Upstreams, settings.TLS{UpstreamCA: ca.pem}, true},
+		{"upstream by its name", Upstreams, settings.TLS{UpstreamCA: ca.pem, UpstreamName: "leaf.test"}, true},
+		{"upstream of another name", Upstreams, settings.TLS{UpstreamCA: ca.pem, UpstreamName: "x.test"}, false},
+		{"upstream of another authority", Upstreams, settings.TLS{UpstreamCA: other.pem}, false},
+		{"platform", Platform, settings.TLS{PlatformCA: ca.pem}, true},
+		{"platform of another authority", Platform, settings.TLS{PlatformCA: other.pem}, false},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			err := dialPing(load(t, c.s).Dialer(c.side, new(net.Dialer).DialContext), address)
+			if (err == nil) != c.ok {
+				t.Errorf("got %v, want success %v", err, c.ok)
+			}
+		})
+	}
+}
+
+func TestPermitted(t *testing.T) {
+	hashes := []string{TokenHash("one"), TokenHash("two"), "not hexadecimal"}
+	cases := []struct {
+		name, header string
+		hashes       []string
+		want         bool
+	}{
+		{"first", "Bearer one", hashes, true},
+		{"second", "Bearer two", hashes, true},
+		{"unknown", "Bearer three", hashes, false},
+		{"hash in place of the token", "Bearer " + TokenHash("one"), hashes, false},
+		{"no header", "", hashes, false},
+		{"no scheme", "one", hashes, false},
+		{"other scheme", "Basic one", hashes, false},
+		{"empty token", "Bearer ", hashes, false},
+		{"no hashes", "", nil, true},
+		{"only broken hashes", "Bearer one", []string{"zz"}, false},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			if got := Permitted(c.hashes, c.header); got != c.want {
+				t.Errorf("got %v, want %v", got, c.want)
+			}
+		})
+	}
+}
