--- a/internal/coordination/subrequest/subrequest_test.go
+++ b/internal/coordination/subrequest/subrequest_test.go
@@ -7,6 +7,7 @@
 
 	"pgregory.net/rapid"
 
+	"github.com/hickorydock/hickorydock/internal/coordination/replica"
 	"github.com/hickorydock/hickorydock/internal/protocol/query"
 	"github.com/hickorydock/hickorydock/internal/state/leaf"
 	"github.com/hickorydock/hickorydock/internal/state/shardmap"
@@ -28,6 +29,7 @@
 
 func configOf(replicas int) Config {
 	cfg := Config{Deadline: start.Add(time.Second), HedgeDelay: 10 * time.Millisecond}
+	cfg.Choose = replica.Choose
 	cfg.Random = func() uint64 { return 0 }
 	for range replicas {
 		cfg.Replicas = append(cfg.Replicas, shardmap.Replica{Record: &leaf.Record{}})
@@ -81,7 +83,7 @@
 	}
 	m = New(configOf(2), &tokens{left: 9})
 	m.Start(start)
-	if _, ok := m.HedgeDue(late); ok {
+	if _, ok, again := m.HedgeDue(late); ok || !again.IsZero() {
 		t.Error("hedge sent at the deadline")
 	}
 	if decision, _ := m.Ended(late, Lost); decision != GiveUp {
@@ -114,7 +116,7 @@
 		record(first)
 		for pending > 0 {
 			if rapid.Bool().Draw(t, "hedge due") {
-				if a, ok := m.HedgeDue(start); ok {
+				if a, ok, _ := m.HedgeDue(start); ok {
 					record(a)
 				}
 			}
--- a/internal/transport/server/server.go
+++ b/internal/transport/server/server.go
@@ -13,10 +13,12 @@
 	"time"
 
 	"github.com/gin-gonic/gin"
+	"go.opentelemetry.io/otel/attribute"
 
 	"github.com/hickorydock/hickorydock/internal/protocol/fault"
 	"github.com/hickorydock/hickorydock/internal/protocol/note"
 	"github.com/hickorydock/hickorydock/internal/protocol/query"
+	"github.com/hickorydock/hickorydock/internal/transport/tracing"
 )
 
 // Services finds services in force.
@@ -50,6 +52,7 @@
 	services Services
 	queries  Queries
 	observer Observer
+	tracer   *tracing.Tracer
 	stopping atomic.Bool
 	mu       sync.Mutex
 	active   int
@@ -58,8 +61,8 @@
 }
 
 // New returns a server; observer may be nil.
-func New(cfg Config, services Services, queries Queries, observer Observer) *Server {
-	s := &Server{cfg: cfg, services: services, queries: queries, observer: observer, idle: make(chan struct{})}
+func New(cfg Config, services Services, queries Queries, observer Observer, tracer *tracing.Tracer) *Server {
+	s := &Server{cfg: cfg, services: services, queries: queries, observer: observer, tracer: tracer, idle: make(chan struct{})}
 	gin.SetMode(gin.ReleaseMode)
 	s.engine = gin.New()
 	s.engine.HandleMethodNotAllowed = true
@@ -124,16 +127,24 @@
 	}
 }
 
-func (s *Server) readyz(c *gin.Context) {
+// errStopping is why a stopping node takes no work.
+var errStopping = errors.New("node is stopping")
+
+// Ready says why the node must not be given work, or returns nil.
+func (s *Server) Ready() error {
 	if s.stopping.Load() {
-		c.String(http.StatusServiceUnavailable, "stopping\n")
-		return
+		return errStopping
+	}
+	if s.cfg.Ready == nil {
+		return nil
 	}
-	if s.cfg.Ready != nil {
-		if err := s.cfg.Ready(); err != nil {
-			c.String(http.StatusServiceUnavailable, "%s\n", err.Error())
-			return
-		}
+	return s.cfg.Ready()
+}
+
+func (s *Server) readyz(c *gin.Context) {
+	if err := s.Ready(); err != nil {
+		c.String(http.StatusServiceUnavailable, "%v\n", err)
+		return
 	}
 	c.String(http.StatusOK, "ready\n")
 }
@@ -144,7 +155,10 @@
 func (s *Server) query(c *gin.Context) {
 	arrived := time.Now()
 	name := c.Param("service")
-	answer, err := s.answer(c, name, arrived)
+	ctx := s.tracer.Extract(c.Request.Context(), c.Request.Header)
+	ctx, span := s.tracer.Start(ctx, tracing.HopCaller, attribute.String("service", name))
+	answer, err := s.answer(ctx, c, name, arrived)
+	span.End(err)
 	if s.observer != nil {
 		s.observer.Request(name, answer.Outcome, answer.Coverage, time.Since(arrived), err)
 	}
@@ -155,9 +169,9 @@
 	c.JSON(statusOf(answer.Outcome), answer)
 }
 
-func (s *Server) answer(c *gin.Context, name string, arrived time.Time) (query.Answer, error) {
+func (s *Server) answer(ctx context.Context, c *gin.Context, name string, arrived time.Time) (query.Answer, error) {
 	if !s.Begin() {
-		return query.Answer{}, fault.New(fault.StepAdmit, "", "node is stopping").
+		return query.Answer{}, fault.Wrap(errStopping, fault.StepAdmit, "", "refused").
 			WithStatus(http.StatusServiceUnavailable, query.NotRun).WithRetryAfter(stopRetryAfter)
 	}
 	defer s.End()
@@ -169,7 +183,7 @@
 	if err != nil {
 		return query.Answer{}, err
 	}
-	return s.queries.Query(c.Request.Context(), service, request, arrived)
+	return s.queries.Query(ctx, service, request, arrived)
 }
 
 // statusOf maps the outcome of an answer to an HTTP status.
