--- /dev/null
+++ b/internal/transport/limits/limits_test.go
@@ -0,0 +1,281 @@
+package limits
+
+import (
+	"bufio"
+	"encoding/json"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"strings"
+	"testing"
+	"testing/iotest"
+	"testing/synctest"
+	"time"
+
+	"github.com/hickorydock/hickorydock/internal/protocol/settings"
+)
+
+// pipeListener accepts the server ends of in-memory connections.
+type pipeListener struct {
+	conns  chan net.Conn
+	closed chan struct{}
+}
+
+func newPipeListener() *pipeListener {
+	return &pipeListener{conns: make(chan net.Conn), closed: make(chan struct{})}
+}
+
+func (l *pipeListener) dial() net.Conn {
+	client, server := net.Pipe()
+	l.conns <- server
+	return client
+}
+
+func (l *pipeListener) Accept() (net.Conn, error) {
+	select {
+	case conn := <-l.conns:
+		return conn, nil
+	case <-l.closed:
+		return nil, net.ErrClosed
+	}
+}
+
+func (l *pipeListener) Close() error {
+	close(l.closed)
+	return nil
+}
+
+func (l *pipeListener) Addr() net.Addr { return &net.TCPAddr{} }
+
+func testLimits() settings.Limits {
+	l := settings.Default().Limits
+	l.HeaderTimeoutMS, l.BodyTimeoutMS, l.WriteTimeoutMS, l.IdleTimeoutMS = 1000, 2000, 3000, 4000
+	l.MaxHeaderBytes, l.MaxJSONDepth = 2048, 8
+	return l
+}
+
+// serve runs a server over in-memory connections until the test ends. The
+// handler tells what reading the body gave, then works for work.
+func serve(t *testing.T, work time.Duration) (l *pipeListener, bodies chan error) {
+	l = newPipeListener()
+	bodies = make(chan error, 1)
+	server := Server(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		_, err := io.Copy(io.Discard, r.Body)
+		bodies <- err
+		if err != nil {
+			http.Error(w, "bad body", http.StatusBadRequest)
+			return
+		}
+		select {
+		case <-r.Context().Done():
+			return
+		case <-time.After(work):
+		}
+		io.WriteString(w, strings.Repeat("x", 1<<20))
+	}), testLimits())
+	go server.Serve(l)
+	t.Cleanup(func() {
+		server.Close()
+		time.Sleep(time.Second) // net/http lingers before it closes a refused connection
+	})
+	return l, bodies
+}
+
+const head = "POST / HTTP/1.1\r\nHost: x\r\n"
+
+// closedAfter measures how long the server keeps a connection whose caller
+// sends no more and reads what comes.
+func closedAfter(conn net.Conn) time.Duration {
+	start := time.Now()
+	io.Copy(io.Discard, conn)
+	return time.Since(start)
+}
+
+func TestSlowCallersAreCutOff(t *testing.T) {
+	cases := []struct {
+		name   string
+		sent   string
+		closed time.Duration
+	}{
+		{"silent from the start", "", time.Second},
+		{"half a header", head, time.Second},
+		{"half a body", head + "Content-Length: 10\r\n\r\n123", 2 * time.Second},
+		{"half a chunk", head + "Transfer-Encoding: chunked\r\n\r\na\r\n123", 2 * time.Second},
+		{"idle after an answer", head + "Content-Length: 2\r\n\r\n12", 4 * time.Second},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				l, _ := serve(t, 0)
+				conn := l.dial()
+				defer conn.Close()
+				if c.sent != "" {
+					if _, err := io.WriteString(conn, c.sent); err != nil {
+						t.Fatal(err)
+					}
+				}
+				// net/http lingers for up to half a second before it closes.
+				if got := closedAfter(conn); got < c.closed || got > c.closed+time.Second {
+					t.Errorf("closed after %s, want %s", got, c.closed)
+				}
+			})
+		})
+	}
+}
+
+func TestDrippingCallersAreCutOff(t *testing.T) {
+	cases := []struct {
+		name, start string
+		atMost      time.Duration
+	}{
+		{"header", head, time.Second},
+		{"body", head + "Content-Length: 100000\r\n\r\n", 2 * time.Second},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				l, _ := serve(t, 0)
+				conn := l.dial()
+				defer conn.Close()
+				go io.Copy(io.Discard, conn)
+				start := time.Now()
+				_, err := io.WriteString(conn, c.start)
+				for err == nil {
+					time.Sleep(100 * time.Millisecond)
+					_, err = conn.Write([]byte("x"))
+				}
+				if took := time.Since(start); took > c.atMost+time.Second {
+					t.Errorf("cut off after %s, want about %s", took, c.atMost)
+				}
+			})
+		})
+	}
+}
+
+func TestSlowReaderIsCutOff(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		l, _ := serve(t, 0)
+		conn := l.dial()
+		defer conn.Close()
+		if _, err := io.WriteString(conn, head+"Content-Length: 2\r\n\r\n12"); err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(10 * time.Second)
+		received, _ := io.Copy(io.Discard, conn)
+		if received >= 1<<20 {
+			t.Errorf("a caller that did not read for 10 s still got the whole answer")
+		}
+	})
+}
+
+func TestLongWorkIsNotCutOff(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		l, _ := serve(t, time.Minute)
+		conn := l.dial()
+		defer conn.Close()
+		if _, err := io.WriteString(conn, head+"Content-Length: 2\r\n\r\n12"); err != nil {
+			t.Fatal(err)
+		}
+		response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer response.Body.Close()
+		if n, err := io.Copy(io.Discard, response.Body); n != 1<<20 || err != nil {
+			t.Errorf("got %d bytes and %v, want the whole answer", n, err)
+		}
+	})
+}
+
+func TestTimeoutOfABodyIsTold(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		l, bodies := serve(t, 0)
+		conn := l.dial()
+		defer conn.Close()
+		go io.Copy(io.Discard, conn)
+		if _, err := io.WriteString(conn, head+"Content-Length: 10\r\n\r\n123"); err != nil {
+			t.Fatal(err)
+		}
+		if err := <-bodies; !errors.Is(err, os.ErrDeadlineExceeded) {
+			t.Errorf("got %v, want a timeout", err)
+		}
+	})
+}
+
+func TestLargeHeaderIsRefused(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		l, _ := serve(t, 0)
+		conn := l.dial()
+		defer conn.Close()
+		go io.WriteString(conn, head+"X: "+strings.Repeat("x", 64<<10)+"\r\n\r\n")
+		response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if response.StatusCode != http.StatusRequestHeaderFieldsTooLarge {
+			t.Errorf("got status %d", response.StatusCode)
+		}
+	})
+}
+
+func TestConnectionsAreLimited(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		inner := newPipeListener()
+		l := Listener(inner, 1)
+		defer l.Close()
+		accepted := make(chan net.Conn)
+		go func() {
+			for {
+				conn, err := l.Accept()
+				if err != nil {
+					return
+				}
+				accepted <- conn
+			}
+		}()
+		go inner.dial()
+		first := <-accepted
+		go inner.dial()
+		synctest.Wait()
+		select {
+		case <-accepted:
+			t.Fatal("a second connection was accepted")
+		default:
+		}
+		first.Close()
+		(<-accepted).Close()
+	})
+}
+
+func TestDepth(t *testing.T) {
+	nested := func(n int) string { return strings.Repeat("[", n) + strings.Repeat("]", n) }
+	cases := []struct {
+		name, text string
+		want       error
+	}{
+		{"at the limit", nested(8), nil},
+		{"above the limit", nested(9), ErrTooDeep},
+		{"objects", strings.Repeat(`{"a":`, 9) + "1" + strings.Repeat("}", 9), ErrTooDeep},
+		{"brackets in a string", `"` + strings.Repeat("[", 100) + `"`, nil},
+		{"escaped quote in a string", `"\"` + strings.Repeat("[", 100) + `"`, nil},
+		{"escaped backslash ends a string", `["\\",` + nested(8) + "]", ErrTooDeep},
+		{"side by side", "[" + strings.TrimSuffix(strings.Repeat("[],", 100), ",") + "]", nil},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			var got error
+			handler := Handler(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+				var v any
+				got = json.NewDecoder(r.Body).Decode(&v)
+			}), testLimits())
+			request := httptest.NewRequest(http.MethodPost, "/", iotest.OneByteReader(strings.NewReader(c.text)))
+			handler.ServeHTTP(httptest.NewRecorder(), request)
+			if !errors.Is(got, c.want) {
+				t.Errorf("got %v, want %v", got, c.want)
+			}
+		})
+	}
+}
