Put TLS, tokens and limits on the callers' path

Cause: the listeners and clients did not use them. Change: the callers' listener takes TLS and limits, services may name the hashes of their callers' tokens (401 without one), upstreams are called over TLS when an authority is set, a failed handshake counts as not sent. Data after the JSON value is refused even when it is a closing bracket; it was accepted before. A body that arrives too slowly gets 408.

--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -15,6 +15,7 @@
 	"github.com/hickorydock/hickorydock/internal/coordination/replica"
 	"github.com/hickorydock/hickorydock/internal/protocol/settings"
 	"github.com/hickorydock/hickorydock/internal/transport/admin"
+	"github.com/hickorydock/hickorydock/internal/transport/credentials"
 	"github.com/hickorydock/hickorydock/internal/transport/discovery"
 	"github.com/hickorydock/hickorydock/internal/transport/entry"
 	"github.com/hickorydock/hickorydock/internal/transport/logging"
@@ -66,6 +67,7 @@
 		fx.Provide(func() (log.Interface, error) { return newLogger(logs, cfg.Settings.Log) }),
 		fx.Provide(metrics.New, newTracer),
 		cfg.Control,
+		credentials.Module,
 		admin.Module,
 		upstream.Module,
 		discovery.Module,
--- a/internal/protocol/note/note.go
+++ b/internal/protocol/note/note.go
@@ -4,6 +4,7 @@
 package note
 
 import (
+	"strings"
 	"time"
 )
 
@@ -54,8 +55,17 @@
 	MaxBodyBytes int64 `toml:"max_body_bytes,omitempty" json:"max_body_bytes,omitempty"`
 	// Commands allows non-idempotent requests.
 	Commands bool `toml:"commands,omitempty" json:"commands,omitempty"`
+	// CallerTokens names the callers that the service is open to; empty means all.
+	CallerTokens TokenHashes `toml:"caller_token_sha256,omitempty" json:"caller_token_sha256,omitempty"`
 }
 
+// TokenHashes lists hashes of bearer tokens: SHA-256 in hexadecimal, separated
+// by spaces. It is a string so that a Service stays comparable.
+type TokenHashes string
+
+// List splits the hashes.
+func (t TokenHashes) List() []string { return strings.Fields(string(t)) }
+
 // LongestWait is LongestWaitMS as a duration.
 func (s Service) LongestWait() time.Duration {
 	return time.Duration(s.LongestWaitMS) * time.Millisecond
--- a/internal/transport/server/module.go
+++ b/internal/transport/server/module.go
@@ -13,7 +13,9 @@
 	"github.com/hickorydock/hickorydock/internal/protocol/fault"
 	"github.com/hickorydock/hickorydock/internal/protocol/query"
 	"github.com/hickorydock/hickorydock/internal/protocol/settings"
+	"github.com/hickorydock/hickorydock/internal/transport/credentials"
 	"github.com/hickorydock/hickorydock/internal/transport/entry"
+	"github.com/hickorydock/hickorydock/internal/transport/limits"
 	"github.com/hickorydock/hickorydock/internal/transport/metrics"
 	"github.com/hickorydock/hickorydock/internal/transport/tracing"
 )
@@ -52,6 +54,8 @@
 	switch e.Status {
 	case http.StatusBadRequest:
 		return metrics.RefusalBadRequest
+	case http.StatusUnauthorized:
+		return metrics.RefusalToken
 	case http.StatusNotFound:
 		return metrics.RefusalUnknown
 	case http.StatusRequestEntityTooLarge:
@@ -73,14 +77,9 @@
 
 // Listen binds the caller address when the node starts. When it stops, requests
 // in progress are finished before connections close.
-func Listen(s settings.Settings, handler *Server, logger log.Interface, lifecycle fx.Lifecycle) *Listener {
+func Listen(s settings.Settings, handler *Server, tls *credentials.Credentials, logger log.Interface, lifecycle fx.Lifecycle) *Listener {
 	l := &Listener{}
-	server := &http.Server{
-		Handler:           handler,
-		ReadHeaderTimeout: settings.Milliseconds(s.Limits.HeaderTimeoutMS),
-		IdleTimeout:       settings.Milliseconds(s.Limits.IdleTimeoutMS),
-		MaxHeaderBytes:    int(s.Limits.MaxHeaderBytes),
-	}
+	server := limits.Server(handler, s.Limits)
 	lifecycle.Append(fx.Hook{
 		OnStart: func(context.Context) error {
 			listener, err := net.Listen("tcp", s.Node.CallerAddress)
@@ -88,7 +87,7 @@
 				return fault.Wrap(err, fault.StepSettings, s.Node.CallerAddress, "listen for callers")
 			}
 			l.address = listener.Addr().String()
-			go serve(server, listener, logger)
+			go serve(server, tls.CallerListener(limits.Listener(listener, s.Limits.MaxConnections)), logger)
 			return nil
 		},
 		OnStop: func(ctx context.Context) error {
--- a/internal/transport/server/server.go
+++ b/internal/transport/server/server.go
@@ -6,7 +6,9 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"io"
 	"net/http"
+	"os"
 	"strconv"
 	"sync"
 	"sync/atomic"
@@ -18,6 +20,7 @@
 	"github.com/hickorydock/hickorydock/internal/protocol/fault"
 	"github.com/hickorydock/hickorydock/internal/protocol/note"
 	"github.com/hickorydock/hickorydock/internal/protocol/query"
+	"github.com/hickorydock/hickorydock/internal/transport/credentials"
 	"github.com/hickorydock/hickorydock/internal/transport/tracing"
 )
 
@@ -179,6 +182,9 @@
 	if !ok {
 		return query.Answer{}, notFound("service %q is not in force", name).WithField("service")
 	}
+	if err := authorise(c, service); err != nil {
+		return query.Answer{}, err
+	}
 	request, err := s.decode(c, service)
 	if err != nil {
 		return query.Answer{}, err
@@ -186,6 +192,16 @@
 	return s.queries.Query(ctx, service, request, arrived)
 }
 
+// authorise refuses callers without a token of the service.
+func authorise(c *gin.Context, service note.Service) error {
+	if credentials.Permitted(service.CallerTokens.List(), c.GetHeader("Authorization")) {
+		return nil
+	}
+	c.Header("WWW-Authenticate", "Bearer")
+	return fault.New(fault.StepAdmit, "", "service %q needs a bearer token", service.Name).
+		WithStatus(http.StatusUnauthorized, query.NotRun).WithField("Authorization")
+}
+
 // statusOf maps the outcome of an answer to an HTTP status.
 func statusOf(o query.Outcome) int {
 	if o == query.Failed {
@@ -216,6 +232,9 @@
 	if errors.As(err, &tooLarge) {
 		return badRequest("body", "body exceeds %d bytes", limit).WithStatus(http.StatusRequestEntityTooLarge, query.NotRun)
 	}
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		return badRequest("body", "body arrived too slowly").WithStatus(http.StatusRequestTimeout, query.NotRun)
+	}
 	var wrongType *json.UnmarshalTypeError
 	if errors.As(err, &wrongType) {
 		return badRequest(wrongType.Field, "%v", err)
@@ -223,7 +242,7 @@
 	if err != nil {
 		return badRequest(unknownField(err), "%v", err)
 	}
-	if decoder.More() {
+	if _, err := decoder.Token(); err != io.EOF {
 		return badRequest("body", "data after the JSON value")
 	}
 	return nil
--- a/internal/transport/server/server_test.go
+++ b/internal/transport/server/server_test.go
@@ -12,12 +12,16 @@
 
 	"github.com/hickorydock/hickorydock/internal/protocol/note"
 	"github.com/hickorydock/hickorydock/internal/protocol/query"
+	"github.com/hickorydock/hickorydock/internal/transport/credentials"
 	"github.com/hickorydock/hickorydock/internal/transport/tracing"
 )
 
 type oneService struct{}
 
 func (oneService) Find(name string) (note.Service, bool) {
+	if name == "closed" {
+		return note.Service{Name: name, CallerTokens: note.TokenHashes(credentials.TokenHash("secret"))}, true
+	}
 	return note.Service{Name: name}, name == "desk"
 }
 
@@ -65,6 +69,8 @@
 		{"coverage above 1", path, `{"query":1,"min_coverage":1.1}`, 400, "min_coverage"},
 		{"unknown priority", path, `{"query":1,"priority":"urgent"}`, 400, "priority"},
 		{"data after the value", path, `{"query":1} {}`, 400, "body"},
+		{"bracket after the value", path, `{"query":1}}`, 400, "body"},
+		{"no token", "/v1/services/closed/query", `{"query":1}`, 401, "Authorization"},
 		{"oversized", path, `{"query":"` + strings.Repeat("x", 80) + `"}`, 413, "body"},
 		{"unknown service", "/v1/services/other/query", `{"query":1}`, 404, "service"},
 		{"unknown path", "/v1/other", `{}`, 404, ""},
@@ -135,3 +141,15 @@
 		leave()
 	})
 }
+
+func TestTokenOpensAClosedService(t *testing.T) {
+	for token, status := range map[string]int{"secret": http.StatusOK, "guess": http.StatusUnauthorized} {
+		request := httptest.NewRequest(http.MethodPost, "/v1/services/closed/query", strings.NewReader(`{"query":1}`))
+		request.Header.Set("Authorization", "Bearer "+token)
+		w := httptest.NewRecorder()
+		newTestServer(&recorder{}).ServeHTTP(w, request)
+		if w.Code != status {
+			t.Errorf("token %q got %d, want %d", token, w.Code, status)
+		}
+	}
+}
--- a/internal/transport/upstream/client.go
+++ b/internal/transport/upstream/client.go
@@ -19,6 +19,7 @@
 	"github.com/hickorydock/hickorydock/internal/protocol/platform"
 	"github.com/hickorydock/hickorydock/internal/protocol/query"
 	contract "github.com/hickorydock/hickorydock/internal/protocol/upstream"
+	"github.com/hickorydock/hickorydock/internal/transport/credentials"
 )
 
 // Config bounds what a client accepts and opens.
@@ -31,6 +32,9 @@
 	ConnectionsPerLeaf int
 	// DialTimeout bounds opening a connection.
 	DialTimeout time.Duration
+	// Dial opens a connection, with TLS where the settings ask for it; nil means
+	// plain TCP.
+	Dial credentials.DialFunc
 	// ManifestTimeout bounds fetching a manifest.
 	ManifestTimeout time.Duration
 }
@@ -59,11 +63,16 @@
 // New returns a client; inject may be nil.
 func New(cfg Config, inject Injector) *Client {
 	c := &Client{cfg: cfg, tracer: inject}
-	dialer := &net.Dialer{Timeout: cfg.DialTimeout}
+	dial := cfg.Dial
+	if dial == nil {
+		dial = new(net.Dialer).DialContext
+	}
 	transport := &http.Transport{
 		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
 			c.opened.Add(1)
-			return dialer.DialContext(ctx, network, address)
+			ctx, cancel := context.WithTimeout(ctx, cfg.DialTimeout)
+			defer cancel()
+			return dial(ctx, network, address)
 		},
 		MaxConnsPerHost:        cfg.ConnectionsPerLeaf,
 		MaxIdleConns:           0,
@@ -137,7 +146,8 @@
 
 func failedSend(err error, vm platform.VM) Reply {
 	var op *net.OpError
-	if errors.As(err, &op) && op.Op == "dial" {
+	var handshake *fault.Error
+	if (errors.As(err, &op) && op.Op == "dial") || (errors.As(err, &handshake) && handshake.Step == fault.StepConnect) {
 		return Reply{Result: subrequest.Lost, Err: fault.Wrap(err, fault.StepConnect, vm.ID, "connect")}
 	}
 	return Reply{Result: subrequest.Lost, Sent: true, Err: fault.Wrap(err, fault.StepSend, vm.ID, "send")}
