Add the load tool and the query command

Cause: operators need to load a deployment and check its answers, and to send one query by hand. The problem document moves to protocol/fault, where server and client share it.

--- a/cmd/hickorydock/main.go
+++ b/cmd/hickorydock/main.go
@@ -33,6 +33,8 @@
 var commands = []command{
 	serveCommand,
 	experimentCommand,
+	queryCommand,
+	loadCommand,
 	versionCommand,
 }
 
--- a/internal/layers_test.go
+++ b/internal/layers_test.go
@@ -14,7 +14,7 @@
 
 // layers lists the layers from the lowest to the highest. A package may import
 // packages of its own layer and of lower ones.
-var layers = []string{"protocol", "state", "coordination", "transport", "standin", "node", "experiment"}
+var layers = []string{"protocol", "state", "coordination", "transport", "standin", "node", "load", "experiment"}
 
 func layerOf(path string) int {
 	first, _, _ := strings.Cut(filepath.ToSlash(path), "/")
--- /dev/null
+++ b/internal/load/load_test.go
@@ -0,0 +1,225 @@
+package load
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/hickorydock/hickorydock/internal/protocol/fault"
+	"github.com/hickorydock/hickorydock/internal/protocol/query"
+)
+
+// target answers after a wait that depends on the number of the query.
+type target struct {
+	mu     sync.Mutex
+	calls  int
+	wait   func(call int) time.Duration
+	answer func(call int) (query.Answer, error)
+}
+
+func (t *target) Query(ctx context.Context, _ string, _ query.Request) (query.Answer, error) {
+	t.mu.Lock()
+	call := t.calls
+	t.calls++
+	t.mu.Unlock()
+	select {
+	case <-ctx.Done():
+		return query.Answer{}, ctx.Err()
+	case <-time.After(t.wait(call)):
+		return t.answer(call)
+	}
+}
+
+func always(d time.Duration) func(int) time.Duration { return func(int) time.Duration { return d } }
+
+func done(int) (query.Answer, error) {
+	return query.Answer{Outcome: query.Done, Coverage: query.Coverage{Covered: 2, Total: 2}}, nil
+}
+
+func config() Config {
+	return Config{
+		Services: []string{"a", "b"}, Queries: []json.RawMessage{json.RawMessage("{}")},
+		Rate: 100, For: 10 * time.Second, Seed: 1, InFlight: 1000,
+	}
+}
+
+// run runs a load under virtual time.
+func run(t *testing.T, cfg Config, to *target) (report Report) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		runner, err := New(cfg, to)
+		if err != nil {
+			t.Fatal(err)
+		}
+		report = runner.Run(t.Context())
+	})
+	return report
+}
+
+func TestArrivalsFollowTheRateAndTheSeed(t *testing.T) {
+	counts := map[uint64]int64{}
+	for _, seed := range []uint64{1, 2} {
+		cfg := config()
+		cfg.Seed = seed
+		first := run(t, cfg, &target{wait: always(0), answer: done})
+		second := run(t, cfg, &target{wait: always(0), answer: done})
+		if first.All.Answered != second.All.Answered || first.Services[0].Answered != second.Services[0].Answered {
+			t.Errorf("seed %d gave %d and %d queries", seed, first.All.Answered, second.All.Answered)
+		}
+		counts[seed] = first.Services[0].Answered
+		// 1000 expected with a standard deviation of 32.
+		if n := first.All.Answered; n < 850 || n > 1150 {
+			t.Errorf("seed %d sent %d queries, want about 1000", seed, n)
+		}
+		if !first.OK() {
+			t.Errorf("a sound run is not OK: %+v", first)
+		}
+	}
+	if counts[1] == counts[2] {
+		t.Error("two seeds gave the same load")
+	}
+}
+
+func TestSlowAnswersDelayNoLaterQueries(t *testing.T) {
+	fast := run(t, config(), &target{wait: always(0), answer: done})
+	slow := run(t, config(), &target{wait: always(5 * time.Second), answer: done})
+	if fast.All.Answered != slow.All.Answered {
+		t.Errorf("%d queries to a slow target, %d to a fast one", slow.All.Answered, fast.All.Answered)
+	}
+	if p50 := slow.All.Latency[0].MS; p50 < 4990 || p50 > 5010 {
+		t.Errorf("median is %v ms, want 5000", p50)
+	}
+}
+
+func TestQueriesAboveTheBoundCountAsUnsent(t *testing.T) {
+	cfg := config()
+	cfg.InFlight = 10
+	all := run(t, config(), &target{wait: always(0), answer: done}).All.Answered
+	r := run(t, cfg, &target{wait: always(5 * time.Second), answer: done})
+	if r.All.Unsent == 0 || r.All.Unsent+r.All.Answered != all {
+		t.Errorf("%d unsent and %d answered, want %d together", r.All.Unsent, r.All.Answered, all)
+	}
+	if r.OK() {
+		t.Error("a run with unsent queries is OK")
+	}
+}
+
+func TestOutcomesAreTold(t *testing.T) {
+	answers := []func() (query.Answer, error){
+		func() (query.Answer, error) { return done(0) },
+		func() (query.Answer, error) {
+			return query.Answer{}, fault.New(fault.StepAdmit, "", "x").WithStatus(503, query.NotRun)
+		},
+		func() (query.Answer, error) { return query.Answer{}, errors.New("connection reset") },
+	}
+	r := run(t, config(), &target{wait: always(0), answer: func(call int) (query.Answer, error) { return answers[call%3]() }})
+	for _, o := range []query.Outcome{query.Done, query.NotRun, outcomeError} {
+		if n := r.All.Outcomes[o]; n < r.All.Answered/3-1 {
+			t.Errorf("%d answers are %s, want a third of %d", n, o, r.All.Answered)
+		}
+	}
+	if r.OK() || len(r.Errors) == 0 {
+		t.Errorf("a run with errors is OK, or shows none: %v", r.Errors)
+	}
+}
+
+func TestUnansweredQueryEnds(t *testing.T) {
+	cfg := config()
+	cfg.Rate, cfg.For = 1, 3*time.Second
+	r := run(t, cfg, &target{wait: always(time.Hour), answer: done})
+	if r.All.Answered == 0 || r.All.Outcomes[outcomeError] != r.All.Answered {
+		t.Errorf("got %+v, want errors only", r.All.Outcomes)
+	}
+}
+
+func TestStopEndsTheRun(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+		defer cancel()
+		runner, err := New(config(), &target{wait: always(time.Millisecond), answer: done})
+		if err != nil {
+			t.Fatal(err)
+		}
+		start := time.Now()
+		r := runner.Run(ctx)
+		if took := time.Since(start); took > 2*time.Second || r.All.Answered == 0 {
+			t.Errorf("ended after %s with %d answers", took, r.All.Answered)
+		}
+	})
+}
+
+func TestCheck(t *testing.T) {
+	item := func(shard, generation, version string) query.Item {
+		return query.Item(`{"shard":` + shard + `,"generation":` + generation + `,"version":` + version + `}`)
+	}
+	missing := func(shards ...int) []query.Missing {
+		var list []query.Missing
+		for _, s := range shards {
+			list = append(list, query.Missing{Shard: s, Reason: query.ReasonDeadline})
+		}
+		return list
+	}
+	cases := []struct {
+		name     string
+		outcome  query.Outcome
+		coverage query.Coverage
+		items    []query.Item
+		want     Violation
+	}{
+		{"complete", query.Done, query.Coverage{Covered: 2, Total: 2}, []query.Item{item("0", "3", "7"), item("1", "3", "7")}, ""},
+		{"partial", query.Partial, query.Coverage{Covered: 1, Total: 2, Missing: missing(1)}, []query.Item{item("0", "3", "7")}, ""},
+		{"failed", query.Failed, query.Coverage{Covered: 0, Total: 2, Missing: missing(0, 1)}, nil, ""},
+		{"old version", query.Done, query.Coverage{Covered: 2, Total: 2}, []query.Item{item("0", "3", "6")}, ViolationSnapshot},
+		{"old generation", query.Done, query.Coverage{Covered: 2, Total: 2}, []query.Item{item("0", "2", "7")}, ViolationSnapshot},
+		{"item of a missing shard", query.Partial, query.Coverage{Covered: 1, Total: 2, Missing: missing(1)}, []query.Item{item("1", "3", "7")}, ViolationShard},
+		{"item beyond the shards", query.Done, query.Coverage{Covered: 2, Total: 2}, []query.Item{item("2", "3", "7")}, ViolationShard},
+		{"item without a shard", query.Done, query.Coverage{Covered: 2, Total: 2}, []query.Item{query.Item(`{}`)}, ViolationItem},
+		{"missing not named", query.Partial, query.Coverage{Covered: 1, Total: 2}, nil, ViolationCoverage},
+		{"missing twice", query.Partial, query.Coverage{Covered: 0, Total: 2, Missing: missing(1, 1)}, nil, ViolationCoverage},
+		{"missing out of range", query.Partial, query.Coverage{Covered: 1, Total: 2, Missing: missing(2)}, nil, ViolationCoverage},
+		{"done with a gap", query.Done, query.Coverage{Covered: 1, Total: 2, Missing: missing(0)}, nil, ViolationOutcome},
+		{"partial without a gap", query.Partial, query.Coverage{Covered: 2, Total: 2}, nil, ViolationOutcome},
+		{"done of nothing", query.Done, query.Coverage{}, nil, ViolationOutcome},
+		{"no outcome", "", query.Coverage{Covered: 2, Total: 2}, nil, ViolationOutcome},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			a := query.Answer{Outcome: c.outcome, Coverage: c.coverage, Items: c.items, Snapshot: query.Snapshot{Generation: 3, Version: 7}}
+			got := check(&a, true)
+			if c.want == "" && len(got) > 0 {
+				t.Errorf("a sound answer breaks %v", got)
+			}
+			if _, found := got[c.want]; c.want != "" && !found {
+				t.Errorf("got %v, want %s", got, c.want)
+			}
+		})
+	}
+}
+
+func TestValidateNamesEveryFault(t *testing.T) {
+	bad := Config{Queries: []json.RawMessage{json.RawMessage("{")}, Rate: -1, For: 0, MinCoverage: 2, DeadlineMS: -1}
+	err := bad.Validate()
+	if err == nil || strings.Count(err.Error(), "\n") != 6 {
+		t.Errorf("got %v, want seven faults", err)
+	}
+}
+
+func TestPageShowsTheReport(t *testing.T) {
+	r := run(t, config(), &target{wait: always(20 * time.Millisecond), answer: func(int) (query.Answer, error) {
+		return query.Answer{RequestID: "<script>", Outcome: query.Done, Coverage: query.Coverage{Covered: 1, Total: 2}}, nil
+	}})
+	var page strings.Builder
+	if err := r.HTML(&page); err != nil {
+		t.Fatal(err)
+	}
+	for _, want := range []string{"p99.9", "50.00%", string(ViolationOutcome), `points="0,0`, "&lt;script&gt;"} {
+		if !strings.Contains(page.String(), want) {
+			t.Errorf("the page lacks %q", want)
+		}
+	}
+}
--- /dev/null
+++ b/internal/load/tally.go
@@ -0,0 +1,132 @@
+package load
+
+import (
+	"errors"
+	"sync"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"github.com/hickorydock/hickorydock/internal/protocol/fault"
+	"github.com/hickorydock/hickorydock/internal/protocol/query"
+)
+
+// Range and precision of the latency histograms, in microseconds.
+const (
+	histogramMax    = int64(10 * time.Minute / time.Microsecond)
+	histogramDigits = 3
+)
+
+// maxExamples bounds the examples kept of each violation and of errors.
+const maxExamples = 5
+
+// outcomeError counts queries without an answer and without a problem document.
+const outcomeError = query.Outcome("error")
+
+// sample is the end of one query.
+type sample struct {
+	service    string
+	latency    time.Duration // from the time at which it was due
+	wait       time.Duration // of the load tool itself, before sending
+	answer     query.Answer
+	err        error
+	violations map[Violation]string
+}
+
+func (s sample) outcome() query.Outcome {
+	var described *fault.Error
+	switch {
+	case s.err == nil:
+		return s.answer.Outcome
+	case errors.As(s.err, &described) && described.Status != 0:
+		return described.Outcome
+	default:
+		return outcomeError
+	}
+}
+
+// series sums up the queries of one service, or of all.
+type series struct {
+	latency  *hdrhistogram.Histogram
+	outcomes map[query.Outcome]int64
+	covered  int64
+	shards   int64
+	answered int64
+	unsent   int64
+}
+
+func newSeries() *series {
+	return &series{latency: hdrhistogram.New(1, histogramMax, histogramDigits), outcomes: map[query.Outcome]int64{}}
+}
+
+func (s *series) add(one sample) {
+	micros := min(max(one.latency.Microseconds(), 1), histogramMax)
+	_ = s.latency.RecordValue(micros) // the value is within the range
+	s.outcomes[one.outcome()]++
+	s.covered += int64(one.answer.Coverage.Covered)
+	s.shards += int64(one.answer.Coverage.Total)
+	s.answered++
+}
+
+// tally sums up samples as they come. It is safe for concurrent use.
+type tally struct {
+	mu         sync.Mutex
+	all        *series
+	services   map[string]*series
+	wait       *hdrhistogram.Histogram
+	violations map[Violation]int64
+	examples   []string
+	errors     []string
+}
+
+func newTally() *tally {
+	return &tally{
+		all:        newSeries(),
+		services:   map[string]*series{},
+		wait:       hdrhistogram.New(1, histogramMax, histogramDigits),
+		violations: map[Violation]int64{},
+	}
+}
+
+func (t *tally) service(name string) *series {
+	s := t.services[name]
+	if s == nil {
+		s = newSeries()
+		t.services[name] = s
+	}
+	return s
+}
+
+func (t *tally) add(s sample) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.all.add(s)
+	t.service(s.service).add(s)
+	_ = t.wait.RecordValue(min(max(s.wait.Microseconds(), 1), histogramMax))
+	for violation, example := range s.violations {
+		t.violations[violation]++
+		if t.violations[violation] <= maxExamples {
+			t.examples = append(t.examples, string(violation)+": "+example)
+		}
+	}
+	if s.err != nil && len(t.errors) < maxExamples {
+		t.errors = append(t.errors, s.err.Error())
+	}
+}
+
+func (t *tally) unsent(service string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.all.unsent++
+	t.service(service).unsent++
+}
+
+func (t *tally) progress() Progress {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	p := Progress{Answered: t.all.answered, Unsent: t.all.unsent}
+	for _, n := range t.violations {
+		p.Violations += n
+	}
+	return p
+}
--- /dev/null
+++ b/internal/transport/client/client.go
@@ -0,0 +1,99 @@
+// Package client calls the HTTP interface for callers. It is used by the
+// command line and by the load tool.
+package client
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"mime"
+	"net/http"
+	"net/url"
+	"strings"
+
+	"github.com/hickorydock/hickorydock/internal/protocol/fault"
+	"github.com/hickorydock/hickorydock/internal/protocol/query"
+)
+
+// maxAnswerBytes bounds the answer that is read.
+const maxAnswerBytes = 256 << 20
+
+// Config says where queries go.
+type Config struct {
+	// URL is the base URL of a node or of the balancer before them.
+	URL string
+	// Token is sent as a bearer token; empty sends none.
+	Token string
+	// Connections is the number of idle connections kept open.
+	Connections int
+}
+
+// Client sends queries. It is safe for concurrent use.
+type Client struct {
+	base  string
+	token string
+	http  *http.Client
+}
+
+// New returns a client; it connects with the first query.
+func New(cfg Config) (*Client, error) {
+	base, err := url.Parse(cfg.URL)
+	if err != nil || base.Host == "" || (base.Scheme != "http" && base.Scheme != "https") {
+		return nil, fault.New(fault.StepSettings, "", "%q is not an http or https URL", cfg.URL).WithField("url")
+	}
+	transport := &http.Transport{Proxy: http.ProxyFromEnvironment, MaxIdleConnsPerHost: max(cfg.Connections, 1)}
+	return &Client{
+		base:  strings.TrimSuffix(cfg.URL, "/"),
+		token: cfg.Token,
+		http:  &http.Client{Transport: transport},
+	}, nil
+}
+
+// Close closes idle connections.
+func (c *Client) Close() { c.http.CloseIdleConnections() }
+
+// Query sends one query. A refusal or failure that the node describes is
+// returned as a *fault.Error with its status and outcome.
+func (c *Client) Query(ctx context.Context, service string, request query.Request) (query.Answer, error) {
+	var answer query.Answer
+	body, err := json.Marshal(request)
+	if err != nil {
+		return answer, fault.Wrap(err, fault.StepDecode, "", "encode query")
+	}
+	path := c.base + "/v1/services/" + url.PathEscape(service) + "/query"
+	r, err := http.NewRequestWithContext(ctx, http.MethodPost, path, bytes.NewReader(body))
+	if err != nil {
+		return answer, fault.Wrap(err, fault.StepSend, c.base, "build request")
+	}
+	r.Header.Set("Content-Type", "application/json")
+	if c.token != "" {
+		r.Header.Set("Authorization", "Bearer "+c.token)
+	}
+	response, err := c.http.Do(r)
+	if err != nil {
+		return answer, fault.Wrap(err, fault.StepSend, c.base, "send")
+	}
+	defer response.Body.Close()
+	err = c.read(response, &answer)
+	return answer, err
+}
+
+func (c *Client) read(response *http.Response, answer *query.Answer) error {
+	text, err := io.ReadAll(io.LimitReader(response.Body, maxAnswerBytes))
+	if err != nil {
+		return fault.Wrap(err, fault.StepReply, c.base, "read answer")
+	}
+	kind, _, _ := mime.ParseMediaType(response.Header.Get("Content-Type"))
+	if kind == fault.ProblemType {
+		var problem fault.Problem
+		if err := json.Unmarshal(text, &problem); err != nil {
+			return fault.Wrap(err, fault.StepReply, c.base, "decode problem")
+		}
+		return problem.Error()
+	}
+	if err := json.Unmarshal(text, answer); err != nil {
+		return fault.Wrap(err, fault.StepReply, c.base, "status %d: decode answer", response.StatusCode)
+	}
+	return nil
+}
--- a/internal/transport/server/server_test.go
+++ b/internal/transport/server/server_test.go
@@ -10,6 +10,7 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/hickorydock/hickorydock/internal/protocol/fault"
 	"github.com/hickorydock/hickorydock/internal/protocol/note"
 	"github.com/hickorydock/hickorydock/internal/protocol/query"
 	"github.com/hickorydock/hickorydock/internal/transport/credentials"
@@ -79,7 +80,7 @@
 		t.Run(test.name, func(t *testing.T) {
 			queries := &recorder{}
 			w := post(newTestServer(queries), test.path, test.body)
-			var p problem
+			var p fault.Problem
 			if err := json.Unmarshal(w.Body.Bytes(), &p); err != nil {
 				t.Fatalf("body %q: %v", w.Body, err)
 			}
