--- a/internal/protocol/note/limits.go
+++ b/internal/protocol/note/limits.go
@@ -22,6 +22,8 @@
 	MaxLeafConnections = 100_000
 	// MaxBodyLimit is the largest max_body_bytes.
 	MaxBodyLimit = 1 << 20
+	// MaxCallerTokens is the largest number of token hashes of a service.
+	MaxCallerTokens = 64
 )
 
 // Values of fields that a note leaves out.
--- a/internal/protocol/note/parse_test.go
+++ b/internal/protocol/note/parse_test.go
@@ -76,6 +76,10 @@
 		{"not a number", header + "[[added]]\n" + service + "min_coverage = nan\nhedge_share = inf\n", []string{
 			"8 added[0].min_coverage outside", "9 added[0].hedge_share outside",
 		}},
+		{"tokens", header + "[[added]]\n" + service + "caller_token_sha256 = \"" + strings.Repeat("0", 64) + " secret\"\n[[changed]]\n" +
+			strings.Replace(service, `"a"`, `"b"`, 1) + "caller_token_sha256 = \" \"\n", []string{
+			"8 added[0].caller_token_sha256 hash 2 is not", "14 changed[0].caller_token_sha256 holds no hash",
+		}},
 		{"key given twice", header + "id = \"n2\"\n[[added]]\n" + service, []string{"1 id given again in line 3"}},
 		{"single table", header + "[added]\n" + service, []string{"3 added[0] write [[added]]"}},
 		{"inline entries", header + "added = [{name = \"a\"}]\n", []string{"0  lists no service", "3 added unknown key"}},
--- a/internal/protocol/note/validate.go
+++ b/internal/protocol/note/validate.go
@@ -108,6 +108,26 @@
 		v.fail("leaf_connections", "%d connections cannot fill %d slots", s.LeafConnections, s.LeafSlots)
 	}
 	v.between("max_body_bytes", s.MaxBodyBytes, 1, MaxBodyLimit)
+	v.tokens(s.CallerTokens)
+}
+
+// tokenHash is the form of a SHA-256 in hexadecimal.
+var tokenHash = regexp.MustCompile(`^[0-9a-f]{64}$`)
+
+func (v *validator) tokens(hashes TokenHashes) {
+	const field = "caller_token_sha256"
+	list := hashes.List()
+	if hashes != "" && len(list) == 0 {
+		v.fail(field, "holds no hash")
+	}
+	if len(list) > MaxCallerTokens {
+		v.fail(field, "has %d hashes, more than %d", len(list), MaxCallerTokens)
+	}
+	for i, hash := range list {
+		if !tokenHash.MatchString(hash) {
+			v.fail(field, "hash %d is not 64 hexadecimal digits", i+1)
+		}
+	}
 }
 
 func (v *validator) merge(s Service) {
--- a/internal/transport/server/server.go
+++ b/internal/transport/server/server.go
@@ -3,6 +3,7 @@
 package server
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"errors"
@@ -228,6 +229,9 @@
 	decoder := json.NewDecoder(http.MaxBytesReader(c.Writer, c.Request.Body, limit))
 	decoder.DisallowUnknownFields()
 	err := decoder.Decode(v)
+	if err == nil {
+		err = endOfBody(decoder)
+	}
 	var tooLarge *http.MaxBytesError
 	if errors.As(err, &tooLarge) {
 		return badRequest("body", "body exceeds %d bytes", limit).WithStatus(http.StatusRequestEntityTooLarge, query.NotRun)
@@ -237,17 +241,30 @@
 	}
 	var wrongType *json.UnmarshalTypeError
 	if errors.As(err, &wrongType) {
-		return badRequest(wrongType.Field, "%v", err)
+		return badRequest(cmp.Or(wrongType.Field, "body"), "%v", err)
 	}
 	if err != nil {
 		return badRequest(unknownField(err), "%v", err)
 	}
-	if _, err := decoder.Token(); err != io.EOF {
-		return badRequest("body", "data after the JSON value")
-	}
 	return nil
 }
 
+var errTrailingData = errors.New("data after the JSON value")
+
+// endOfBody reads to the end of a body whose value was decoded.
+func endOfBody(decoder *json.Decoder) error {
+	var tooLarge *http.MaxBytesError
+	_, err := decoder.Token()
+	switch {
+	case err == io.EOF:
+		return nil
+	case errors.As(err, &tooLarge), errors.Is(err, os.ErrDeadlineExceeded):
+		return err
+	default:
+		return errTrailingData
+	}
+}
+
 func (s *Server) check(r query.Request) error {
 	if len(r.Query) == 0 {
 		return badRequest("query", "query is missing")
--- a/internal/transport/server/server_test.go
+++ b/internal/transport/server/server_test.go
@@ -71,6 +71,8 @@
 		{"unknown priority", path, `{"query":1,"priority":"urgent"}`, 400, "priority"},
 		{"data after the value", path, `{"query":1} {}`, 400, "body"},
 		{"bracket after the value", path, `{"query":1}}`, 400, "body"},
+		{"not an object", path, `[]`, 400, "body"},
+		{"oversized by space after the value", path, `{"query":1}` + strings.Repeat(" ", 80), 413, "body"},
 		{"no token", "/v1/services/closed/query", `{"query":1}`, 401, "Authorization"},
 		{"oversized", path, `{"query":"` + strings.Repeat("x", 80) + `"}`, 413, "body"},
 		{"unknown service", "/v1/services/other/query", `{"query":1}`, 404, "service"},
