Add the status page

Cause: people want to see what a node does without a metrics stack. Change: GET / on the admin listener shows services with coverage, latency and extra load, and leafs with the reason when one is set aside. Discovery lists its leafs; the rule for setting a leaf aside has a name.

--- a/internal/coordination/replica/replica.go
+++ b/internal/coordination/replica/replica.go
@@ -72,12 +72,16 @@
 		cheap, dear = second, first
 		cost, dearCost = dearCost, cost
 	}
-	if dearCost > setAsideFactor*cost && isProbeDue(now, replicas[dear]) {
+	if IsSetAside(dearCost, cost) && isProbeDue(now, replicas[dear]) {
 		return dear
 	}
 	return cheap
 }
 
+// IsSetAside reports whether a leaf of a cost gets probes only while one of the
+// other cost can run its work.
+func IsSetAside(cost, other float64) bool { return cost > setAsideFactor*other }
+
 // IsWorthHedging reports whether a hedge to r, sent after a wait of delay, is
 // likely to answer before an attempt that is merely late.
 func IsWorthHedging(r shardmap.Replica, delay time.Duration) bool {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -24,6 +24,7 @@
 	"github.com/hickorydock/hickorydock/internal/transport/metrics"
 	"github.com/hickorydock/hickorydock/internal/transport/relay"
 	"github.com/hickorydock/hickorydock/internal/transport/server"
+	"github.com/hickorydock/hickorydock/internal/transport/status"
 	"github.com/hickorydock/hickorydock/internal/transport/tracing"
 	"github.com/hickorydock/hickorydock/internal/transport/upstream"
 )
@@ -81,6 +82,7 @@
 		relay.Module,
 		entry.Module,
 		server.Module,
+		status.Module,
 		fx.Populate(&n.admin, &n.listener, &n.entry, &n.metrics, &n.discovery),
 	)
 	if err := n.app.Err(); err != nil {
--- a/internal/transport/discovery/discovery.go
+++ b/internal/transport/discovery/discovery.go
@@ -132,6 +132,17 @@
 	d.table.Record(vm.ID).SetDraining(leaving)
 }
 
+// VMs lists the leafs that are polled, in no order.
+func (d *Discovery) VMs() []platform.VM {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	vms := make([]platform.VM, 0, len(d.polled))
+	for _, p := range d.polled {
+		vms = append(vms, p.vm)
+	}
+	return vms
+}
+
 // Close ends all polls and waits for them.
 func (d *Discovery) Close() {
 	d.SetVMs(nil)
--- a/internal/transport/metrics/metrics_test.go
+++ b/internal/transport/metrics/metrics_test.go
@@ -61,3 +61,33 @@
 }
 
 func TestNilMetricsDoNothing(t *testing.T) { record(nil) }
+
+func TestServicesAreSummedUp(t *testing.T) {
+	m := New()
+	for i := range 100 {
+		outcome, took := query.Done, 10*time.Millisecond
+		if i >= 98 {
+			outcome, took = query.Partial, 200*time.Millisecond
+		}
+		m.QueryDone("desk", outcome, took, query.Coverage{Covered: 10 - i%2, Total: 10})
+		m.Subrequest("desk", KindFirst)
+	}
+	m.Subrequest("desk", KindHedge)
+	m.Subrequest("desk", KindRetry)
+	m.QueryDone("far", query.Failed, time.Hour, query.Coverage{})
+	got := m.Services()
+	desk := got["desk"]
+	if desk.Queries != 100 || desk.Done != 98 || desk.Partial != 2 || desk.Failed != 0 {
+		t.Errorf("got %+v", desk)
+	}
+	if desk.CoveragePercent < 94.99 || desk.CoveragePercent > 95.01 || desk.ExtraPercent != 2 {
+		t.Errorf("coverage %v, extra load %v, want 95 and 2", desk.CoveragePercent, desk.ExtraPercent)
+	}
+	// The buckets that hold the quantiles are (5, 10] and (150, 250].
+	if desk.P50MS <= 5 || desk.P50MS > 10 || desk.P99MS <= 150 || desk.P99MS > 250 {
+		t.Errorf("p50 %v ms, p99 %v ms", desk.P50MS, desk.P99MS)
+	}
+	if far := got["far"]; far.Failed != 1 || far.P99MS != 30_000 {
+		t.Errorf("a value above the last bucket gives %+v, want its bound", far)
+	}
+}
