Serve TLS in a node and reload it on SIGHUP

Cause: certificates expire while nodes run, and the platform may speak https. Change: SIGHUP reads the TLS settings again; the platform of the settings is reached over TLS; a node's URL names its scheme; certificates for tests come from certtest, taken out of the credentials tests unchanged. A body with an unnamed unknown field, found by fuzzing, gives a problem that names body. Conclusion: a kept connection stays and a new one sees the new certificate.

--- a/cmd/hickorydock/serve.go
+++ b/cmd/hickorydock/serve.go
@@ -5,19 +5,20 @@
 	"fmt"
 	"io"
 	"os"
+	"os/signal"
+	"syscall"
 
 	"github.com/integrii/flaggy"
 
 	"github.com/hickorydock/hickorydock/internal/node"
-	"github.com/hickorydock/hickorydock/internal/protocol/platform"
 	"github.com/hickorydock/hickorydock/internal/protocol/settings"
-	client "github.com/hickorydock/hickorydock/internal/transport/platform"
 )
 
 var serveCommand = command{
 	name:    "serve",
 	summary: "Run a node until SIGTERM.",
 	examples: `Settings come from a TOML file and from HICKORYDOCK_… variables, which go first.
+SIGTERM finishes the requests in progress; SIGHUP reads the certificates again.
 Examples:
   hickorydock serve --config node.toml
   hickorydock serve --config node.toml --print-settings`,
@@ -50,7 +51,7 @@
 	n, err := node.New(node.Config{
 		Settings: s,
 		Logs:     errOut,
-		Control:  node.PlatformControl(platformClient(s)),
+		Control:  node.SettingsPlatform(),
 	})
 	if err != nil {
 		return err
@@ -58,14 +59,32 @@
 	if err := n.Start(ctx); err != nil {
 		return fmt.Errorf("start node: %w", err)
 	}
-	<-ctx.Done()
+	reloadOnHangup(ctx, n, opts)
 	// The stop limit in the settings bounds the stop; the ended ctx must not.
 	return n.Stop(context.WithoutCancel(ctx))
 }
 
-// platformClient reaches the platform that the settings name.
-func platformClient(s settings.Settings) platform.Client {
-	return client.New(client.Config{BaseURL: s.Platform.URL, Timeout: s.Platform.Timeout()})
+// reloadOnHangup reads the TLS settings again with each SIGHUP until ctx ends.
+func reloadOnHangup(ctx context.Context, n *node.Node, opts serveOptions) {
+	hangup := make(chan os.Signal, 1)
+	signal.Notify(hangup, syscall.SIGHUP)
+	defer signal.Stop(hangup)
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-hangup:
+			s, err := loadSettings(opts.config)
+			if err == nil {
+				err = n.ReloadTLS(s.TLS)
+			}
+			if err != nil {
+				n.Logger().WithField("error", err.Error()).Error("reload refused")
+				continue
+			}
+			n.Logger().Info("certificates reloaded")
+		}
+	}
 }
 
 // loadSettings reads a settings file and the environment. Without a file the
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -7,6 +7,8 @@
 	"context"
 	"fmt"
 	"io"
+	"net"
+	"net/http"
 	"os"
 
 	"github.com/apex/log"
@@ -22,6 +24,7 @@
 	"github.com/hickorydock/hickorydock/internal/transport/entry"
 	"github.com/hickorydock/hickorydock/internal/transport/logging"
 	"github.com/hickorydock/hickorydock/internal/transport/metrics"
+	client "github.com/hickorydock/hickorydock/internal/transport/platform"
 	"github.com/hickorydock/hickorydock/internal/transport/relay"
 	"github.com/hickorydock/hickorydock/internal/transport/server"
 	"github.com/hickorydock/hickorydock/internal/transport/status"
@@ -46,6 +49,22 @@
 	return fx.Options(fx.Provide(func() platform.Client { return c }), control.Module)
 }
 
+// SettingsPlatform keeps a node in line with the platform that its settings name.
+func SettingsPlatform() fx.Option {
+	return fx.Options(fx.Provide(NewPlatformClient), control.Module)
+}
+
+// NewPlatformClient reaches the platform that the settings name, over TLS when
+// its URL says https.
+func NewPlatformClient(s settings.Settings, tls *credentials.Credentials) platform.Client {
+	transport := tls.PlatformTransport(new(net.Dialer).DialContext)
+	return client.New(client.Config{
+		BaseURL:    s.Platform.URL,
+		Timeout:    s.Platform.Timeout(),
+		HTTPClient: &http.Client{Transport: transport},
+	})
+}
+
 // Node is an assembled node. Start and Stop are called once each, by one goroutine.
 type Node struct {
 	app       *fx.App
@@ -55,6 +74,8 @@
 	entry     *entry.Entry
 	metrics   *metrics.Metrics
 	discovery *discovery.Discovery
+	tls       *credentials.Credentials
+	logger    log.Interface
 }
 
 // New assembles a node; nothing listens before Start.
@@ -83,7 +104,7 @@
 		entry.Module,
 		server.Module,
 		status.Module,
-		fx.Populate(&n.admin, &n.listener, &n.entry, &n.metrics, &n.discovery),
+		fx.Populate(&n.admin, &n.listener, &n.entry, &n.metrics, &n.discovery, &n.tls, &n.logger),
 	)
 	if err := n.app.Err(); err != nil {
 		return nil, fmt.Errorf("assemble node: %w", err)
@@ -126,11 +147,24 @@
 	return n.app.Stop(ctx)
 }
 
+// Logger writes to the node's log.
+func (n *Node) Logger() log.Interface { return n.logger }
+
+// ReloadTLS puts new certificates and keys in force for new connections; open
+// ones are kept. On an error the old ones stay.
+func (n *Node) ReloadTLS(s settings.TLS) error { return n.tls.Reload(s) }
+
 // Address is where callers reach the node, host:port.
 func (n *Node) Address() string { return n.listener.Address() }
 
 // URL is the base URL for callers.
-func (n *Node) URL() string { return "http://" + n.Address() }
+func (n *Node) URL() string {
+	scheme := "http://"
+	if n.settings.TLS.CallerCert != "" {
+		scheme = "https://"
+	}
+	return scheme + n.Address()
+}
 
 // AdminURL is the base URL for operators.
 func (n *Node) AdminURL() string { return "http://" + n.admin.Address() }
--- a/internal/transport/credentials/credentials_test.go
+++ b/internal/transport/credentials/credentials_test.go
@@ -2,16 +2,10 @@
 
 import (
 	"context"
-	"crypto/ecdsa"
-	"crypto/elliptic"
-	"crypto/rand"
 	"crypto/tls"
 	"crypto/x509"
-	"crypto/x509/pkix"
-	"encoding/pem"
 	"fmt"
 	"io"
-	"math/big"
 	"net"
 	"strings"
 	"testing"
@@ -19,73 +13,15 @@
 	"time"
 
 	"github.com/hickorydock/hickorydock/internal/protocol/settings"
+	"github.com/hickorydock/hickorydock/internal/transport/certtest"
 )
 
-// authority signs certificates for tests.
-type authority struct {
-	cert *x509.Certificate
-	key  *ecdsa.PrivateKey
-	pem  string
-}
-
-func newAuthority(t *testing.T) *authority {
-	t.Helper()
-	key := newKey(t)
-	template := &x509.Certificate{
-		SerialNumber: big.NewInt(1), Subject: pkix.Name{CommonName: "test authority"},
-		NotBefore: time.Now().Add(-time.Hour), NotAfter: time.Now().Add(time.Hour),
-		IsCA: true, BasicConstraintsValid: true, KeyUsage: x509.KeyUsageCertSign,
-	}
-	der, err := x509.CreateCertificate(rand.Reader, template, template, &key.PublicKey, key)
-	if err != nil {
-		t.Fatal(err)
-	}
-	cert, err := x509.ParseCertificate(der)
-	if err != nil {
-		t.Fatal(err)
-	}
-	return &authority{cert: cert, key: key, pem: encode("CERTIFICATE", der)}
-}
-
-func newKey(t *testing.T) *ecdsa.PrivateKey {
-	t.Helper()
-	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
-	if err != nil {
-		t.Fatal(err)
-	}
-	return key
-}
-
-func encode(kind string, der []byte) string {
-	return string(pem.EncodeToMemory(&pem.Block{Type: kind, Bytes: der}))
-}
-
-// issue returns a certificate and key for a DNS name, valid until end.
-func (a *authority) issue(t *testing.T, name string, end time.Time) (cert, key string) {
-	t.Helper()
-	private := newKey(t)
-	template := &x509.Certificate{
-		SerialNumber: big.NewInt(2), DNSNames: []string{name}, IPAddresses: []net.IP{net.IPv4(127, 0, 0, 1)},
-		NotBefore: end.Add(-2 * time.Hour), NotAfter: end,
-		ExtKeyUsage: []x509.ExtKeyUsage{x509.ExtKeyUsageServerAuth, x509.ExtKeyUsageClientAuth},
-	}
-	der, err := x509.CreateCertificate(rand.Reader, template, a.cert, &private.PublicKey, a.key)
-	if err != nil {
-		t.Fatal(err)
-	}
-	keyDER, err := x509.MarshalPKCS8PrivateKey(private)
-	if err != nil {
-		t.Fatal(err)
-	}
-	return encode("CERTIFICATE", der), encode("PRIVATE KEY", keyDER)
-}
-
 const nodeName = "nodes.test"
 
-func nodeSettings(t *testing.T, signer, trusted *authority, name string, end time.Time) settings.TLS {
+func nodeSettings(t *testing.T, signer, trusted *certtest.Authority, name string, end time.Time) settings.TLS {
 	t.Helper()
-	cert, key := signer.issue(t, name, end)
-	return settings.TLS{NodeCert: cert, NodeKey: key, NodeCA: trusted.pem, NodeName: nodeName}
+	cert, key := signer.Issue(t, name, end)
+	return settings.TLS{NodeCert: cert, NodeKey: key, NodeCA: trusted.PEM, NodeName: nodeName}
 }
 
 func load(t *testing.T, s settings.TLS) *Credentials {
@@ -150,7 +86,7 @@
 }
 
 func TestNodesAuthenticateEachOther(t *testing.T) {
-	ours, theirs := newAuthority(t), newAuthority(t)
+	ours, theirs := certtest.NewAuthority(t), certtest.NewAuthority(t)
 	later, past := time.Now().Add(time.Hour), time.Now().Add(-time.Hour)
 	good := nodeSettings(t, ours, ours, nodeName, later)
 	cases := []struct {
@@ -183,7 +119,7 @@
 }
 
 func TestSlowHandshakeFails(t *testing.T) {
-	ca := newAuthority(t)
+	ca := certtest.NewAuthority(t)
 	c := load(t, nodeSettings(t, ca, ca, nodeName, time.Now().Add(time.Hour)))
 	synctest.Test(t, func(t *testing.T) {
 		client, server := net.Pipe()
@@ -212,7 +148,7 @@
 func (l *oneConn) Accept() (net.Conn, error) { return l.conn, nil }
 
 func TestLowestVersions(t *testing.T) {
-	ca := newAuthority(t)
+	ca := certtest.NewAuthority(t)
 	s := nodeSettings(t, ca, ca, nodeName, time.Now().Add(time.Hour))
 	s.CallerCert, s.CallerKey = s.NodeCert, s.NodeKey
 	c := load(t, s)
@@ -221,7 +157,7 @@
 		t.Fatal(err)
 	}
 	pool := x509.NewCertPool()
-	pool.AddCert(ca.cert)
+	pool.AppendCertsFromPEM([]byte(ca.PEM))
 	cases := []struct {
 		name    string
 		wrap    func(net.Listener) net.Listener
@@ -253,7 +189,7 @@
 }
 
 func TestReloadKeepsOpenConnections(t *testing.T) {
-	first, second := newAuthority(t), newAuthority(t)
+	first, second := certtest.NewAuthority(t), certtest.NewAuthority(t)
 	later := time.Now().Add(time.Hour)
 	old := nodeSettings(t, first, first, nodeName, later)
 	next := nodeSettings(t, second, second, nodeName, later)
@@ -283,7 +219,7 @@
 }
 
 func TestFaultyReloadKeepsTheOldMaterial(t *testing.T) {
-	ca := newAuthority(t)
+	ca := certtest.NewAuthority(t)
 	good := nodeSettings(t, ca, ca, nodeName, time.Now().Add(time.Hour))
 	c := load(t, good)
 	bad := good
@@ -312,8 +248,8 @@
 }
 
 func TestUpstreamsAndPlatformAreVerified(t *testing.T) {
-	ca, other := newAuthority(t), newAuthority(t)
-	cert, key := ca.issue(t, "leaf.test", time.Now().Add(time.Hour))
+	ca, other := certtest.NewAuthority(t), certtest.NewAuthority(t)
+	cert, key := ca.Issue(t, "leaf.test", time.Now().Add(time.Hour))
 	address := listen(t, load(t, settings.TLS{CallerCert: cert, CallerKey: key}).CallerListener)
 	cases := []struct {
 		name string
@@ -321,12 +257,12 @@
 		s    settings.TLS
 		ok   bool
 	}{
-		{"upstream by its address", Upstreams, settings.TLS{UpstreamCA: ca.pem}, true},
-		{"upstream by its name", Upstreams, settings.TLS{UpstreamCA: ca.pem, UpstreamName: "leaf.test"}, true},
-		{"upstream of another name", Upstreams, settings.TLS{UpstreamCA: ca.pem, UpstreamName: "x.test"}, false},
-		{"upstream of another authority", Upstreams, settings.TLS{UpstreamCA: other.pem}, false},
-		{"platform", Platform, settings.TLS{PlatformCA: ca.pem}, true},
-		{"platform of another authority", Platform, settings.TLS{PlatformCA: other.pem}, false},
+		{"upstream by its address", Upstreams, settings.TLS{UpstreamCA: ca.PEM}, true},
+		{"upstream by its name", Upstreams, settings.TLS{UpstreamCA: ca.PEM, UpstreamName: "leaf.test"}, true},
+		{"upstream of another name", Upstreams, settings.TLS{UpstreamCA: ca.PEM, UpstreamName: "x.test"}, false},
+		{"upstream of another authority", Upstreams, settings.TLS{UpstreamCA: other.PEM}, false},
+		{"platform", Platform, settings.TLS{PlatformCA: ca.PEM}, true},
+		{"platform of another authority", Platform, settings.TLS{PlatformCA: other.PEM}, false},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
--- a/internal/transport/server/problem.go
+++ b/internal/transport/server/problem.go
@@ -1,6 +1,7 @@
 package server
 
 import (
+	"cmp"
 	"strings"
 
 	"github.com/gin-gonic/gin"
@@ -26,5 +27,5 @@
 	if !found {
 		return "body"
 	}
-	return strings.Trim(name, `"`)
+	return cmp.Or(strings.Trim(name, `"`), "body")
 }
