--- a/cmd/hickorydock/main_test.go
+++ b/cmd/hickorydock/caller_test.go
@@ -21,11 +21,11 @@
 	testscript.Main(m, map[string]func(){"hickorydock": main})
 }
 
-// TestScripts runs the binary against a caller interface with canned answers,
+// TestCallerScripts runs the cases in testdata/caller against a caller interface with canned answers,
 // whose base URL is in $URL.
-func TestScripts(t *testing.T) {
+func TestCallerScripts(t *testing.T) {
 	testscript.Run(t, testscript.Params{
-		Dir:           "testdata",
+		Dir:           "testdata/caller",
 		UpdateScripts: false,
 		Setup: func(env *testscript.Env) error {
 			cfg := server.Config{MaxBodyBytes: 1 << 10, MaxDeadline: time.Second}
