--- a/cmd/hickorydock/main.go
+++ b/cmd/hickorydock/main.go
@@ -40,6 +40,8 @@
 	exportCommand,
 	historyCommand,
 	experimentCommand,
+	queryCommand,
+	loadCommand,
 	versionCommand,
 }
 
