Divide leaf connections and choose relays

Cause: a leaf's connection cap cannot be divided among many nodes, and nodes that disagree about the membership must not exceed it together.

--- /dev/null
+++ b/internal/coordination/share/share_test.go
@@ -0,0 +1,128 @@
+package share
+
+import (
+	"flag"
+	"os"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+func TestMain(m *testing.M) {
+	flag.Parse()
+	if flag.Lookup("rapid.seed").Value.String() == "0" {
+		_ = flag.Set("rapid.seed", "7")
+	}
+	os.Exit(m.Run())
+}
+
+var start = time.Unix(1000, 0)
+
+func TestConnectionShare(t *testing.T) {
+	tests := []struct {
+		name           string
+		limit, live    int
+		want           Share
+		refuse         bool
+		reserveInstead int
+	}{
+		{name: "7 nodes, cap 25", limit: 25, live: 7, want: Share{Direct, 7, 3}},
+		{name: "7 nodes, cap 40", limit: 40, live: 7, want: Share{Direct, 7, 4}},
+		{name: "7 nodes, cap 100", limit: 100, live: 7, want: Share{Direct, 7, 12}},
+		{name: "8 nodes, cap 10", limit: 10, live: 8, want: Share{Relayed, 2, 4}},
+		{name: "70 nodes, cap 25", limit: 25, live: 70, want: Share{Relayed, 4, 5}},
+		{name: "610 nodes, cap 25", limit: 25, live: 610, want: Share{Relayed, 4, 5}},
+		{name: "610 nodes, cap 100", limit: 100, live: 610, want: Share{Relayed, 8, 10}},
+		{name: "one node", limit: 25, live: 1, want: Share{Direct, 1, 21}},
+		{name: "two connections", limit: 2, live: 7, want: Share{Relayed, 1, 1}},
+		{name: "nothing left", limit: 1, live: 7, refuse: true},
+		{name: "no nodes", limit: 25, live: 0, refuse: true},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			got, err := ConnectionShare(test.limit, test.live, Reserve(test.limit))
+			if (err != nil) != test.refuse || got != test.want {
+				t.Fatalf("got %+v, %v; want %+v", got, err, test.want)
+			}
+		})
+	}
+}
+
+func TestShareStaysWithinCap(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		limit := rapid.IntRange(1, 300).Draw(t, "cap")
+		reserve := rapid.IntRange(0, limit-1).Draw(t, "reserve")
+		live := rapid.IntRange(1, 1000).Draw(t, "live")
+		s, err := ConnectionShare(limit, live, reserve)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if s.Total() > limit-reserve || s.Holders > live || s.Each < 1 {
+			t.Fatalf("%+v of %d - %d among %d", s, limit, reserve, live)
+		}
+	})
+}
+
+func TestWindow(t *testing.T) {
+	const settle = 5 * time.Second
+	type step struct {
+		at    time.Duration
+		grant int // negative: none
+		want  int
+	}
+	tests := []struct {
+		name  string
+		steps []step
+	}{
+		{"a new node waits", []step{{0, 3, 0}, {4 * time.Second, -1, 0}, {5 * time.Second, -1, 3}}},
+		{"shrinks at once", []step{{0, 3, 0}, {6 * time.Second, 2, 2}, {20 * time.Second, -1, 2}}},
+		{"grows late", []step{{0, 3, 0}, {6 * time.Second, 4, 3}, {10 * time.Second, -1, 3}, {11 * time.Second, -1, 4}}},
+		{"a dip holds for settle", []step{{0, 3, 0}, {6 * time.Second, 1, 1}, {7 * time.Second, 3, 1}, {11 * time.Second, -1, 1}, {12 * time.Second, -1, 3}}},
+		{"ownership lost and won", []step{{0, 5, 0}, {6 * time.Second, 0, 0}, {7 * time.Second, 5, 0}, {12 * time.Second, -1, 5}}},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			w := NewWindow(start, settle)
+			for _, s := range test.steps {
+				now := start.Add(s.at)
+				if s.grant >= 0 {
+					w.Grant(now, s.grant)
+				}
+				if got := w.Allowed(now); got != s.want {
+					t.Fatalf("at %v: got %d, want %d", s.at, got, s.want)
+				}
+			}
+		})
+	}
+}
+
+func TestPool(t *testing.T) {
+	p := NewPool(start, 0)
+	p.SetAllowed(3)
+	if p.Next(start) != Open || p.Next(start) != Keep {
+		t.Fatal("want one connection, then a wait")
+	}
+	p.Opened()
+	now := start.Add(OpenInterval)
+	if p.Next(now) != Open {
+		t.Fatal("want a second connection after the interval")
+	}
+	p.Refused(now)
+	if p.Next(now.Add(OpenInterval)) != Keep {
+		t.Fatal("a refusal was not taken as a limit")
+	}
+	now = now.Add(refusedPause)
+	if p.Next(now) != Open {
+		t.Fatal("want another try after the pause")
+	}
+	p.Opened()
+	p.SetAllowed(1)
+	if p.Next(now) != Close {
+		t.Fatal("want a connection closed when the share shrinks")
+	}
+	p.Closed()
+	if p.Next(now) != Keep || p.Held() != 1 {
+		t.Fatalf("held %d, want 1", p.Held())
+	}
+}
