--- a/internal/coordination/ownership/ownership.go
+++ b/internal/coordination/ownership/ownership.go
@@ -8,6 +8,7 @@
 import (
 	"cmp"
 	"fmt"
+	"maps"
 	"math"
 	"math/bits"
 	"slices"
@@ -130,33 +131,58 @@
 	return nil
 }
 
-// clusters divides the leafs of each group by the hash of their key. The number
-// of clusters of a group is a power of two, so it changes only when the group
-// doubles or halves.
+// clusters divides the keys of each group, in the order of their hashes, into
+// runs of equal length. The number of runs of a group is a power of two, so it
+// changes only when the group doubles or halves.
 func clusters(leafs []Leaf, size int) []Cluster {
-	sizes := make(map[string]int)
+	groups := make(map[string]map[string][]string) // leafs by group and key
 	for _, l := range leafs {
-		sizes[l.Group]++
-	}
-	index := make(map[string]int)
-	var out []Cluster
-	for _, l := range leafs {
-		name := clusterName(l, sizes[l.Group], size)
-		i, ok := index[name]
+		keys, ok := groups[l.Group]
 		if !ok {
-			i = len(out)
-			index[name] = i
-			out = append(out, Cluster{Name: name})
+			keys = make(map[string][]string)
+			groups[l.Group] = keys
 		}
-		out[i].Leafs = append(out[i].Leafs, l.ID)
+		keys[l.Key] = append(keys[l.Key], l.ID)
 	}
+	var out []Cluster
+	for name, keys := range groups {
+		out = append(out, divideGroup(name, keys, size)...)
+	}
+	slices.SortFunc(out, placedBefore)
+	return out
+}
+
+func divideGroup(group string, keys map[string][]string, size int) []Cluster {
+	order := slices.SortedFunc(maps.Keys(keys), func(x, y string) int {
+		return cmp.Or(cmp.Compare(xxhash.Sum64String(x), xxhash.Sum64String(y)), cmp.Compare(x, y))
+	})
+	out := make([]Cluster, clusterCount(keys, size))
 	for i := range out {
+		from, to := i*len(order)/len(out), (i+1)*len(order)/len(out)
+		out[i].Name = fmt.Sprintf("%s/%d", group, i)
+		if len(out) == len(order) {
+			out[i].Name = group + "/" + order[i]
+		}
+		for _, key := range order[from:to] {
+			out[i].Leafs = append(out[i].Leafs, keys[key]...)
+		}
 		slices.Sort(out[i].Leafs)
 	}
-	slices.SortFunc(out, placedBefore)
 	return out
 }
 
+// clusterCount is the number of clusters of a group, at most one a key.
+func clusterCount(keys map[string][]string, size int) int {
+	leafs := 0
+	for _, ids := range keys {
+		leafs += len(ids)
+	}
+	if size == 1 {
+		return len(keys)
+	}
+	return min(1<<bits.Len(uint((leafs-1)/size)), len(keys))
+}
+
 // placedBefore orders clusters for placement: large ones first, while there is
 // room for them, and independently of the order of the input.
 func placedBefore(x, y Cluster) int {
@@ -166,14 +192,6 @@
 	return cmp.Compare(xxhash.Sum64String(x.Name), xxhash.Sum64String(y.Name))
 }
 
-func clusterName(l Leaf, groupSize, size int) string {
-	if size == 1 {
-		return l.Group + "/" + l.Key
-	}
-	count := 1 << bits.Len(uint((groupSize-1)/size))
-	return fmt.Sprintf("%s/%d", l.Group, xxhash.Sum64String(l.Key)%uint64(count))
-}
-
 // bound is the most load of a member: factor times the mean, or where clusters
 // are large beside the mean, the mean and one largest cluster.
 func bound(all []Cluster, owners, members int, factor float64) int {
@@ -183,5 +201,15 @@
 		largest = max(largest, len(c.Leafs))
 	}
 	mean := float64(total) / float64(members)
-	return int(math.Ceil(max(factor*mean, mean+float64(largest))))
+	return quantise(max(factor*mean, mean+float64(largest)))
+}
+
+// boundSteps is the number of bounds between two powers of two.
+const boundSteps = 8
+
+// quantise rounds a bound up to one of few values, so that it stays the same
+// through most changes of the membership: a changed bound moves many owners.
+func quantise(bound float64) int {
+	step := math.Exp2(math.Floor(math.Log2(bound))) / boundSteps
+	return int(math.Ceil(step * math.Ceil(bound/step)))
 }
--- /dev/null
+++ b/internal/experiment/ownership.go
@@ -0,0 +1,206 @@
+package experiment
+
+import (
+	"context"
+	"fmt"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/hickorydock/hickorydock/internal/coordination/ownership"
+)
+
+var ownershipExperiment = Experiment{
+	Name:    "ownership",
+	Summary: "Relays at 7, 70 and 610 nodes, by number of leafs that share their relays",
+	Target:  "usual rules: a leaving or joining node moves at most 3 times its own part; worst survivor of one loss at most twice, of two losses at most 3 times the mean at 610 nodes",
+	Run:     runOwnership,
+}
+
+// fleetSize is a size of the fleet for tables.
+type fleetSize struct {
+	nodes int
+	zones int
+	// groups and shards give the leafs: each shard has 2 replicas.
+	groups, shards int
+}
+
+// fleetSizes are today's size and those of the design. Leafs grow in proportion
+// to nodes; at 610 nodes 5 groups of 290 shards make 2,900 leafs.
+var fleetSizes = []fleetSize{{7, 4, 54, 1}, {70, 6, 1, 166}, {610, 6, 5, 290}}
+
+// clusterSizes are the weighed numbers of leafs that share their owners.
+var clusterSizes = []int{1, 4, ownership.DefaultClusterSize, 64}
+
+const racksPerZone = 10
+
+func (f fleetSize) members() []ownership.Member {
+	var out []ownership.Member
+	for i := range f.nodes {
+		zone := i % f.zones
+		out = append(out, ownership.Member{
+			ID:               fmt.Sprintf("node-%d", i),
+			AvailabilityZone: fmt.Sprintf("az-%d", zone),
+			Rack:             fmt.Sprintf("az-%d/rack-%d", zone, i/f.zones%racksPerZone),
+		})
+	}
+	return out
+}
+
+func (f fleetSize) leafs() []ownership.Leaf {
+	var out []ownership.Leaf
+	for g := range f.groups {
+		for s := range f.shards {
+			for r := range 2 {
+				out = append(out, ownership.Leaf{
+					ID:    fmt.Sprintf("leaf-%d-%d-%d", g, s, r),
+					Group: fmt.Sprintf("group-%d", g),
+					Key:   fmt.Sprintf("shard-%d", s),
+				})
+			}
+		}
+	}
+	return out
+}
+
+func runOwnership(ctx context.Context, _ uint64) (Result, error) {
+	var result Result
+	for _, size := range fleetSizes {
+		for _, cluster := range clusterSizes {
+			if err := ctx.Err(); err != nil {
+				return result, err
+			}
+			cfg := ownership.DefaultConfig()
+			cfg.ClusterSize = cluster
+			row, err := ownershipRow(size, cfg)
+			if err != nil {
+				return result, err
+			}
+			result.Policy = append(result.Policy, row.figures(fmt.Sprintf("nodes_%d_cluster_%d_", size.nodes, cluster))...)
+			if cluster == ownership.DefaultClusterSize {
+				result.Checks = append(result.Checks, row.checks(size.nodes)...)
+			}
+		}
+	}
+	return result, nil
+}
+
+// ownershipTable is one row of the table.
+type ownershipTable struct {
+	relaysPerQuery float64
+	// maxLoad, oneLoss and twoLosses are loads of the busiest node over the mean of all.
+	maxLoad, oneLoss, twoLosses float64
+	// leaveMoves and joinMoves are moved places of owners over a node's mean part.
+	leaveMoves, joinMoves float64
+	overflows             int
+}
+
+func (r ownershipTable) figures(prefix string) []Figure {
+	return []Figure{
+		{prefix + "relays_per_query", r.relaysPerQuery},
+		{prefix + "load_max_over_mean", r.maxLoad},
+		{prefix + "one_loss_max_over_mean", r.oneLoss},
+		{prefix + "two_losses_max_over_mean", r.twoLosses},
+		{prefix + "leave_moves_over_part", r.leaveMoves},
+		{prefix + "join_moves_over_part", r.joinMoves},
+		{prefix + "overflows", float64(r.overflows)},
+	}
+}
+
+func (r ownershipTable) checks(nodes int) []Check {
+	prefix := fmt.Sprintf("nodes_%d_", nodes)
+	checks := []Check{
+		AtMost(prefix+"leave_moves_over_part", r.leaveMoves, 3),
+		AtMost(prefix+"join_moves_over_part", r.joinMoves, 3),
+		AtMost(prefix+"overflows", float64(r.overflows), 0),
+	}
+	if nodes == fleetSizes[len(fleetSizes)-1].nodes {
+		checks = append(checks,
+			AtMost(prefix+"one_loss_max_over_mean", r.oneLoss, 2),
+			AtMost(prefix+"two_losses_max_over_mean", r.twoLosses, 3))
+	}
+	return checks
+}
+
+func ownershipRow(size fleetSize, cfg ownership.Config) (ownershipTable, error) {
+	members, leafs := size.members(), size.leafs()
+	a, err := ownership.Assign(members, leafs, cfg)
+	if err != nil {
+		return ownershipTable{}, err
+	}
+	load := newRelayLoad(a)
+	row := ownershipTable{relaysPerQuery: relaysPerQuery(a, "group-0/"), overflows: a.Overflows}
+	row.maxLoad = slices.Max(load.each) / load.mean
+	row.oneLoss, row.twoLosses = load.losses()
+	row.leaveMoves, row.joinMoves, err = movement(a, leafs, cfg)
+	return row, err
+}
+
+// relaysPerQuery is the mean number of relays that an entry sends batches to for
+// a query that touches every shard of one group.
+func relaysPerQuery(a *ownership.Assignment, group string) float64 {
+	total := 0
+	for entry := range a.Members {
+		relays := make(map[int]bool)
+		for _, c := range a.Clusters {
+			if len(c.Name) >= len(group) && c.Name[:len(group)] == group {
+				relays[preferred(a, entry, c)] = true
+			}
+		}
+		total += len(relays)
+	}
+	return float64(total) / float64(len(a.Members))
+}
+
+// preferred is the owner that an entry uses for a cluster: one in its own
+// availability zone, or else one chosen by hash so that entries differ.
+func preferred(a *ownership.Assignment, entry int, c ownership.Cluster) int {
+	for _, m := range c.Owners {
+		if a.Members[m].AvailabilityZone == a.Members[entry].AvailabilityZone {
+			return m
+		}
+	}
+	hash := xxhash.Sum64String(a.Members[entry].ID + c.Name)
+	return c.Owners[hash%uint64(len(c.Owners))]
+}
+
+// movement is how many places of owners change when one node leaves or joins,
+// over the mean number of places that a node has.
+func movement(a *ownership.Assignment, leafs []ownership.Leaf, cfg ownership.Config) (leave, join float64, err error) {
+	places := len(leafs) * len(a.Clusters[0].Owners)
+	part := float64(places) / float64(len(a.Members))
+	const samples = 5
+	for i := range samples {
+		gone := i * len(a.Members) / samples
+		fewer := slices.Delete(slices.Clone(a.Members), gone, gone+1)
+		b, err := ownership.Assign(fewer, leafs, cfg)
+		if err != nil {
+			return 0, 0, err
+		}
+		leave += float64(moved(a, b, leafs)) / part / samples
+		more := append(slices.Clone(a.Members), ownership.Member{
+			ID:               fmt.Sprintf("late-%d", i),
+			AvailabilityZone: a.Members[gone].AvailabilityZone,
+			Rack:             a.Members[gone].Rack,
+		})
+		if b, err = ownership.Assign(more, leafs, cfg); err != nil {
+			return 0, 0, err
+		}
+		join += float64(moved(a, b, leafs)) / part / samples
+	}
+	return leave, join, nil
+}
+
+// moved counts the places of owners in b that a does not have.
+func moved(a, b *ownership.Assignment, leafs []ownership.Leaf) int {
+	count := 0
+	for _, l := range leafs {
+		old := a.Of(l.ID)
+		for _, m := range b.Of(l.ID) {
+			if !slices.Contains(old, m) {
+				count++
+			}
+		}
+	}
+	return count
+}
