--- /dev/null
+++ b/internal/experiment/shares.go
@@ -0,0 +1,103 @@
+package experiment
+
+import (
+	"context"
+	"fmt"
+)
+
+var sharesExperiment = Experiment{
+	Name:    "shares",
+	Summary: "4, 12 and 25 senders share a leaf of 2 slots in virtual time, one of them greedy at first and gone halfway",
+	Target:  "Jain's index at least 0.95 within 2 s and 2 s after one left, no shed subrequest, at least half of the slots busy",
+	Run:     runShares,
+}
+
+const (
+	sharesSlots = 2
+	// sharesQueue is the leaf's queue; with 25 connections no more than 23
+	// subrequests could ever wait.
+	sharesQueue = 16
+	// sharesSeeds is the number of runs of each scenario; the worst one counts.
+	sharesSeeds = 20
+)
+
+// sharesSenders are the numbers of senders.
+var sharesSenders = []int{4, 12, 25}
+
+// worstShares runs a scenario with several seeds and keeps the worst of each figure.
+func worstShares(ctx context.Context, s sharesScenario, seed uint64) (sharesReport, error) {
+	worst := sharesReport{windowIndex: 1, rateIndex: 1, lateIndex: 1, use: 1, lateUse: 1}
+	for i := range uint64(sharesSeeds) {
+		s.seed = seed*sharesSeeds + i
+		r := simulateShares(s)
+		worst.windowIndex = min(worst.windowIndex, r.windowIndex)
+		worst.rateIndex = min(worst.rateIndex, r.rateIndex)
+		worst.lateIndex = min(worst.lateIndex, r.lateIndex)
+		worst.use = min(worst.use, r.use)
+		worst.lateUse = min(worst.lateUse, r.lateUse)
+		worst.shed += r.shed
+		worst.queuePeak = max(worst.queuePeak, r.queuePeak)
+	}
+	return worst, ctx.Err()
+}
+
+func (r sharesReport) figures(prefix string) []Figure {
+	return []Figure{
+		{prefix + "window_index", r.windowIndex},
+		{prefix + "rate_index", r.rateIndex},
+		{prefix + "late_rate_index", r.lateIndex},
+		{prefix + "use", r.use},
+		{prefix + "late_use", r.lateUse},
+		{prefix + "shed", float64(r.shed)},
+		{prefix + "queue_peak", float64(r.queuePeak)},
+	}
+}
+
+func (r sharesReport) checks(prefix string) []Check {
+	return []Check{
+		AtLeast(prefix+"window_index", r.windowIndex, 0.95),
+		AtLeast(prefix+"rate_index", r.rateIndex, 0.95),
+		AtLeast(prefix+"late_rate_index", r.lateIndex, 0.95),
+		AtLeast(prefix+"use", r.use, 0.5),
+		AtLeast(prefix+"late_use", r.lateUse, 0.5),
+		AtMost(prefix+"shed", float64(r.shed), 0),
+	}
+}
+
+func runShares(ctx context.Context, seed uint64) (Result, error) {
+	var result Result
+	for _, n := range sharesSenders {
+		s := sharesScenario{senders: n, slots: sharesSlots, queue: sharesQueue, believed: n}
+		r, err := worstShares(ctx, s, seed)
+		if err != nil {
+			return result, err
+		}
+		prefix := fmt.Sprintf("senders_%d_", n)
+		result.Policy = append(result.Policy, r.figures(prefix)...)
+		result.Checks = append(result.Checks, r.checks(prefix)...)
+		if err := sharesVariants(ctx, &result, s, seed); err != nil {
+			return result, err
+		}
+	}
+	return result, nil
+}
+
+// sharesVariants adds figures without a target: a shorter queue, and senders
+// that are wrong about their number.
+func sharesVariants(ctx context.Context, result *Result, s sharesScenario, seed uint64) error {
+	short, half, double := s, s, s
+	short.queue = sharesQueue / 2
+	half.believed = s.senders / 2
+	double.believed = 2 * s.senders
+	for _, v := range []struct {
+		name string
+		s    sharesScenario
+	}{{"queue_8", short}, {"believe_half", half}, {"believe_double", double}} {
+		r, err := worstShares(ctx, v.s, seed)
+		if err != nil {
+			return err
+		}
+		result.Policy = append(result.Policy, r.figures(fmt.Sprintf("senders_%d_%s_", s.senders, v.name))...)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/experiment/sharesmodel.go
@@ -0,0 +1,255 @@
+package experiment
+
+import (
+	"container/heap"
+	"math"
+	"math/rand/v2"
+	"time"
+
+	"github.com/hickorydock/hickorydock/internal/coordination/fairlimit"
+)
+
+// sharesScenario is a run of senders against one leaf in virtual time. Every
+// sender always has work. The first one has all slots before the others come at
+// the start, and leaves halfway; the others hear of it a second later.
+type sharesScenario struct {
+	senders int
+	slots   int
+	// queue is the number of subrequests that wait in the leaf before it sheds.
+	queue int
+	// believed is the number of senders that each expects.
+	believed int
+	seed     uint64
+}
+
+// Service time and course of a scenario.
+const (
+	sharesServiceTime = 5 * time.Millisecond
+	sharesSigma       = 0.3
+	sharesSettled     = 2 * time.Second
+	sharesLeave       = 4 * time.Second
+	sharesLeaveHeard  = 5 * time.Second
+	sharesEnd         = 8 * time.Second
+)
+
+// sharesReport is what a scenario gives.
+type sharesReport struct {
+	// windowIndex is Jain's index of the windows at 2 s, rateIndex that of the
+	// replies from 2 s to 4 s, lateIndex that of the survivors' replies from 6 s on,
+	// 2 s after the first sender left.
+	windowIndex, rateIndex, lateIndex float64
+	// use is the share of busy slots from 2 s to 4 s, lateUse from 6 s on.
+	use, lateUse float64
+	// shed counts subrequests that met a full queue; queuePeak is the longest queue.
+	shed, queuePeak int
+}
+
+// jain is Jain's fairness index: 1 when all are equal, 1/n when one has all.
+func jain(values []float64) float64 {
+	sum, squares := 0.0, 0.0
+	for _, v := range values {
+		sum += v
+		squares += v * v
+	}
+	if squares == 0 {
+		return 0
+	}
+	return sum * sum / (float64(len(values)) * squares)
+}
+
+// sharesEvent is a sender's next try, or with ended the end of a subrequest.
+type sharesEvent struct {
+	at     time.Duration
+	order  int
+	ended  bool
+	sender int
+	sent   time.Duration
+}
+
+type sharesEvents []sharesEvent
+
+// Len is part of heap.Interface.
+func (q sharesEvents) Len() int { return len(q) }
+
+// Less is part of heap.Interface.
+func (q sharesEvents) Less(i, j int) bool {
+	return q[i].at < q[j].at || q[i].at == q[j].at && q[i].order < q[j].order
+}
+
+// Swap is part of heap.Interface.
+func (q sharesEvents) Swap(i, j int) { q[i], q[j] = q[j], q[i] }
+
+// Push is part of heap.Interface.
+func (q *sharesEvents) Push(x any) { *q = append(*q, x.(sharesEvent)) }
+
+// Pop is part of heap.Interface.
+func (q *sharesEvents) Pop() any {
+	last := (*q)[len(*q)-1]
+	*q = (*q)[:len(*q)-1]
+	return last
+}
+
+// sharesModel is the state of a scenario.
+type sharesModel struct {
+	sharesScenario
+	random  *rand.Rand
+	events  sharesEvents
+	order   int
+	limits  []*fairlimit.Limit
+	planned []time.Duration // the next try of each sender, or -1
+	busy    int
+	waiting []sharesEvent
+	heard   bool
+	report  sharesReport
+	// replies and work are of the two measured spans.
+	replies [2][]float64
+	work    [2]time.Duration
+}
+
+var sharesEpoch = time.Unix(0, 0)
+
+// simulateShares runs a scenario.
+func simulateShares(s sharesScenario) sharesReport {
+	m := &sharesModel{sharesScenario: s, random: rand.New(rand.NewPCG(s.seed, 2))}
+	m.start()
+	for len(m.events) > 0 {
+		e := heap.Pop(&m.events).(sharesEvent)
+		if e.at >= sharesEnd {
+			break
+		}
+		m.observe(e.at)
+		m.handle(e)
+	}
+	return m.finish()
+}
+
+func (m *sharesModel) start() {
+	m.replies = [2][]float64{make([]float64, m.senders), make([]float64, m.senders)}
+	for i := range m.senders {
+		cfg := fairlimit.Config{Senders: m.believed, Slots: m.slots, ServiceTime: sharesServiceTime}
+		if i == 0 {
+			cfg.Senders = 1
+		}
+		l := fairlimit.New(cfg, sharesEpoch, m.random.Float64())
+		l.SetSenders(m.believed)
+		m.limits = append(m.limits, l)
+		m.planned = append(m.planned, -1)
+	}
+	for i := range m.limits {
+		m.try(0, i)
+	}
+}
+
+// observe takes the windows at 2 s and tells the survivors of the leave.
+func (m *sharesModel) observe(now time.Duration) {
+	if m.report.windowIndex == 0 && now >= sharesSettled {
+		var windows []float64
+		for _, l := range m.limits {
+			windows = append(windows, l.Window())
+		}
+		m.report.windowIndex = jain(windows)
+	}
+	if !m.heard && now >= sharesLeaveHeard {
+		m.heard = true
+		for _, l := range m.limits {
+			l.SetSenders(m.believed - 1)
+		}
+	}
+}
+
+func (m *sharesModel) push(e sharesEvent) {
+	m.order++
+	e.order = m.order
+	heap.Push(&m.events, e)
+}
+
+func (m *sharesModel) handle(e sharesEvent) {
+	if !e.ended {
+		if m.planned[e.sender] == e.at {
+			m.planned[e.sender] = -1
+			m.try(e.at, e.sender)
+		}
+		return
+	}
+	m.busy--
+	if span, ok := measuredSpan(e.at); ok {
+		m.replies[span][e.sender]++
+	}
+	if len(m.waiting) > 0 {
+		next := m.waiting[0]
+		m.waiting = m.waiting[1:]
+		m.begin(e.at, next)
+	}
+	m.limits[e.sender].Replied(sharesEpoch.Add(e.at), e.at-e.sent)
+	m.try(e.at, e.sender)
+}
+
+// measuredSpan is 0 from 2 s to 4 s and 1 from 6 s on.
+func measuredSpan(at time.Duration) (int, bool) {
+	switch {
+	case at >= sharesSettled && at < sharesLeave:
+		return 0, true
+	case at >= sharesLeave+sharesSettled:
+		return 1, true
+	default:
+		return 0, false
+	}
+}
+
+// try lets a sender send as much as its limit allows.
+func (m *sharesModel) try(now time.Duration, sender int) {
+	if sender == 0 && now >= sharesLeave {
+		return
+	}
+	for {
+		ok, again := m.limits[sender].Acquire(sharesEpoch.Add(now))
+		if !ok {
+			m.plan(again, sender)
+			return
+		}
+		m.arrive(now, sender)
+	}
+}
+
+func (m *sharesModel) plan(again time.Time, sender int) {
+	if again.IsZero() {
+		return
+	}
+	at := again.Sub(sharesEpoch)
+	if m.planned[sender] != at {
+		m.planned[sender] = at
+		m.push(sharesEvent{at: at, sender: sender})
+	}
+}
+
+func (m *sharesModel) arrive(now time.Duration, sender int) {
+	e := sharesEvent{sender: sender, sent: now}
+	switch {
+	case m.busy < m.slots:
+		m.begin(now, e)
+	case len(m.waiting) < m.queue:
+		m.waiting = append(m.waiting, e)
+		m.report.queuePeak = max(m.report.queuePeak, len(m.waiting))
+	default:
+		m.report.shed++
+		m.limits[sender].Shed(sharesEpoch.Add(now))
+	}
+}
+
+func (m *sharesModel) begin(now time.Duration, e sharesEvent) {
+	m.busy++
+	service := time.Duration(float64(sharesServiceTime) * math.Exp(sharesSigma*m.random.NormFloat64()))
+	if span, ok := measuredSpan(now); ok {
+		m.work[span] += service
+	}
+	m.push(sharesEvent{at: now + service, ended: true, sender: e.sender, sent: e.sent})
+}
+
+func (m *sharesModel) finish() sharesReport {
+	m.report.rateIndex = jain(m.replies[0])
+	m.report.lateIndex = jain(m.replies[1][1:])
+	slots := float64(m.slots)
+	m.report.use = m.work[0].Seconds() / (sharesLeave - sharesSettled).Seconds() / slots
+	m.report.lateUse = m.work[1].Seconds() / (sharesEnd - sharesLeave - sharesSettled).Seconds() / slots
+	return m.report
+}
