--- /dev/null
+++ b/internal/transport/peer/config.go
@@ -0,0 +1,100 @@
+// Package peer carries batches of subrequests between nodes over drpc. Each
+// client keeps one connection with one long-lived stream; batches have
+// correlation ids, results come back one by one as they are due, and both sides
+// bound what is in flight and how large a message is.
+package peer
+
+import (
+	"errors"
+
+	"storj.io/drpc/drpcmanager"
+	"storj.io/drpc/drpcwire"
+
+	"github.com/hickorydock/hickorydock/internal/protocol/fault"
+	contract "github.com/hickorydock/hickorydock/internal/protocol/peer"
+)
+
+// Versions of the messages that this build speaks.
+const (
+	Version       = 1
+	LowestVersion = 1
+)
+
+// Config says who a side is and what it accepts.
+type Config struct {
+	Node        string
+	Incarnation uint64
+	// Version and LowestVersion bound the versions that the side speaks.
+	Version, LowestVersion uint32
+	// MaxInFlight is the most subrequests without a result on one stream.
+	MaxInFlight int
+	// MaxMessageBytes bounds a message in either direction, in bytes.
+	MaxMessageBytes int
+}
+
+// Defaults of Config.
+const (
+	DefaultMaxInFlight     = 4096
+	DefaultMaxMessageBytes = 4 << 20
+)
+
+// DefaultConfig returns the usual bounds of a node.
+func DefaultConfig(node string, incarnation uint64) Config {
+	return Config{
+		Node:            node,
+		Incarnation:     incarnation,
+		Version:         Version,
+		LowestVersion:   LowestVersion,
+		MaxInFlight:     DefaultMaxInFlight,
+		MaxMessageBytes: DefaultMaxMessageBytes,
+	}
+}
+
+// Errors of a stream.
+var (
+	// ErrVersion means that the two sides share no version.
+	ErrVersion = errors.New("no common version")
+	// ErrTooLarge means that a batch exceeds what the other side accepts. Nothing was sent.
+	ErrTooLarge = errors.New("batch too large")
+	// ErrDraining means that the other side is leaving. Nothing was sent.
+	ErrDraining = errors.New("peer is draining")
+	// ErrLost means that the stream broke; shards without a result may have run.
+	ErrLost = errors.New("stream lost")
+	// ErrNotSent means that the batch ended before a byte of it was sent.
+	ErrNotSent = errors.New("batch not sent")
+	// ErrProtocol means that the other side broke the rules of the stream.
+	ErrProtocol = errors.New("protocol error")
+)
+
+// messageSlack is room for the fields of a message around its results.
+const messageSlack = 1 << 10
+
+func (c Config) managerOptions() drpcmanager.Options {
+	return drpcmanager.Options{
+		Reader: drpcwire.ReaderOptions{MaximumBufferSize: c.MaxMessageBytes + messageSlack},
+	}
+}
+
+func (c Config) hello() *contract.Hello {
+	return &contract.Hello{
+		Version:         c.Version,
+		LowestVersion:   c.LowestVersion,
+		Node:            c.Node,
+		Incarnation:     c.Incarnation,
+		MaxInFlight:     uint32(c.MaxInFlight),
+		MaxMessageBytes: uint32(c.MaxMessageBytes),
+	}
+}
+
+// agree returns the newest version that both sides speak.
+func (c Config) agree(h *contract.Hello) (uint32, error) {
+	if h == nil {
+		return 0, fault.Wrap(ErrProtocol, fault.StepPeer, "", "first message without hello")
+	}
+	version := min(c.Version, h.Version)
+	if version < c.LowestVersion || version < h.LowestVersion {
+		return 0, fault.Wrap(ErrVersion, fault.StepPeer, h.Node, "own versions %d to %d, peer's %d to %d",
+			c.LowestVersion, c.Version, h.LowestVersion, h.Version)
+	}
+	return version, nil
+}
--- /dev/null
+++ b/internal/transport/peer/stream.go
@@ -0,0 +1,293 @@
+package peer
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/hickorydock/hickorydock/internal/protocol/fault"
+	contract "github.com/hickorydock/hickorydock/internal/protocol/peer"
+	"github.com/hickorydock/hickorydock/internal/protocol/query"
+)
+
+// stream is the receiver's side of one stream. One mutex guards the fields; it
+// is not held while a message is written or a handler runs.
+type stream struct {
+	server   *Server
+	raw      contract.DRPCPeer_ExchangeStream
+	maxBytes int
+	ctx      context.Context
+	cancel   context.CancelFunc
+	wake     chan struct{}
+	running  sync.WaitGroup
+
+	mu       sync.Mutex
+	batches  map[uint64]context.CancelFunc
+	inFlight int
+	results  []*contract.Result
+	writing  int
+	drain    bool
+	drained  bool
+	idle     chan struct{} // closed when drained and nothing is left
+}
+
+func newStream(s *Server, raw contract.DRPCPeer_ExchangeStream, maxBytes int) *stream {
+	ctx, cancel := context.WithCancel(raw.Context())
+	return &stream{
+		server:   s,
+		raw:      raw,
+		maxBytes: maxBytes,
+		ctx:      ctx,
+		cancel:   cancel,
+		wake:     make(chan struct{}, 1),
+		batches:  make(map[uint64]context.CancelFunc),
+		idle:     make(chan struct{}),
+	}
+}
+
+// run serves the stream until it ends.
+func (x *stream) run() error {
+	written := make(chan struct{})
+	go func() {
+		defer close(written)
+		x.write()
+	}()
+	err := x.read()
+	x.cancel()
+	x.running.Wait()
+	<-written
+	return err
+}
+
+func (x *stream) read() error {
+	for {
+		request, err := x.raw.Recv()
+		if err != nil {
+			return err
+		}
+		for _, b := range request.Batches {
+			if err := x.begin(b); err != nil {
+				return err
+			}
+		}
+		for _, id := range request.Cancels {
+			x.stop(id)
+		}
+	}
+}
+
+// begin starts a batch, or refuses it when the sender exceeds what it was told.
+func (x *stream) begin(b *contract.Batch) error {
+	ctx, cancel := context.WithTimeout(x.ctx, time.Duration(b.TimeLeftUs)*time.Microsecond)
+	x.mu.Lock()
+	if _, used := x.batches[b.Id]; used {
+		x.mu.Unlock()
+		cancel()
+		return fault.Wrap(ErrProtocol, fault.StepPeer, "", "batch id %d used twice", b.Id)
+	}
+	refused := x.drained || x.inFlight+len(b.Shards) > x.server.cfg.MaxInFlight
+	if refused {
+		x.mu.Unlock()
+		cancel()
+		x.refuse(b)
+		return nil
+	}
+	x.batches[b.Id] = cancel
+	x.inFlight += len(b.Shards)
+	x.mu.Unlock()
+	x.running.Add(1)
+	go x.serve(ctx, b)
+	return nil
+}
+
+func (x *stream) refuse(b *contract.Batch) {
+	refusals := make([]*contract.Result, len(b.Shards))
+	for i := range refusals {
+		refusals[i] = &contract.Result{
+			Batch:  b.Id,
+			Index:  uint32(i),
+			Status: contract.Status_STATUS_NOT_RUN,
+			Reason: string(query.ReasonLimit),
+		}
+	}
+	x.put(refusals...)
+}
+
+// stop cancels a batch that its sender no longer wants.
+func (x *stream) stop(id uint64) {
+	x.mu.Lock()
+	cancel := x.batches[id]
+	x.mu.Unlock()
+	if cancel != nil {
+		cancel()
+	}
+}
+
+// replies collects which shards of a batch have a result.
+type replies struct {
+	mu   sync.Mutex
+	done []bool
+}
+
+// first reports whether a shard has no result yet, and marks it.
+func (r *replies) first(index int) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if index < 0 || index >= len(r.done) || r.done[index] {
+		return false
+	}
+	r.done[index] = true
+	return true
+}
+
+func (x *stream) serve(ctx context.Context, b *contract.Batch) {
+	defer x.running.Done()
+	got := &replies{done: make([]bool, len(b.Shards))}
+	x.server.handler.Serve(ctx, b, func(r Result) {
+		if got.first(r.Index) {
+			x.end(x.encode(b.Id, r))
+		}
+	})
+	for i := range b.Shards {
+		if got.first(i) {
+			reason := query.ReasonUpstreamError
+			if ctx.Err() != nil {
+				reason = query.ReasonDeadline
+			}
+			x.end(&contract.Result{Batch: b.Id, Index: uint32(i), Status: contract.Status_STATUS_FAILED, Reason: string(reason)})
+		}
+	}
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	x.batches[b.Id]()
+	delete(x.batches, b.Id)
+	x.checkIdle()
+}
+
+// end queues the result of a subrequest in flight. The place is free before the
+// sender can see the result, so a sender that keeps to its bound is not refused.
+func (x *stream) end(r *contract.Result) {
+	x.mu.Lock()
+	x.inFlight--
+	x.results = append(x.results, r)
+	x.mu.Unlock()
+	x.signal()
+}
+
+// encode turns a result into its message; one that is too large becomes a failure.
+func (x *stream) encode(id uint64, r Result) *contract.Result {
+	out := &contract.Result{Batch: id, Index: uint32(r.Index), Status: r.Status, Body: r.Body, Reason: r.Reason}
+	if proto.Size(out)+messageSlack > x.maxBytes {
+		out.Status = contract.Status_STATUS_FAILED
+		out.Body = nil
+		out.Reason = string(query.ReasonLimit)
+	}
+	return out
+}
+
+// put queues results of subrequests that were never in flight.
+func (x *stream) put(results ...*contract.Result) {
+	x.mu.Lock()
+	x.results = append(x.results, results...)
+	x.mu.Unlock()
+	x.signal()
+}
+
+func (x *stream) signal() {
+	select {
+	case x.wake <- struct{}{}:
+	default:
+	}
+}
+
+// write sends results until the stream ends.
+func (x *stream) write() {
+	for {
+		select {
+		case <-x.ctx.Done():
+			return
+		case <-x.wake:
+		}
+		for {
+			reply := x.next()
+			if reply == nil {
+				break
+			}
+			if err := x.raw.Send(reply); err != nil {
+				x.cancel()
+				return
+			}
+			x.wrote()
+		}
+	}
+}
+
+// next takes as many results as one message holds, or returns nil.
+func (x *stream) next() *contract.Reply {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	size, n := messageSlack, 0
+	for _, r := range x.results {
+		size += proto.Size(r) + resultOverhead
+		if n > 0 && size > x.maxBytes {
+			break
+		}
+		n++
+	}
+	reply := &contract.Reply{Results: x.results[:n:n], Draining: x.drain}
+	x.results = x.results[n:]
+	if len(x.results) == 0 {
+		x.results = nil
+	}
+	x.writing = n
+	x.drain = false
+	if n == 0 && !reply.Draining {
+		return nil
+	}
+	return reply
+}
+
+// resultOverhead bounds the tag and length of a result within a message.
+const resultOverhead = 8
+
+func (x *stream) wrote() {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	x.writing = 0
+	x.checkIdle()
+}
+
+// announceDrain refuses new batches and tells the sender.
+func (x *stream) announceDrain() {
+	x.mu.Lock()
+	x.drained = true
+	x.drain = true
+	x.checkIdle()
+	x.mu.Unlock()
+	x.signal()
+}
+
+// checkIdle closes idle when the stream is drained. The lock is held.
+func (x *stream) checkIdle() {
+	if !x.drained || len(x.batches) > 0 || len(x.results) > 0 || x.writing > 0 || x.drain {
+		return
+	}
+	select {
+	case <-x.idle:
+	default:
+		close(x.idle)
+	}
+}
+
+func (x *stream) awaitIdle(ctx context.Context) error {
+	select {
+	case <-x.idle:
+		return nil
+	case <-x.ctx.Done():
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
