--- a/internal/experiment/experiment.go
+++ b/internal/experiment/experiment.go
@@ -67,6 +67,7 @@
 		tailExperiment,
 		ownershipExperiment,
 		sharesExperiment,
+		slopesExperiment,
 	}
 }
 
--- /dev/null
+++ b/internal/experiment/slopeecho.go
@@ -0,0 +1,109 @@
+package experiment
+
+import (
+	"bufio"
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/http"
+	"sync/atomic"
+
+	"github.com/hickorydock/hickorydock/internal/protocol/upstream"
+)
+
+// echoLeaf answers every request with the same bytes and parses no more of a
+// request than its length, so that nearly all processor time is the client's.
+type echoLeaf struct {
+	listener net.Listener
+	reply    []byte
+	bytes    atomic.Int64
+}
+
+func startEchoLeaf(sub upstream.Subrequest) (*echoLeaf, error) {
+	body := []byte(fmt.Sprintf(`{"items":[{"text":%q}]}`, bytes.Repeat([]byte("x"), slopeReplyBytes-25)))
+	h := make(http.Header)
+	sub.SetEcho(h, body)
+	return startEcho(h, body)
+}
+
+func startEchoManifest(m upstream.Manifest) (*echoLeaf, error) {
+	body, err := json.Marshal(m)
+	if err != nil {
+		return nil, err
+	}
+	return startEcho(make(http.Header), body)
+}
+
+func startEcho(h http.Header, body []byte) (*echoLeaf, error) {
+	h.Set("Content-Type", "application/json")
+	h.Set("Content-Length", fmt.Sprint(len(body)))
+	var reply bytes.Buffer
+	reply.WriteString("HTTP/1.1 200 OK\r\n")
+	if err := h.Write(&reply); err != nil {
+		return nil, err
+	}
+	reply.WriteString("\r\n")
+	reply.Write(body)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, err
+	}
+	e := &echoLeaf{listener: listener, reply: reply.Bytes()}
+	go e.accept()
+	return e, nil
+}
+
+func (e *echoLeaf) address() string { return e.listener.Addr().String() }
+
+func (e *echoLeaf) close() { _ = e.listener.Close() }
+
+func (e *echoLeaf) accept() {
+	for {
+		raw, err := e.listener.Accept()
+		if err != nil {
+			return
+		}
+		go e.serve(raw)
+	}
+}
+
+// serve ends with the client's connection.
+func (e *echoLeaf) serve(raw net.Conn) {
+	defer raw.Close()
+	in := bufio.NewReader(raw)
+	for {
+		n, err := skipRequest(in)
+		if err != nil {
+			return
+		}
+		if _, err := raw.Write(e.reply); err != nil {
+			return
+		}
+		e.bytes.Add(int64(n + len(e.reply)))
+	}
+}
+
+var lengthHeader = []byte("Content-Length: ")
+
+// skipRequest reads one request and returns its size in bytes.
+func skipRequest(in *bufio.Reader) (int, error) {
+	size, body := 0, 0
+	for {
+		line, err := in.ReadSlice('\n')
+		if err != nil {
+			return 0, err
+		}
+		size += len(line)
+		if len(line) <= len("\r\n") {
+			break
+		}
+		if rest, ok := bytes.CutPrefix(line, lengthHeader); ok {
+			for _, digit := range bytes.TrimSpace(rest) {
+				body = 10*body + int(digit-'0')
+			}
+		}
+	}
+	n, err := in.Discard(body)
+	return size + n, err
+}
--- /dev/null
+++ b/internal/experiment/slopefit.go
@@ -0,0 +1,98 @@
+package experiment
+
+import (
+	"fmt"
+	"math"
+	"runtime"
+	"syscall"
+	"time"
+
+	"gonum.org/v1/gonum/stat"
+)
+
+// Slope is a straight line through measured points, with standard errors.
+type Slope struct {
+	Name string
+	// Unit is the unit of the line's values, Per what one unit of its size is.
+	Unit, Per string
+	// Each and EachError are the slope for one unit of size and its standard error.
+	Each, EachError float64
+	// Base and BaseError are the value at size 0 and its standard error.
+	Base, BaseError float64
+	// Sizes are the measured sizes.
+	Sizes []float64
+}
+
+// point is one measurement.
+type point struct{ size, value float64 }
+
+// fit draws a line through points of at least four sizes.
+func fit(name, unit, per string, points []point) (Slope, error) {
+	var x, y, sizes []float64
+	seen := make(map[float64]bool)
+	for _, p := range points {
+		x = append(x, p.size)
+		y = append(y, p.value)
+		if !seen[p.size] {
+			seen[p.size] = true
+			sizes = append(sizes, p.size)
+		}
+	}
+	if len(sizes) < smallestSizes {
+		return Slope{}, fmt.Errorf("slope %s: %d sizes, want %d", name, len(sizes), smallestSizes)
+	}
+	base, each := stat.LinearRegression(x, y, nil, false)
+	residuals := 0.0
+	for i := range x {
+		r := y[i] - base - each*x[i]
+		residuals += r * r
+	}
+	n := float64(len(x))
+	mean, variance := stat.PopMeanVariance(x, nil)
+	spread := math.Sqrt(residuals / (n - 2))
+	eachError := spread / math.Sqrt(n*variance)
+	baseError := spread * math.Sqrt(1/n+mean*mean/(n*variance))
+	return Slope{Name: name, Unit: unit, Per: per, Each: each, EachError: eachError, Base: base, BaseError: baseError, Sizes: sizes}, nil
+}
+
+// smallestSizes is the fewest sizes that a line is drawn through.
+const smallestSizes = 4
+
+// usedProcessor is the processor time of all threads of this process.
+func usedProcessor() (time.Duration, error) {
+	var usage syscall.Rusage
+	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &usage); err != nil {
+		return 0, err
+	}
+	return time.Duration(usage.Utime.Nano() + usage.Stime.Nano()), nil
+}
+
+// processorOf is the processor time that work takes, in microseconds.
+func processorOf(work func() error) (float64, error) {
+	before, err := usedProcessor()
+	if err != nil {
+		return 0, err
+	}
+	if err := work(); err != nil {
+		return 0, err
+	}
+	after, err := usedProcessor()
+	return float64((after - before).Nanoseconds()) / 1000, err
+}
+
+// heapOf is the heap that stays in use by what build returns, in bytes.
+func heapOf(build func() (any, error)) (float64, error) {
+	var before, after runtime.MemStats
+	runtime.GC()
+	runtime.GC()
+	runtime.ReadMemStats(&before)
+	kept, err := build()
+	if err != nil {
+		return 0, err
+	}
+	runtime.GC()
+	runtime.GC()
+	runtime.ReadMemStats(&after)
+	runtime.KeepAlive(kept)
+	return float64(after.HeapAlloc) + float64(after.StackInuse) - float64(before.HeapAlloc) - float64(before.StackInuse), nil
+}
--- /dev/null
+++ b/internal/experiment/slopes.go
@@ -0,0 +1,98 @@
+package experiment
+
+import (
+	"context"
+	"fmt"
+)
+
+var slopesExperiment = Experiment{
+	Name:    "slopes",
+	Summary: "What one more query, subrequest, batch, item, member, leaf, service and change costs",
+	Target:  "each slope over at least 4 sizes with a standard error of at most a quarter; a subrequest in batches of 20 at most 0.1 of one over net/http",
+	Run:     runSlopes,
+}
+
+// slopeRepeats is the number of measurements at each size.
+const slopeRepeats = 3
+
+// slopeSource measures one slope. Value is the measurement at a size.
+type slopeSource struct {
+	name, unit, per string
+	sizes           []int
+	// prepare returns the measurement and what ends it.
+	prepare func(ctx context.Context) (value func(size int) (float64, error), end func(), err error)
+}
+
+// slopeSources lists what is measured, in the order of the page.
+func slopeSources() []slopeSource {
+	return []slopeSource{
+		querySource, entryShardSource, httpSource, upstreamSource, upstreamBytesSource,
+		batchSource, scatteredSource, batchBytesSource, streamMemorySource,
+		mergeSource, memberSource, leafMemorySource, leafChangeSource, pollSource,
+		serviceMemorySource, changeSource,
+	}
+}
+
+// MeasureSlopes takes all measurements.
+func MeasureSlopes(ctx context.Context) ([]Slope, error) {
+	var out []Slope
+	for _, source := range slopeSources() {
+		s, err := source.measure(ctx)
+		if err != nil {
+			return nil, fmt.Errorf("slope %s: %w", source.name, err)
+		}
+		out = append(out, s)
+	}
+	return out, nil
+}
+
+func (s slopeSource) measure(ctx context.Context) (Slope, error) {
+	value, end, err := s.prepare(ctx)
+	if err != nil {
+		return Slope{}, err
+	}
+	defer end()
+	// The first measurement warms up what is made on demand.
+	if _, err := value(s.sizes[0]); err != nil {
+		return Slope{}, err
+	}
+	var points []point
+	for range slopeRepeats {
+		for _, size := range s.sizes {
+			v, err := value(size)
+			if err != nil {
+				return Slope{}, err
+			}
+			if ctx.Err() != nil {
+				return Slope{}, ctx.Err()
+			}
+			points = append(points, point{float64(size), v})
+		}
+	}
+	return fit(s.name, s.unit, s.per, points)
+}
+
+// largestSlopeError is the largest standard error of a usable slope, as a share of it.
+const largestSlopeError = 0.25
+
+func runSlopes(ctx context.Context, _ uint64) (Result, error) {
+	slopes, err := MeasureSlopes(ctx)
+	if err != nil {
+		return Result{}, err
+	}
+	var result Result
+	byName := make(map[string]Slope)
+	for _, s := range slopes {
+		byName[s.Name] = s
+		result.Policy = append(result.Policy,
+			Figure{s.Name + "_each", s.Each}, Figure{s.Name + "_each_error", s.EachError},
+			Figure{s.Name + "_base", s.Base}, Figure{s.Name + "_base_error", s.BaseError})
+		result.Checks = append(result.Checks, AtMost(s.Name+"_relative_error", s.EachError/s.Each, largestSlopeError))
+	}
+	batch, direct := byName[batchSource.name], byName[httpSource.name]
+	result.Checks = append(result.Checks, AtMost("batch_of_20_over_net_http", batch.eachIn(20)/direct.Each, 0.1))
+	return result, nil
+}
+
+// eachIn is the value for one unit when size of them go together.
+func (s Slope) eachIn(size float64) float64 { return s.Each + s.Base/size }
