--- a/cmd/hickorydock/experiment.go
+++ b/cmd/hickorydock/experiment.go
@@ -19,16 +19,18 @@
 Examples:
   hickorydock experiment --list
   hickorydock experiment tail --seed 7
+  hickorydock experiment slopes --markdown
   hickorydock experiment --all`,
 	bind: bindExperiment,
 }
 
 // experimentOptions are the flags of experiment.
 type experimentOptions struct {
-	name string
-	list bool
-	all  bool
-	seed uint64
+	name     string
+	list     bool
+	all      bool
+	seed     uint64
+	markdown bool
 }
 
 // defaultSeed is the seed of experiments when none is given.
@@ -40,6 +42,7 @@
 	flags.Bool(&opts.list, "l", "list", "List the experiments and exit.")
 	flags.Bool(&opts.all, "a", "all", "Run every experiment.")
 	flags.UInt64(&opts.seed, "s", "seed", "Seed of everything random.")
+	flags.Bool(&opts.markdown, "m", "markdown", "With slopes: print docs/CAPACITY.md.")
 	return func(ctx context.Context, out, errOut io.Writer) error {
 		return runExperiment(ctx, opts, out, errOut)
 	}
@@ -54,6 +57,8 @@
 		return listExperiments(out)
 	case opts.all:
 		return runExperiments(ctx, experiment.All(), opts.seed, out)
+	case opts.markdown:
+		return printCapacity(ctx, opts.name, out)
 	}
 	e, ok := experiment.Find(opts.name)
 	if !ok {
@@ -62,6 +67,20 @@
 	return runExperiments(ctx, []experiment.Experiment{e}, opts.seed, out)
 }
 
+// printCapacity measures the slopes and writes the page on capacity.
+func printCapacity(ctx context.Context, name string, out io.Writer) error {
+	if name != "slopes" {
+		return usageError("--markdown goes with the experiment slopes")
+	}
+	ctx, cancel := context.WithTimeout(ctx, experiment.Limit)
+	defer cancel()
+	slopes, err := experiment.MeasureSlopes(ctx)
+	if err != nil {
+		return err
+	}
+	return experiment.RenderCapacity(out, slopes)
+}
+
 func listExperiments(out io.Writer) error {
 	for _, e := range experiment.All() {
 		if _, err := fmt.Fprintf(out, "%-16s %s\n%-16s target: %s\n", e.Name, e.Summary, "", e.Target); err != nil {
--- /dev/null
+++ b/internal/experiment/capacitymodel.go
@@ -0,0 +1,155 @@
+package experiment
+
+import "fmt"
+
+// designSize is the size that the page on capacity works out.
+type designSize struct {
+	nodes, leafs, zones, regions int
+	queries                      float64 // per second
+	fanOut                       float64 // shards of a query
+	changes, replaced, failed    float64 // per day
+	services                     float64 // assumed
+	relaysPerQuery               float64 // of experiment ownership, for all shards of a group
+	groupShards                  float64 // shards of that group
+	owners                       float64 // relays of a leaf
+	pollsPerSecond               float64 // of one relay to one leaf
+}
+
+// designedFor is the size of the plan for the next two years. Services, polls and
+// relays are this project's own assumptions and choices.
+var designedFor = designSize{
+	nodes: 610, leafs: 2900, zones: 6, regions: 2,
+	queries: 110_000, fanOut: 310,
+	changes: 750, replaced: 1200, failed: 14,
+	services: 400, relaysPerQuery: 57.3, groupShards: 290, owners: 4, pollsPerSecond: 2,
+}
+
+const (
+	secondsPerDay   = 86_400.0
+	microPerSecond  = 1e6
+	assumedCores    = 16.0
+	assumedUse      = 0.7 // share of the cores that the first thing to break leaves
+	assumedMemoryGB = 32.0
+)
+
+// capacity works out a size from slopes.
+type capacity struct {
+	size  designSize
+	slope map[string]Slope
+}
+
+func newCapacity(slopes []Slope) (*capacity, error) {
+	c := &capacity{size: designedFor, slope: make(map[string]Slope)}
+	for _, s := range slopes {
+		c.slope[s.Name] = s
+	}
+	for _, source := range slopeSources() {
+		if _, ok := c.slope[source.name]; !ok {
+			return nil, fmt.Errorf("capacity: no slope %s", source.name)
+		}
+	}
+	return c, nil
+}
+
+func (c *capacity) each(name string) float64 { return c.slope[name].Each }
+func (c *capacity) base(name string) float64 { return c.slope[name].Base }
+
+// Rates of one node or leaf, per second.
+
+func (c *capacity) nodeQueries() float64     { return c.size.queries / float64(c.size.nodes) }
+func (c *capacity) nodeSubrequests() float64 { return c.nodeQueries() * c.size.fanOut }
+func (c *capacity) batchesPerQuery() float64 {
+	return c.size.relaysPerQuery * c.size.fanOut / c.size.groupShards
+}
+func (c *capacity) nodeBatches() float64 { return c.nodeQueries() * c.batchesPerQuery() }
+func (c *capacity) leafSubrequests() float64 {
+	return c.size.queries * c.size.fanOut / float64(c.size.leafs)
+}
+func (c *capacity) nodePlaces() float64 {
+	return float64(c.size.leafs) * c.size.owners / float64(c.size.nodes)
+}
+func (c *capacity) nodePolls() float64 { return c.nodePlaces() * c.size.pollsPerSecond }
+
+// memberChanges counts members that come or go each day.
+func (c *capacity) memberChanges() float64 { return 2*c.size.replaced + 2*c.size.failed }
+
+// Processor time of one node, in cores.
+
+func cores(perSecond, micros float64) float64 { return perSecond * micros / microPerSecond }
+
+func (c *capacity) queryCores() float64 { return cores(c.nodeQueries(), c.each("query")) }
+func (c *capacity) planCores() float64 {
+	return cores(c.nodeSubrequests(), c.each("entry_shard")+c.each("merged_item"))
+}
+func (c *capacity) hopCores() float64 {
+	return cores(c.nodeBatches(), c.base("batch")) + cores(c.nodeSubrequests(), c.each("batch"))
+}
+func (c *capacity) scatteredCores() float64 {
+	return cores(c.nodeBatches(), c.base("scattered_batch")) + cores(c.nodeSubrequests(), c.each("scattered_batch"))
+}
+func (c *capacity) leafCores() float64 { return cores(c.nodeSubrequests(), c.each("subrequest")) }
+func (c *capacity) pollCores() float64 { return cores(c.nodePolls(), c.each("poll")) }
+
+// assignMicros is the processor time of one assignment of all leafs.
+func (c *capacity) assignMicros() float64 {
+	return c.base("member") + c.each("member")*float64(c.size.nodes)
+}
+func (c *capacity) memberCores() float64 {
+	return cores(c.memberChanges()/secondsPerDay, c.assignMicros())
+}
+func (c *capacity) changeMicros() float64 {
+	return c.base("change") + c.each("change")*c.size.services
+}
+func (c *capacity) changeCores() float64 {
+	return cores(c.size.changes/secondsPerDay, c.changeMicros())
+}
+
+// totalCores is the processor time of a node when a batch's results come
+// together, or one by one.
+func (c *capacity) totalCores(scattered bool) float64 {
+	hop := c.hopCores()
+	if scattered {
+		hop = c.scatteredCores()
+	}
+	return c.queryCores() + c.planCores() + hop + c.leafCores() + c.pollCores() + c.memberCores() + c.changeCores()
+}
+
+// breaksAt is the fleet's queries per second at which nodes with some cores use
+// assumedUse of them.
+func (c *capacity) breaksAt(cores float64, scattered bool) float64 {
+	return c.size.queries * assumedUse * cores / c.totalCores(scattered)
+}
+
+// Memory of one node, in bytes.
+
+func (c *capacity) streamBytes() float64 { return c.each("stream_memory") * float64(c.size.nodes-1) }
+func (c *capacity) leafBytes() float64   { return c.each("leaf_memory") * float64(c.size.leafs) }
+func (c *capacity) serviceBytes() float64 {
+	return c.each("service_memory") * c.size.services
+}
+
+// Bytes on the network of one node, per second, both directions.
+
+func (c *capacity) hopBytes() float64 {
+	// Each node is the sender of its own batches and the receiver of as many.
+	return 2 * (c.nodeBatches()*c.base("batch_bytes") + c.nodeSubrequests()*c.each("batch_bytes"))
+}
+func (c *capacity) leafTraffic() float64 {
+	return c.nodeSubrequests() * c.each("subrequest_bytes")
+}
+
+// longestExchange is the longest time, in milliseconds, that a request may hold
+// one of a leaf's connections.
+func (c *capacity) longestExchange(connections, perRequest float64) float64 {
+	return 1000 * connections * perRequest / c.leafSubrequests()
+}
+
+// slotMicros is the time that a slot has for one subrequest, in microseconds.
+func (c *capacity) slotMicros(slots float64) float64 {
+	return microPerSecond * slots / c.leafSubrequests()
+}
+
+// gathered is how many subrequests a relay collects for one leaf while it waits.
+func (c *capacity) gathered(waitMillis float64) float64 {
+	return c.leafSubrequests() / c.size.owners * waitMillis / 1000
+}
--- /dev/null
+++ b/internal/experiment/capacitypage.go
@@ -0,0 +1,155 @@
+package experiment
+
+import (
+	"bufio"
+	_ "embed"
+	"fmt"
+	"io"
+	"math"
+	"regexp"
+	"strconv"
+	"strings"
+	"text/template"
+)
+
+//go:embed capacity.md.tmpl
+var capacityTemplate string
+
+// significantDigits is the precision of slopes on the page. All arithmetic on the
+// page starts from the rounded figures.
+const significantDigits = 3
+
+// round keeps significantDigits of a number.
+func round(v float64) float64 {
+	if v == 0 {
+		return 0
+	}
+	scale := math.Pow(10, significantDigits-1-math.Floor(math.Log10(math.Abs(v))))
+	return math.Round(v*scale) / scale
+}
+
+func roundSlope(s Slope) Slope {
+	s.Each, s.EachError = round(s.Each), round(s.EachError)
+	s.Base, s.BaseError = round(s.Base), round(s.BaseError)
+	return s
+}
+
+func plain(v float64) string { return strconv.FormatFloat(v, 'f', -1, 64) }
+
+// slopeRow is a slope as a row of the page's table of measurements.
+func slopeRow(s Slope) string {
+	var sizes []string
+	for _, size := range s.Sizes {
+		sizes = append(sizes, plain(size))
+	}
+	return fmt.Sprintf("| `%s` | %s | %s ± %s | %s ± %s | %s | %s |",
+		s.Name, s.Unit, plain(s.Each), plain(s.EachError), plain(s.Base), plain(s.BaseError), strings.Join(sizes, ", "), s.Per)
+}
+
+var slopePattern = regexp.MustCompile("^\\| `(\\w+)` \\| (\\S+) \\| (\\S+) ± (\\S+) \\| (\\S+) ± (\\S+) \\| ([\\d, ]+) \\| (.*) \\|$")
+
+// ParseSlopes reads the measurements of a page that RenderCapacity wrote.
+func ParseSlopes(page io.Reader) ([]Slope, error) {
+	var out []Slope
+	lines := bufio.NewScanner(page)
+	for lines.Scan() {
+		m := slopePattern.FindStringSubmatch(lines.Text())
+		if m == nil {
+			continue
+		}
+		s := Slope{Name: m[1], Unit: m[2], Per: m[8]}
+		for i, field := range []*float64{&s.Each, &s.EachError, &s.Base, &s.BaseError} {
+			v, err := strconv.ParseFloat(m[3+i], 64)
+			if err != nil {
+				return nil, fmt.Errorf("slope %s: %w", s.Name, err)
+			}
+			*field = v
+		}
+		for _, text := range strings.Split(m[7], ", ") {
+			size, err := strconv.ParseFloat(text, 64)
+			if err != nil {
+				return nil, fmt.Errorf("slope %s: %w", s.Name, err)
+			}
+			s.Sizes = append(s.Sizes, size)
+		}
+		out = append(out, s)
+	}
+	return out, lines.Err()
+}
+
+// RenderCapacity writes the page on capacity that follows from slopes.
+func RenderCapacity(w io.Writer, slopes []Slope) error {
+	rounded := make([]Slope, len(slopes))
+	for i, s := range slopes {
+		rounded[i] = roundSlope(s)
+	}
+	c, err := newCapacity(rounded)
+	if err != nil {
+		return err
+	}
+	page, err := template.New("capacity").Funcs(c.functions(rounded)).Parse(capacityTemplate)
+	if err != nil {
+		return err
+	}
+	return page.Execute(w, nil)
+}
+
+// number formats a value with a thousands separator and no more digits than it
+// deserves.
+func number(v float64) string {
+	if math.Abs(v) < 100 {
+		return plain(round(v))
+	}
+	text := plain(math.Round(round(v)))
+	for i := len(text) - 3; i > 0; i -= 3 {
+		text = text[:i] + "," + text[i:]
+	}
+	return text
+}
+
+func (c *capacity) functions(slopes []Slope) template.FuncMap {
+	const mega = 1e6
+	share := func(v float64) string { return number(100*v) + " %" }
+	value := func(f func() float64) func() string { return func() string { return number(f()) } }
+	return template.FuncMap{
+		"slopes":          func() []Slope { return slopes },
+		"row":             slopeRow,
+		"nodeQueries":     value(c.nodeQueries),
+		"nodeSubrequests": value(c.nodeSubrequests),
+		"nodeBatches":     value(c.nodeBatches),
+		"batchesPerQuery": value(c.batchesPerQuery),
+		"batchSize":       func() string { return number(c.size.fanOut / c.batchesPerQuery()) },
+		"leafSubrequests": value(c.leafSubrequests),
+		"nodePlaces":      value(c.nodePlaces),
+		"nodePolls":       value(c.nodePolls),
+		"memberChanges":   value(c.memberChanges),
+		"queryCores":      value(c.queryCores),
+		"planCores":       value(c.planCores),
+		"hopCores":        value(c.hopCores),
+		"scatteredCores":  value(c.scatteredCores),
+		"leafCores":       value(c.leafCores),
+		"pollCores":       value(c.pollCores),
+		"memberCores":     value(c.memberCores),
+		"assignMillis":    func() string { return number(c.assignMicros() / 1000) },
+		"changeCores":     value(c.changeCores),
+		"totalCores":      func(scattered bool) string { return number(c.totalCores(scattered)) },
+		"usedShare":       func(scattered bool) string { return share(c.totalCores(scattered) / assumedCores) },
+		"breaksAt":        func(n float64, scattered bool) string { return number(c.breaksAt(n, scattered)) },
+		"streamMB":        func() string { return number(c.streamBytes() / mega) },
+		"leafMB":          func() string { return number(c.leafBytes() / mega) },
+		"serviceMB":       func() string { return number(c.serviceBytes() / mega) },
+		"hopMB":           func() string { return number(c.hopBytes() / mega) },
+		"leafTrafficMB":   func() string { return number(c.leafTraffic() / mega) },
+		"oneLeafMB":       func() string { return number(c.leafSubrequests() * c.each("subrequest_bytes") / mega) },
+		"slotMicros":      func(slots float64) string { return number(c.slotMicros(slots)) },
+		"exchangeMillis":  func(conns, per float64) string { return number(c.longestExchange(conns, per)) },
+		"gathered":        func(ms float64) string { return number(c.gathered(ms)) },
+		"gatheredCores":   func(ms float64) string { return number(c.leafCores() / c.gathered(ms)) },
+		"planMillis":      func() string { return number(c.size.fanOut * c.each("entry_shard") / 1000) },
+		"batchMillis":     func() string { return number(c.batchesPerQuery() * c.base("batch") / 1000) },
+		"mergeMillis":     func() string { return number(c.size.fanOut * c.each("merged_item") / 1000) },
+		"shardQuantile":   func() string { return fmt.Sprintf("%.4f %%", 100*math.Pow(0.99, 1/c.size.fanOut)) },
+		"survivorLoad":    func(lost float64) string { return number(float64(c.size.nodes) / (float64(c.size.nodes) - lost)) },
+		"replacedEvery":   func() string { return number(secondsPerDay / c.size.replaced) },
+	}
+}
