Keep connections to a leaf within a share

Cause: a node had no bound on its connections to a leaf, and net/http has no bound that can change for one host. Change: upstream.Client.SetShare and DropShare: a pool for each leaf with a share opens connections ahead, one at a time, lets requests wait for a free one and closes surplus ones as soon as they are free. Leafs without a share are reached as before.

--- a/internal/coordination/share/pool.go
+++ b/internal/coordination/share/pool.go
@@ -4,7 +4,8 @@
 
 const (
 	// OpenInterval is the least time between two connections that a node opens
-	// to one leaf, so that shares which grow never lead to a burst.
+	// to one leaf, so that shares which grow never lead to a burst. It is also the
+	// least time between the loss of a connection and the next one.
 	OpenInterval = 100 * time.Millisecond
 	// refusedPause is the first wait after a leaf refused a connection.
 	refusedPause = 500 * time.Millisecond
@@ -77,8 +78,14 @@
 	p.pause = min(2*p.pause, longestRefusedPause)
 }
 
-// Closed reports that an open connection is closed, by either side.
-func (p *Pool) Closed() { p.open-- }
+// Closed reports that an open connection is closed at now, by either side. The
+// leaf may count it until the run on it ends, so it is not replaced at once.
+func (p *Pool) Closed(now time.Time) {
+	p.open--
+	if soonest := now.Add(OpenInterval); p.nextOpen.Before(soonest) {
+		p.nextOpen = soonest
+	}
+}
 
 // NextOpen is the earliest time of the next Open.
 func (p *Pool) NextOpen() time.Time { return p.nextOpen }
--- a/internal/coordination/share/share_test.go
+++ b/internal/coordination/share/share_test.go
@@ -121,8 +121,13 @@
 	if p.Next(now) != Close {
 		t.Fatal("want a connection closed when the share shrinks")
 	}
-	p.Closed()
+	p.Closed(now)
 	if p.Next(now) != Keep || p.Held() != 1 {
 		t.Fatalf("held %d, want 1", p.Held())
 	}
+	now = now.Add(time.Minute)
+	p.Closed(now)
+	if p.Next(now) != Keep || p.Next(now.Add(OpenInterval)) != Open {
+		t.Fatal("a lost connection was replaced before the leaf can have noticed")
+	}
 }
--- a/internal/transport/upstream/client.go
+++ b/internal/transport/upstream/client.go
@@ -50,6 +50,7 @@
 type Client struct {
 	cfg    Config
 	http   *http.Client
+	shares *shares
 	tracer Injector
 	opened atomic.Int64
 }
@@ -73,8 +74,9 @@
 		DisableCompression:     true,
 		MaxResponseHeaderBytes: cfg.MaxReplyHeaderBytes,
 	}
+	c.shares = newShares(transport, cfg.ManifestTimeout)
 	c.http = &http.Client{
-		Transport:     transport,
+		Transport:     c.shares,
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 	}
 	return c
@@ -94,8 +96,15 @@
 // ConnectionsOpened counts the connections opened so far.
 func (c *Client) ConnectionsOpened() int64 { return c.opened.Load() }
 
-// Close closes idle connections.
-func (c *Client) Close() { c.http.CloseIdleConnections() }
+// SetShare bounds the connections to a leaf. They are opened ahead of need, and
+// requests wait for a free one. Without a share a leaf has ConnectionsPerLeaf.
+func (c *Client) SetShare(vm platform.VM, count int) { c.shares.set(vm.Address, count) }
+
+// DropShare closes the connections to a leaf that is gone and forgets its share.
+func (c *Client) DropShare(vm platform.VM) { c.shares.drop(vm.Address) }
+
+// Close closes idle connections; those in use close when they are free.
+func (c *Client) Close() { c.shares.close() }
 
 // Reply is the result of one attempt.
 type Reply struct {
--- /dev/null
+++ b/internal/transport/upstream/shares.go
@@ -0,0 +1,74 @@
+package upstream
+
+import (
+	"net/http"
+	"sync"
+	"time"
+)
+
+// shares is a round tripper that keeps connections to leafs within their shares.
+// Leafs without a share are reached through base without a bound. It is safe for
+// concurrent use; its mutex guards the table of pools only.
+type shares struct {
+	base *http.Transport
+	// warmTimeout bounds the first exchange on a new connection.
+	warmTimeout time.Duration
+
+	mu     sync.Mutex
+	pools  map[string]*pool // by host:port
+	closed bool
+}
+
+func newShares(base *http.Transport, warmTimeout time.Duration) *shares {
+	return &shares{base: base, warmTimeout: warmTimeout, pools: make(map[string]*pool)}
+}
+
+// RoundTrip sends a request on one of the leaf's connections. It waits for a
+// free one as long as the request's context allows.
+func (s *shares) RoundTrip(request *http.Request) (*http.Response, error) {
+	s.mu.Lock()
+	p := s.pools[request.URL.Host]
+	s.mu.Unlock()
+	if p == nil {
+		return s.base.RoundTrip(request)
+	}
+	return p.roundTrip(request)
+}
+
+// set changes the number of connections to an address.
+func (s *shares) set(address string, count int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.closed {
+		return
+	}
+	p, ok := s.pools[address]
+	if !ok {
+		p = newPool(address, s.base, s.warmTimeout)
+		s.pools[address] = p
+	}
+	p.setAllowed(count)
+}
+
+// drop closes the connections to an address and forgets its share.
+func (s *shares) drop(address string) {
+	s.mu.Lock()
+	p := s.pools[address]
+	delete(s.pools, address)
+	s.mu.Unlock()
+	if p != nil {
+		p.close()
+	}
+}
+
+func (s *shares) close() {
+	s.mu.Lock()
+	s.closed = true
+	all := s.pools
+	s.pools = make(map[string]*pool)
+	s.mu.Unlock()
+	for _, p := range all {
+		p.close()
+	}
+	s.base.CloseIdleConnections()
+}
