--- /dev/null
+++ b/internal/experiment/connectionsrun.go
@@ -0,0 +1,111 @@
+package experiment
+
+import (
+	"context"
+	"sync"
+	"time"
+)
+
+// leafCounts are the leafs' own counts of connections.
+type leafCounts struct {
+	// peak is the most connections that a leaf had at once, opens the most that one
+	// accepted within a second of the churn.
+	peak, opens int
+}
+
+// watch samples how many connections each leaf accepted in each second.
+func (c *churn) watch(ctx context.Context) leafCounts {
+	var counts leafCounts
+	const samplesPerSecond = 10
+	history := make([][]int, len(c.leafs))
+	for sleepUntil(ctx, time.Now().Add(time.Second/samplesPerSecond)) {
+		for i, l := range c.leafs {
+			history[i] = append(history[i], l.ConnectionsOpened())
+			if n := len(history[i]); n > samplesPerSecond {
+				counts.opens = max(counts.opens, history[i][n-1]-history[i][n-1-samplesPerSecond])
+			}
+		}
+	}
+	for _, l := range c.leafs {
+		counts.peak = max(counts.peak, l.PeakConnections())
+	}
+	return counts
+}
+
+// connectionsResult is what a run gives.
+type connectionsResult struct {
+	quiet, churn *tally
+	counts       leafCounts
+	changes      int
+}
+
+// connectionsRun measures a quiet span and one in which nodes come and go.
+func connectionsRun(ctx context.Context, seed uint64, window bool, quiet, busy int) (connectionsResult, error) {
+	c, err := newChurn(seed, window)
+	if err != nil {
+		return connectionsResult{}, err
+	}
+	defer c.close()
+	result := connectionsResult{quiet: newTally(false), churn: newTally(false)}
+	following, stop := context.WithCancel(ctx)
+	defer stop()
+	var workers sync.WaitGroup
+	var failure error
+	workers.Go(func() { failure = c.follow(following) })
+	workers.Go(func() { result.counts = c.watch(following) })
+	for len(c.readyNodes()) < connectionsStart && ctx.Err() == nil {
+		sleepUntil(ctx, time.Now().Add(settlePause))
+	}
+	drive := func(t *tally, count int) {
+		poisson(ctx, seed, connectionsRate, count, func(i int, at time.Time) { c.ask(ctx, t, i, at) })
+	}
+	drive(newTally(false), quiet/4)
+	drive(result.quiet, quiet)
+	changing, end := context.WithCancel(ctx)
+	defer end()
+	var changes sync.WaitGroup
+	changes.Go(func() {
+		for sleepUntil(changing, time.Now().Add(connectionsEvery)) {
+			result.changes++
+			c.change(ctx, result.changes)
+		}
+	})
+	drive(result.churn, busy)
+	end()
+	changes.Wait()
+	stop()
+	workers.Wait()
+	if failure == nil {
+		failure = ctx.Err()
+	}
+	return result, failure
+}
+
+func (r connectionsResult) figures() []Figure {
+	return append(r.churn.figures(),
+		Figure{"quiet_p99_ms", r.quiet.quantileMS(0.99)},
+		Figure{"membership_changes", float64(r.changes)},
+		Figure{"leaf_peak_connections", float64(r.counts.peak)},
+		Figure{"leaf_opens_in_a_second", float64(r.counts.opens)})
+}
+
+func runConnections(ctx context.Context, seed uint64) (Result, error) {
+	baseline, err := connectionsRun(ctx, seed, false, connectionsQuiet/4, connectionsChurn/2)
+	if err != nil {
+		return Result{}, err
+	}
+	policy, err := connectionsRun(ctx, seed, true, connectionsQuiet, connectionsChurn)
+	if err != nil {
+		return Result{}, err
+	}
+	return Result{
+		Baseline: baseline.figures(),
+		Policy:   policy.figures(),
+		Checks: []Check{
+			AtMost("leaf_peak_connections", float64(policy.counts.peak), connectionsCap),
+			AtMost("leaf_opens_in_a_second", float64(policy.counts.opens), connectionsCap),
+			AtMost("failed", float64(policy.churn.failed+policy.quiet.failed), 0),
+			AtMost("p99_over_quiet", policy.churn.quantileMS(0.99)/policy.quiet.quantileMS(0.99), 1.3),
+		},
+	}, nil
+}
--- a/internal/experiment/experiment.go
+++ b/internal/experiment/experiment.go
@@ -72,6 +72,7 @@
 		ownershipExperiment,
 		sharesExperiment,
 		slopesExperiment,
+		connectionsExperiment,
 	}
 }
 
