--- a/internal/coordination/share/share.go
+++ b/internal/coordination/share/share.go
@@ -62,6 +62,16 @@
 // ConnectionShare divides the cap of a leaf, less a reserve, among live nodes.
 // The sum over all holders never exceeds limit - reserve.
 func ConnectionShare(limit, live, reserve int) (Share, error) {
+	return checked(limit, live, reserve, divide)
+}
+
+// DirectShare divides the cap as ConnectionShare does, but never takes relays.
+// Where there are more nodes than connections, nobody has one.
+func DirectShare(limit, live, reserve int) (Share, error) {
+	return checked(limit, live, reserve, direct)
+}
+
+func checked(limit, live, reserve int, divide func(usable, live int) Share) (Share, error) {
 	usable := limit - reserve
 	if usable < 1 || reserve < 0 || live < 1 {
 		return Share{}, fmt.Errorf("connection share: cap %d, reserve %d, live nodes %d", limit, reserve, live)
@@ -73,9 +83,13 @@
 	return s, nil
 }
 
+func direct(usable, live int) Share {
+	return Share{Mode: Direct, Holders: live, Each: usable / live}
+}
+
 func divide(usable, live int) Share {
-	if each := usable / live; each >= SmallestDirect {
-		return Share{Mode: Direct, Holders: live, Each: each}
+	if s := direct(usable, live); s.Each >= SmallestDirect {
+		return s
 	}
 	relays := min(max(usable/RelayConnections, FewestRelays), MostRelays, live, usable)
 	return Share{Mode: Relayed, Holders: relays, Each: usable / relays}
--- a/internal/coordination/share/share_test.go
+++ b/internal/coordination/share/share_test.go
@@ -49,6 +49,15 @@
 	}
 }
 
+func TestDirectShareNeedsNoRelays(t *testing.T) {
+	for live, want := range map[int]int{7: 3, 11: 1, 14: 1, 21: 1, 22: 0, 610: 0} {
+		got, err := DirectShare(25, live, Reserve(25))
+		if err != nil || got != (Share{Direct, live, want}) {
+			t.Errorf("%d nodes: got %+v, %v; want %d each", live, got, err, want)
+		}
+	}
+}
+
 func TestShareStaysWithinCap(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		limit := rapid.IntRange(1, 300).Draw(t, "cap")
@@ -61,6 +70,9 @@
 		if s.Total() > limit-reserve || s.Holders > live || s.Each < 1 {
 			t.Fatalf("%+v of %d - %d among %d", s, limit, reserve, live)
 		}
+		if s, err = DirectShare(limit, live, reserve); err != nil || s.Total() > limit-reserve {
+			t.Fatalf("direct: %+v of %d - %d among %d, %v", s, limit, reserve, live, err)
+		}
 	})
 }
 
