--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -13,8 +13,11 @@
 	"go.uber.org/fx"
 
 	"github.com/hickorydock/hickorydock/internal/coordination/replica"
+	"github.com/hickorydock/hickorydock/internal/node/control"
+	"github.com/hickorydock/hickorydock/internal/protocol/platform"
 	"github.com/hickorydock/hickorydock/internal/protocol/settings"
 	"github.com/hickorydock/hickorydock/internal/transport/admin"
+	"github.com/hickorydock/hickorydock/internal/transport/command"
 	"github.com/hickorydock/hickorydock/internal/transport/discovery"
 	"github.com/hickorydock/hickorydock/internal/transport/entry"
 	"github.com/hickorydock/hickorydock/internal/transport/logging"
@@ -37,6 +40,11 @@
 	Choose replica.Chooser
 }
 
+// PlatformControl keeps a node in line with a platform and lets it run commands.
+func PlatformControl(c platform.Client) fx.Option {
+	return fx.Options(fx.Provide(func() platform.Client { return c }), control.Module, command.Module)
+}
+
 // Node is an assembled node. Start and Stop are called once each, by one goroutine.
 type Node struct {
 	app       *fx.App
@@ -115,8 +123,11 @@
 	return n.app.Stop(ctx)
 }
 
+// Address is where callers reach the node, host:port.
+func (n *Node) Address() string { return n.listener.Address() }
+
 // URL is the base URL for callers.
-func (n *Node) URL() string { return "http://" + n.listener.Address() }
+func (n *Node) URL() string { return "http://" + n.Address() }
 
 // AdminURL is the base URL for operators.
 func (n *Node) AdminURL() string { return "http://" + n.admin.Address() }
