--- a/internal/experiment/experiment.go
+++ b/internal/experiment/experiment.go
@@ -72,6 +72,10 @@
 		coverageExperiment,
 		cancelExperiment,
 		returnExperiment,
+		ownershipExperiment,
+		sharesExperiment,
+		slopesExperiment,
+		connectionsExperiment,
 	}
 }
 
--- a/internal/experiment/return.go
+++ b/internal/experiment/return.go
@@ -86,12 +86,12 @@
 
 func runReturn(_ context.Context, seed uint64) (Result, error) {
 	var result Result
-	for _, nodes := range fleetSizes {
+	for _, nodes := range nodeCounts {
 		baseline := simulateReturn(nodes, seed, fixedWait)
 		policy := simulateReturn(nodes, seed, jitteredWait)
 		result.Baseline = append(result.Baseline, baseline.list(nodes)...)
 		result.Policy = append(result.Policy, policy.list(nodes)...)
-		if nodes == fleetSizes[len(fleetSizes)-1] {
+		if nodes == nodeCounts[len(nodeCounts)-1] {
 			result.Checks = append(result.Checks,
 				AtMost("busiest_second_calls", policy.busiestSecond, 400),
 				AtMost("last_back_s", policy.lastBack, 5),
@@ -101,5 +101,5 @@
 	return result, nil
 }
 
-// fleetSizes are the numbers of nodes that control work is measured at.
-var fleetSizes = []int{7, 70, 610}
+// nodeCounts are the numbers of nodes that control work is measured at.
+var nodeCounts = []int{7, 70, 610}
