Measure the tier under three times the leafs' capacity

The stand-in's record of runs keeps the echo of the query, so that the experiment finds runs of queries that were refused as not_run by the leafs' own record.

--- a/internal/experiment/drive.go
+++ b/internal/experiment/drive.go
@@ -85,15 +85,17 @@
 	Version    uint64 `json:"version"`
 }
 
+// echo is what the stand-ins repeat in the answer to a query.
+func echo(index int) string { return fmt.Sprintf("caller-%d", index) }
+
 // ask sends one query that was due at begun.
 func (c *caller) ask(ctx context.Context, url, service string, index int, begun time.Time) sample {
 	s := sample{index: index, begun: begun}
-	echo := fmt.Sprintf("caller-%d", index)
-	body := fmt.Sprintf(`{"query":{"echo":%q}}`, echo)
+	body := fmt.Sprintf(`{"query":{"echo":%q}}`, echo(index))
 	s.status, s.answer, s.err = c.post(ctx, url+"/v1/services/"+service+"/query", body)
 	s.elapsed = time.Since(begun)
 	if s.err == nil {
-		s.mixed = isMixed(&s.answer, echo)
+		s.mixed = isMixed(&s.answer, echo(index))
 	}
 	return s
 }
--- a/internal/experiment/experiment.go
+++ b/internal/experiment/experiment.go
@@ -65,6 +65,7 @@
 func All() []Experiment {
 	return []Experiment{
 		tailExperiment,
+		overloadExperiment,
 	}
 }
 
--- a/internal/standin/leaf/record.go
+++ b/internal/standin/leaf/record.go
@@ -11,7 +11,9 @@
 // as a run: it may have had its effect.
 type Run struct {
 	upstream.Subrequest
-	Leaf    string
+	Leaf string
+	// Echo is the member "echo" of the query, as JSON; empty when there is none.
+	Echo    string
 	Started time.Time
 	// Finished is the time of the end, cancelled or not; zero while running.
 	Finished  time.Time
--- a/internal/standin/leaf/run.go
+++ b/internal/standin/leaf/run.go
@@ -69,7 +69,7 @@
 		return
 	}
 	chance := l.draw()
-	ref := l.record.start(Run{Subrequest: sub, Leaf: l.options.ID, Started: time.Now()})
+	ref := l.record.start(Run{Subrequest: sub, Leaf: l.options.ID, Echo: string(echoOf(body)), Started: time.Now()})
 	whole := sleep(ctx, chance.delay)
 	<-l.slots
 	l.finish(w, r, ref, sub, body, whole, chance.loseReply)
