Limit the subrequests in flight to each leaf

Cause: a node sent a leaf any number of subrequests, whatever its slots. Change: a limiter for each leaf, within its slots and the node's share of its connections, that falls with shedding and latency; what is above it waits in a short queue that respects deadlines and is fair between services. A subrequest that never left the queue counts as not sent.

--- /dev/null
+++ b/internal/coordination/limit/limit.go
@@ -0,0 +1,187 @@
+// Package limit adapts a concurrency limit to what it causes: shedding, rising
+// latency or waiting lower it, quiet windows in which it was in use raise it. A
+// Limiter takes samples with their time, does no input or output and is used
+// under the lock of its owner.
+package limit
+
+import (
+	"slices"
+	"time"
+)
+
+const (
+	// windowSize is the number of samples between two decisions.
+	windowSize = 16
+	// baselineWindows is the number of windows whose lowest median is the baseline.
+	baselineWindows = 64
+	// shedFactor and slowFactor multiply the limit after a refusal and after a
+	// congested window.
+	shedFactor = 0.8
+	slowFactor = 0.9
+	// startFactor multiplies the limit after each quiet window until the first decrease.
+	startFactor = 2
+	// growthShare of the limit is added after a quiet window, at least 1.
+	growthShare = 0.1
+)
+
+// Config bounds a limiter and says what it takes for congestion.
+type Config struct {
+	// Floor and Ceiling bound the limit; equal values fix it.
+	Floor   int
+	Ceiling int
+	Initial int
+	// Tolerance is how many times the baseline the median latency may reach; 0
+	// leaves latency out.
+	Tolerance float64
+	// WaitTolerance is how many times the time of work the time of waiting may
+	// reach; 0 leaves waiting out.
+	WaitTolerance float64
+}
+
+// Verdict says what the end of a unit of work tells about congestion.
+type Verdict int
+
+// Verdicts.
+const (
+	// Completed work has a latency that counts.
+	Completed Verdict = iota
+	// Shed work was refused for lack of capacity.
+	Shed
+	// Ignored work says nothing, as when its caller left.
+	Ignored
+)
+
+// Sample is the end of one unit of work.
+type Sample struct {
+	Verdict Verdict
+	// Elapsed is the time of the work without waiting.
+	Elapsed time.Duration
+	// Waited is the time that the work or its parts waited in queues.
+	Waited time.Duration
+}
+
+// Limiter is an adaptive limit.
+type Limiter struct {
+	cfg      Config
+	limit    float64
+	starting bool // no decrease so far
+	used     bool // the limit was reached in the current window
+	latency  time.Duration
+
+	elapsed  [windowSize]time.Duration
+	waited   [windowSize]time.Duration
+	count    int
+	medians  [baselineWindows]time.Duration
+	windows  int
+	decrease time.Time // of the last decrease
+}
+
+// New returns a limiter at its initial limit.
+func New(cfg Config) *Limiter {
+	l := &Limiter{cfg: cfg, limit: float64(cfg.Initial), starting: true}
+	l.clamp()
+	return l
+}
+
+// Limit is the number of units of work that may be in flight.
+func (l *Limiter) Limit() int { return int(l.limit) }
+
+// Latency is the median time of the last window; 0 before the first.
+func (l *Limiter) Latency() time.Duration { return l.latency }
+
+// SetCeiling changes the ceiling and lowers the limit to it. A limit at the old
+// ceiling follows it upwards.
+func (l *Limiter) SetCeiling(ceiling int) {
+	if ceiling == l.cfg.Ceiling {
+		return
+	}
+	atCeiling := l.Limit() >= l.cfg.Ceiling
+	l.cfg.Ceiling = max(ceiling, l.cfg.Floor)
+	if atCeiling {
+		l.limit = float64(l.cfg.Ceiling)
+	}
+	l.clamp()
+}
+
+// Observe takes the end of a unit of work; inFlight counts the work in flight
+// before the end.
+func (l *Limiter) Observe(now time.Time, inFlight int, s Sample) {
+	if inFlight >= l.Limit() {
+		l.used = true
+	}
+	switch s.Verdict {
+	case Shed:
+		l.lower(now, shedFactor)
+	case Completed:
+		l.elapsed[l.count] = s.Elapsed
+		l.waited[l.count] = s.Waited
+		l.count++
+		if l.count == windowSize {
+			l.endWindow(now)
+		}
+	case Ignored:
+	}
+}
+
+// endWindow decides over a full window and begins the next one.
+func (l *Limiter) endWindow(now time.Time) {
+	work := sum(l.elapsed)
+	wait := sum(l.waited)
+	l.latency = median(l.elapsed)
+	l.medians[l.windows%baselineWindows] = l.latency
+	l.windows++
+	slow := l.cfg.Tolerance > 0 && float64(l.latency) > l.cfg.Tolerance*float64(l.baseline())
+	queued := l.cfg.WaitTolerance > 0 && float64(wait) > l.cfg.WaitTolerance*float64(work)
+	used := l.used
+	l.count = 0
+	l.used = false
+	switch {
+	case slow || queued:
+		l.lower(now, slowFactor)
+	case used:
+		l.raise()
+	}
+}
+
+// baseline is the lowest median of the remembered windows.
+func (l *Limiter) baseline() time.Duration {
+	return slices.Min(l.medians[:min(l.windows, baselineWindows)])
+}
+
+func (l *Limiter) raise() {
+	if l.starting {
+		l.limit *= startFactor
+	} else {
+		l.limit += max(1, growthShare*l.limit)
+	}
+	l.clamp()
+}
+
+// lower decreases the limit at most once in the time that work takes, since
+// samples of work begun earlier show the old limit.
+func (l *Limiter) lower(now time.Time, factor float64) {
+	if now.Sub(l.decrease) < l.latency {
+		return
+	}
+	l.decrease = now
+	l.starting = false
+	l.limit *= factor
+	l.clamp()
+}
+
+func (l *Limiter) clamp() {
+	l.limit = max(float64(l.cfg.Floor), min(l.limit, float64(l.cfg.Ceiling)))
+}
+
+func median(window [windowSize]time.Duration) time.Duration {
+	slices.Sort(window[:])
+	return window[windowSize/2]
+}
+
+func sum(window [windowSize]time.Duration) time.Duration {
+	var total time.Duration
+	for _, d := range window {
+		total += d
+	}
+	return total
+}
--- a/internal/transport/relay/module.go
+++ b/internal/transport/relay/module.go
@@ -16,7 +16,9 @@
 var Module = fx.Module("relay", fx.Provide(provide))
 
 func provide(client *upstream.Client, store *shardmap.Store, s settings.Settings, choose replica.Chooser, m *metrics.Metrics, tracer *tracing.Tracer) *Relay {
-	return New(client, store, s.Node.AvailabilityZone, choose, meter{m}, tracer)
+	relay := New(client, store, s.Node.AvailabilityZone, choose, meter{m}, tracer)
+	relay.queues.maxQueue = int(s.Limits.LeafQueue)
+	return relay
 }
 
 // meter counts attempts in the metrics.
@@ -33,3 +35,6 @@
 		m.metrics.Subrequest(service, metrics.KindRetry)
 	}
 }
+
+// InvariantBroken counts a broken invariant.
+func (m meter) InvariantBroken(name string) { m.metrics.InvariantViolated(name) }
--- /dev/null
+++ b/internal/transport/relay/queue.go
@@ -0,0 +1,163 @@
+package relay
+
+import (
+	"sync"
+	"time"
+
+	"github.com/hickorydock/hickorydock/internal/coordination/admission"
+	"github.com/hickorydock/hickorydock/internal/coordination/limit"
+	"github.com/hickorydock/hickorydock/internal/coordination/subrequest"
+	"github.com/hickorydock/hickorydock/internal/protocol/fault"
+	"github.com/hickorydock/hickorydock/internal/protocol/note"
+	"github.com/hickorydock/hickorydock/internal/state/leaf"
+	"github.com/hickorydock/hickorydock/internal/state/shardmap"
+	"github.com/hickorydock/hickorydock/internal/transport/throttle"
+	"github.com/hickorydock/hickorydock/internal/transport/upstream"
+)
+
+const (
+	// defaultLeafQueue bounds the subrequests that wait for one leaf.
+	defaultLeafQueue = 64
+	// leafTolerance is how many times its baseline a leaf's median latency may
+	// reach before its limit falls.
+	leafTolerance = 2.5
+	// spareRuns is the number of subrequests above a leaf's slots, which keep
+	// its slots busy while replies travel.
+	spareRuns = 1
+	// idleQueueTTL is how long the queue of an unused leaf is kept.
+	idleQueueTTL = 10 * time.Minute
+)
+
+// queues holds the queue of each leaf. It is safe for concurrent use.
+type queues struct {
+	maxQueue int
+	leafs    sync.Map // leaf identifier -> *leafQueue
+	mu       sync.Mutex
+	swept    time.Time
+	nodes    int
+}
+
+// leafQueue is the queue of one leaf. Its limit lies within the leaf's slots
+// and this node's share of its connections.
+type leafQueue struct {
+	*throttle.Throttle
+	mu   sync.Mutex
+	used time.Time
+}
+
+func newQueues(maxQueue int) *queues { return &queues{maxQueue: maxQueue, nodes: 1} }
+
+// of returns the queue of a leaf, adapted to what the service states of it.
+func (q *queues) of(leafID string, service *note.Service) *leafQueue {
+	ceiling := q.ceiling(service)
+	found, ok := q.leafs.Load(leafID)
+	if !ok {
+		found = q.add(leafID, ceiling)
+	}
+	queue := found.(*leafQueue)
+	queue.touch(time.Now())
+	queue.SetCeiling(ceiling)
+	return queue
+}
+
+func (q *queues) add(leafID string, ceiling int) any {
+	q.sweep(time.Now())
+	limiter := limit.New(limit.Config{Floor: 1, Ceiling: ceiling, Initial: ceiling, Tolerance: leafTolerance})
+	fresh := &leafQueue{Throttle: throttle.New(admission.New(limiter, nil, q.maxQueue))}
+	queue, _ := q.leafs.LoadOrStore(leafID, fresh)
+	return queue
+}
+
+// ceiling is the largest number of subrequests in flight to a leaf: its slots
+// and spareRuns, and at most this node's share of its connections.
+func (q *queues) ceiling(service *note.Service) int {
+	q.mu.Lock()
+	nodes := q.nodes
+	q.mu.Unlock()
+	ceiling := service.LeafSlots + spareRuns
+	if service.LeafConnections > 0 {
+		ceiling = min(ceiling, service.LeafConnections/nodes)
+	}
+	return max(ceiling, 1)
+}
+
+// setNodes changes the number of nodes that share the connections of each leaf.
+func (q *queues) setNodes(nodes int) {
+	q.mu.Lock()
+	q.nodes = max(nodes, 1)
+	q.mu.Unlock()
+}
+
+// sweep drops the queues of leafs that were not used for long.
+func (q *queues) sweep(now time.Time) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	if now.Sub(q.swept) < idleQueueTTL {
+		return
+	}
+	q.swept = now
+	q.leafs.Range(func(id, queue any) bool {
+		if queue.(*leafQueue).idle(now) {
+			q.leafs.Delete(id)
+		}
+		return true
+	})
+}
+
+func (l *leafQueue) touch(now time.Time) {
+	l.mu.Lock()
+	l.used = now
+	l.mu.Unlock()
+}
+
+func (l *leafQueue) idle(now time.Time) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return now.Sub(l.used) > idleQueueTTL
+}
+
+// SetNodes changes the number of nodes that share the connections of each leaf.
+func (r *Relay) SetNodes(nodes int) { r.queues.setNodes(nodes) }
+
+// priorities of attempts at a leaf's queue: a retry has the least time left.
+var attemptPriorities = map[subrequest.Kind]int{subrequest.First: 1, subrequest.Retry: 2, subrequest.Hedge: 0}
+
+// enter waits for the leaf's limit. It reports true with the reply to use when
+// the attempt must not be sent.
+func (u *run) enter(queue *leafQueue, attempt subrequest.Attempt, target shardmap.Replica) (upstream.Reply, bool) {
+	ticket := &admission.Ticket{
+		Class:    u.task.Service.Name,
+		Priority: attemptPriorities[attempt.Kind],
+		Deadline: u.task.Deadline,
+	}
+	if err := queue.Enter(u.ctx, ticket); err != nil {
+		return upstream.Reply{Result: subrequest.Lost, Err: fault.Wrap(err, fault.StepRelay, target.VM.ID, "wait for the leaf")}, true
+	}
+	if ticket.Decision != admission.Admit {
+		return upstream.Reply{Result: subrequest.NotRun, Err: fault.New(fault.StepRelay, target.VM.ID, "queue of the leaf is full or too slow")}, true
+	}
+	u.started.Store(true)
+	// The context is looked at after the store: whoever saw its end before and
+	// found nothing started may rely on nothing being sent.
+	if err := u.ctx.Err(); err != nil {
+		u.leave(queue, leaf.Cancelled, 0)
+		return upstream.Reply{Result: subrequest.Lost, Err: fault.Wrap(err, fault.StepRelay, target.VM.ID, "wait for the leaf")}, true
+	}
+	return upstream.Reply{}, false
+}
+
+// leave ends an attempt at a leaf's queue.
+func (u *run) leave(queue *leafQueue, result leaf.Result, elapsed time.Duration) {
+	sample := limit.Sample{Elapsed: elapsed}
+	switch result {
+	case leaf.Answered:
+		sample.Verdict = limit.Completed
+	case leaf.Shed:
+		sample.Verdict = limit.Shed
+	case leaf.Broken, leaf.Cancelled:
+		sample.Verdict = limit.Ignored
+	}
+	if err := queue.Done(u.task.Service.Name, sample); err != nil && u.relay.observer != nil {
+		u.relay.observer.InvariantBroken("leaf_queue")
+	}
+}
--- a/internal/transport/relay/relay.go
+++ b/internal/transport/relay/relay.go
@@ -7,6 +7,7 @@
 	"context"
 	"math/rand/v2"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"go.opentelemetry.io/otel/attribute"
@@ -38,6 +39,8 @@
 type Observer interface {
 	// Subrequest counts an attempt by kind.
 	Subrequest(service string, kind subrequest.Kind)
+	// InvariantBroken counts a broken invariant.
+	InvariantBroken(name string)
 }
 
 // Relay runs subrequests of all services. It is safe for concurrent use.
@@ -49,11 +52,12 @@
 	observer Observer
 	tracer   *tracing.Tracer
 	services sync.Map // service name -> *serviceState
+	queues   *queues
 }
 
 // New returns a relay in an availability zone; observer may be nil.
 func New(client *upstream.Client, store *shardmap.Store, availabilityZone string, choose replica.Chooser, observer Observer, tracer *tracing.Tracer) *Relay {
-	return &Relay{client: client, store: store, zone: availabilityZone, choose: choose, observer: observer, tracer: tracer}
+	return &Relay{client: client, store: store, zone: availabilityZone, choose: choose, observer: observer, tracer: tracer, queues: newQueues(defaultLeafQueue)}
 }
 
 // serviceState is what the relay learned about one service.
@@ -120,12 +124,16 @@
 	// did not declare that it ran nothing.
 	Sent bool
 	Err  error
+	// Waited and Ran add up the time in leaf queues and at leafs of all attempts
+	// that ended.
+	Waited, Ran time.Duration
 }
 
 // ended is the end of one attempt.
 type ended struct {
-	index int
-	reply upstream.Reply
+	index       int
+	reply       upstream.Reply
+	waited, ran time.Duration
 }
 
 // run is the state of one subrequest in progress.
@@ -139,6 +147,9 @@
 	first   tracing.Span
 	count   int
 	sent    bool
+	// started is true once an attempt may have sent a byte.
+	started     atomic.Bool
+	waited, ran time.Duration
 }
 
 // maxReplicas bounds the attempts of one subrequest and so the channel that
@@ -212,6 +223,8 @@
 
 // settle hands the end of an attempt to the machine.
 func (u *run) settle(e ended) (Result, bool) {
+	u.waited += e.waited
+	u.ran += e.ran
 	if e.reply.Sent && e.reply.Result != subrequest.NotRun {
 		u.sent = true
 	}
@@ -229,7 +242,7 @@
 }
 
 func (u *run) failed(reason query.Reason, err error) Result {
-	sent := u.sent || u.count > 0 && reason == query.ReasonDeadline
+	sent := u.sent || u.started.Load() && reason == query.ReasonDeadline
 	return u.result(Result{Reason: reason, Sent: sent, Err: err})
 }
 
@@ -238,6 +251,8 @@
 	r.Shard = u.task.Shard
 	r.Restart = u.task.Restart
 	r.Snapshot = u.task.Snapshot
+	r.Waited = u.waited
+	r.Ran = u.ran
 	return r
 }
 
@@ -253,12 +268,9 @@
 		Class:     contract.ClassQuery,
 	}
 	u.count++
-	if u.relay.observer != nil {
-		u.relay.observer.Subrequest(u.task.Service.Name, attempt.Kind)
-	}
 	target.Record.Begin()
 	ctx, span := u.span(attempt, target)
-	go u.attempt(ctx, span, attempt.Replica, target, sub)
+	go u.attempt(ctx, span, attempt, target, sub)
 }
 
 // span starts the span of an attempt; those after the first link to it.
@@ -273,18 +285,32 @@
 	return ctx, span
 }
 
-func (u *run) attempt(ctx context.Context, span tracing.Span, index int, target shardmap.Replica, sub contract.Subrequest) {
+func (u *run) attempt(ctx context.Context, span tracing.Span, attempt subrequest.Attempt, target shardmap.Replica, sub contract.Subrequest) {
+	entered := time.Now()
+	queue := u.relay.queues.of(target.VM.ID, u.task.Service)
+	if reply, refused := u.enter(queue, attempt, target); refused {
+		span.End(reply.Err)
+		now := time.Now()
+		target.Record.End(now, 0, leafResult(u.ctx, reply))
+		u.results <- ended{index: attempt.Replica, reply: reply, waited: now.Sub(entered)}
+		return
+	}
+	if u.relay.observer != nil {
+		u.relay.observer.Subrequest(u.task.Service.Name, attempt.Kind)
+	}
 	begun := time.Now()
 	reply := u.relay.client.Run(ctx, target.VM, sub, u.task.Deadline.Sub(begun), u.task.Body)
 	span.End(reply.Err)
 	now := time.Now()
 	elapsed := now.Sub(begun)
-	target.Record.End(now, elapsed, leafResult(u.ctx, reply))
+	result := leafResult(u.ctx, reply)
+	u.leave(queue, result, elapsed)
+	target.Record.End(now, elapsed, result)
 	if reply.Result == subrequest.OK {
-		u.state.window.Observe(now, elapsed)
+		u.state.window.Observe(now, now.Sub(entered))
 	}
 	u.learn(now, target, reply)
-	u.results <- ended{index, reply}
+	u.results <- ended{index: attempt.Replica, reply: reply, waited: begun.Sub(entered), ran: elapsed}
 }
 
 // learn takes over what a reply says about its leaf.
