Admit whole queries, fair between services and by priority

Cause: under overload every query began, none was complete. Change: a gate before the plan with a fixed limit for the node and one for each service, which adapts to the share of time that subrequests wait in leaf queues and to shedding. Short queues respect deadlines; a refusal is not_run with Retry-After and says so at once.

--- a/internal/coordination/limit/limit.go
+++ b/internal/coordination/limit/limit.go
@@ -56,8 +56,11 @@
 	Verdict Verdict
 	// Elapsed is the time of the work without waiting.
 	Elapsed time.Duration
-	// Waited is the time that the work or its parts waited in queues.
+	// Waited is the time that the parts of the work waited in queues.
 	Waited time.Duration
+	// Worked is the time that the parts of the work took without waiting; it is
+	// compared with Waited.
+	Worked time.Duration
 }
 
 // Limiter is an adaptive limit.
@@ -69,7 +72,8 @@
 	latency  time.Duration
 
 	elapsed  [windowSize]time.Duration
-	waited   [windowSize]time.Duration
+	waited   time.Duration // in the current window
+	worked   time.Duration
 	count    int
 	medians  [baselineWindows]time.Duration
 	windows  int
@@ -114,7 +118,8 @@
 		l.lower(now, shedFactor)
 	case Completed:
 		l.elapsed[l.count] = s.Elapsed
-		l.waited[l.count] = s.Waited
+		l.waited += s.Waited
+		l.worked += s.Worked
 		l.count++
 		if l.count == windowSize {
 			l.endWindow(now)
@@ -125,15 +130,15 @@
 
 // endWindow decides over a full window and begins the next one.
 func (l *Limiter) endWindow(now time.Time) {
-	work := sum(l.elapsed)
-	wait := sum(l.waited)
 	l.latency = median(l.elapsed)
 	l.medians[l.windows%baselineWindows] = l.latency
 	l.windows++
 	slow := l.cfg.Tolerance > 0 && float64(l.latency) > l.cfg.Tolerance*float64(l.baseline())
-	queued := l.cfg.WaitTolerance > 0 && float64(wait) > l.cfg.WaitTolerance*float64(work)
+	queued := l.cfg.WaitTolerance > 0 && float64(l.waited) > l.cfg.WaitTolerance*float64(l.worked)
 	used := l.used
 	l.count = 0
+	l.waited = 0
+	l.worked = 0
 	l.used = false
 	switch {
 	case slow || queued:
@@ -177,11 +182,3 @@
 	slices.Sort(window[:])
 	return window[windowSize/2]
 }
-
-func sum(window [windowSize]time.Duration) time.Duration {
-	var total time.Duration
-	for _, d := range window {
-		total += d
-	}
-	return total
-}
--- a/internal/transport/entry/entry.go
+++ b/internal/transport/entry/entry.go
@@ -22,6 +22,7 @@
 	contract "github.com/hickorydock/hickorydock/internal/protocol/upstream"
 	"github.com/hickorydock/hickorydock/internal/state/shardmap"
 	"github.com/hickorydock/hickorydock/internal/transport/relay"
+	"github.com/hickorydock/hickorydock/internal/transport/throttle"
 	"github.com/hickorydock/hickorydock/internal/transport/tracing"
 )
 
@@ -34,13 +35,17 @@
 	ReturnReserve time.Duration
 	// RestartReserve is the time that must be left to restart in another snapshot.
 	RestartReserve time.Duration
+	// MaxQueries bounds the queries in flight.
+	MaxQueries int
+	// MaxQueue bounds the queries that wait for admission.
+	MaxQueue int
 	// MaxItems bounds the items of an answer; 0 means no bound.
 	MaxItems int
 }
 
 // DefaultConfig returns the reserves used when nothing else is set.
 func DefaultConfig() Config {
-	return Config{ReturnReserve: 2 * time.Millisecond, RestartReserve: 5 * time.Millisecond}
+	return Config{ReturnReserve: 2 * time.Millisecond, RestartReserve: 5 * time.Millisecond, MaxQueries: 2000, MaxQueue: 500}
 }
 
 // Runner runs one subrequest; it is met by relay.Relay.
@@ -56,11 +61,12 @@
 	violations atomic.Int64
 	onBroken   func(name string)
 	tracer     *tracing.Tracer
+	admission  *throttle.Throttle
 }
 
 // New returns an entry; onBroken is told the name of each broken invariant and may be nil.
 func New(cfg Config, store *shardmap.Store, runner Runner, onBroken func(name string), tracer *tracing.Tracer) *Entry {
-	return &Entry{cfg: cfg, store: store, runner: runner, onBroken: onBroken, tracer: tracer}
+	return &Entry{cfg: cfg, store: store, runner: runner, onBroken: onBroken, tracer: tracer, admission: newAdmission(cfg)}
 }
 
 // Violations counts broken invariants; each failed one query.
@@ -77,12 +83,20 @@
 	results  chan relay.Result
 	cancel   context.CancelFunc
 	last     error
+	load     load
 }
 
 // Query answers a query of a service, which arrived at arrived.
 func (e *Entry) Query(ctx context.Context, service note.Service, request query.Request, arrived time.Time) (answer query.Answer, err error) {
 	ctx, span := e.tracer.Start(ctx, tracing.HopPlan, attribute.String("service", service.Name))
 	defer func() { span.End(err) }()
+	deadline := arrived.Add(wait(service, request) - e.cfg.ReturnReserve)
+	if err := e.admit(ctx, service, request, deadline); err != nil {
+		return query.Answer{}, err
+	}
+	begun := time.Now()
+	var met load
+	defer func() { e.done(service, time.Since(begun), met) }()
 	view := snapshot.Choose(e.store.View(service.UpstreamGroup, service.Name), nil)
 	if view == nil {
 		return query.Answer{}, fault.New(fault.StepPlan, service.UpstreamGroup, "no leaf of service %s is known", service.Name).
@@ -92,7 +106,6 @@
 	if err != nil {
 		return query.Answer{}, fault.Wrap(err, fault.StepPlan, "", "encode subrequest")
 	}
-	deadline := arrived.Add(wait(service, request) - e.cfg.ReturnReserve)
 	cfg := gather.Config{
 		Policy:         service.Policy,
 		MinCoverage:    max(service.MinCoverage, request.MinCoverage),
@@ -107,7 +120,9 @@
 		body:     body,
 		deadline: deadline,
 	}
-	return c.run(ctx)
+	answer, err = c.run(ctx)
+	met = c.load
+	return answer, err
 }
 
 func wait(service note.Service, request query.Request) time.Duration {
@@ -183,6 +198,9 @@
 	if r.Sent {
 		c.query.Sent()
 	}
+	c.load.waited += r.Waited
+	c.load.ran += r.Ran
+	c.load.shed = c.load.shed || r.Reason == query.ReasonShed
 	var progress gather.Progress
 	var err error
 	if r.OK {
@@ -197,12 +215,17 @@
 	return progress, nil
 }
 
+// violated counts a broken invariant.
+func (e *Entry) violated(name string) {
+	e.violations.Add(1)
+	if e.onBroken != nil {
+		e.onBroken(name)
+	}
+}
+
 // broken counts a broken invariant and returns the error that fails the query.
 func (c *collection) broken(name string, err error) error {
-	c.entry.violations.Add(1)
-	if c.entry.onBroken != nil {
-		c.entry.onBroken(name)
-	}
+	c.entry.violated(name)
 	return fault.Wrap(err, fault.StepInternal, "", "invariant %s of request %s", name, c.id)
 }
 
--- a/internal/transport/entry/module.go
+++ b/internal/transport/entry/module.go
@@ -16,6 +16,8 @@
 func provide(s settings.Settings, store *shardmap.Store, runner *relay.Relay, m *metrics.Metrics, tracer *tracing.Tracer) *Entry {
 	cfg := DefaultConfig()
 	cfg.ReturnReserve = s.Query.ReturnReserve()
+	cfg.MaxQueries = int(s.Limits.MaxConcurrentQueries)
+	cfg.MaxQueue = int(s.Limits.QueryQueue)
 	cfg.MaxItems = int(s.Limits.MaxItems)
 	return New(cfg, store, runner, m.InvariantViolated, tracer)
 }
