Lower limits in proportion to congestion and tolerate bursts

Cause: in virtual time, half load over leafs with 1 % stragglers and random replicas was refused: a limit of 8 queries at the start and a tolerance of 0.5 took ordinary waiting for overload; and leafs without stated slots got a limit of 1. Change: start at 32 queries, tolerate twice as much waiting as work, divide the limit by the congestion (between 0.5 and 0.9), assume 64 slots where none are stated.

--- a/internal/coordination/limit/limit.go
+++ b/internal/coordination/limit/limit.go
@@ -14,10 +14,13 @@
 	windowSize = 16
 	// baselineWindows is the number of windows whose lowest median is the baseline.
 	baselineWindows = 64
-	// shedFactor and slowFactor multiply the limit after a refusal and after a
-	// congested window.
+	// minBaseline keeps clock resolution from looking like congestion.
+	minBaseline = 100 * time.Microsecond
+	// shedFactor multiplies the limit after a refusal.
 	shedFactor = 0.8
-	slowFactor = 0.9
+	// minFactor and maxFactor bound what multiplies the limit after a congested window.
+	minFactor = 0.5
+	maxFactor = 0.9
 	// startFactor multiplies the limit after each quiet window until the first decrease.
 	startFactor = 2
 	// growthShare of the limit is added after a quiet window, at least 1.
@@ -133,24 +136,35 @@
 	l.latency = median(l.elapsed)
 	l.medians[l.windows%baselineWindows] = l.latency
 	l.windows++
-	slow := l.cfg.Tolerance > 0 && float64(l.latency) > l.cfg.Tolerance*float64(l.baseline())
-	queued := l.cfg.WaitTolerance > 0 && float64(l.waited) > l.cfg.WaitTolerance*float64(l.worked)
+	congestion := l.congestion()
 	used := l.used
 	l.count = 0
 	l.waited = 0
 	l.worked = 0
 	l.used = false
 	switch {
-	case slow || queued:
-		l.lower(now, slowFactor)
+	case congestion > 1:
+		l.lower(now, min(max(1/congestion, minFactor), maxFactor))
 	case used:
 		l.raise()
 	}
 }
 
+// congestion is how many times its tolerance the window's latency or waiting is.
+func (l *Limiter) congestion() float64 {
+	congestion := 0.0
+	if l.cfg.Tolerance > 0 && l.latency > 0 {
+		congestion = float64(l.latency) / (l.cfg.Tolerance * float64(l.baseline()))
+	}
+	if l.cfg.WaitTolerance > 0 && l.worked > 0 {
+		congestion = max(congestion, float64(l.waited)/(l.cfg.WaitTolerance*float64(l.worked)))
+	}
+	return congestion
+}
+
 // baseline is the lowest median of the remembered windows.
 func (l *Limiter) baseline() time.Duration {
-	return slices.Min(l.medians[:min(l.windows, baselineWindows)])
+	return max(slices.Min(l.medians[:min(l.windows, baselineWindows)]), minBaseline)
 }
 
 func (l *Limiter) raise() {
--- a/internal/transport/entry/admission.go
+++ b/internal/transport/entry/admission.go
@@ -16,10 +16,10 @@
 const (
 	// initialQueries is the limit of queries in flight of a service before
 	// anything is known of it.
-	initialQueries = 8
+	initialQueries = 32
 	// queryWaitTolerance is how many times the time at leafs the time in leaf
 	// queues may reach before a service's limit falls.
-	queryWaitTolerance = 0.5
+	queryWaitTolerance = 2.0
 )
 
 // admissionPriorities orders queries of a service.
--- a/internal/transport/relay/queue.go
+++ b/internal/transport/relay/queue.go
@@ -24,6 +24,8 @@
 	// spareRuns is the number of subrequests above a leaf's slots, which keep
 	// its slots busy while replies travel.
 	spareRuns = 1
+	// unknownSlots is assumed where a service does not state a leaf's slots.
+	unknownSlots = 64
 	// idleQueueTTL is how long the queue of an unused leaf is kept.
 	idleQueueTTL = 10 * time.Minute
 )
@@ -74,7 +76,10 @@
 	q.mu.Lock()
 	nodes := q.nodes
 	q.mu.Unlock()
-	ceiling := service.LeafSlots + spareRuns
+	ceiling := unknownSlots
+	if service.LeafSlots > 0 {
+		ceiling = service.LeafSlots + spareRuns
+	}
 	if service.LeafConnections > 0 {
 		ceiling = min(ceiling, service.LeafConnections/nodes)
 	}
