Refuse queries that waited too long for their usual time

Cause: half of the queries take longer than the median that the queue reserved, so admitted queries ended partial at the deadline. Change: reserve twice the median.

--- a/internal/coordination/admission/gate.go
+++ b/internal/coordination/admission/gate.go
@@ -17,6 +17,9 @@
 	queuePerLimit = 2
 	// minQueue is the length of a class's queue that is always allowed.
 	minQueue = 4
+	// latencyReserve is how many times the median time of work a ticket that
+	// waited must have left, for work takes longer than its median half the time.
+	latencyReserve = 2
 	// minRetryAfter and maxRetryAfter bound the advice to refused callers.
 	minRetryAfter = time.Second
 	maxRetryAfter = 30 * time.Second
@@ -124,7 +127,7 @@
 		return nil
 	}
 	ahead := c.ahead(t.Priority)
-	if now.Add(g.wait(c, ahead+1) + g.latency(c)).After(t.Deadline) {
+	if now.Add(g.wait(c, ahead+1) + latencyReserve*g.latency(c)).After(t.Deadline) {
 		g.refuse(c, t, RefuseLate)
 		return nil
 	}
@@ -288,7 +291,7 @@
 	if c.inFlight == 0 {
 		return !now.Before(t.Deadline)
 	}
-	return now.Add(g.latency(c)).After(t.Deadline)
+	return now.Add(latencyReserve * g.latency(c)).After(t.Deadline)
 }
 
 // next is the waiting class with room that has the least work in flight, and
