Quarantine requests that crash leafs, across nodes

Cause: a request that crashes each leaf that runs it was sent on and on. Change: a ledger charges the fingerprint of service and body with leafs whose connection broke while they ran it. A charged one runs on one leaf at a time, not beside another suspect, after a delay for the word of peers; two leafs convict it. Copies of an unproven request run one at a time on a shard; with query.canary_shards set, on one shard first. An answer proves it, a leaf that was lost before explains later losses, and a conviction drops the charges of others for the same crashes. Convictions end with time; the next loss convicts at once, for twice as long.

--- a/internal/experiment/experiment.go
+++ b/internal/experiment/experiment.go
@@ -66,6 +66,7 @@
 	return []Experiment{
 		tailExperiment,
 		overloadExperiment,
+		crashExperiment,
 	}
 }
 
--- a/internal/experiment/rig.go
+++ b/internal/experiment/rig.go
@@ -39,6 +39,8 @@
 	choose replica.Chooser
 	// control replaces the static catalogue of the rig's nodes; nil keeps it.
 	control fx.Option
+	// adjust changes the settings of each node; nil changes none.
+	adjust func(s *settings.Settings)
 }
 
 // rig is a set of leafs and nodes on loopback. Each leaf holds one shard.
@@ -134,6 +136,9 @@
 	s.Node.AdminAddress = "127.0.0.1:0"
 	s.Node.PeerAddress = "127.0.0.1:0"
 	s.Query.ManifestIntervalMS = 250
+	if r.options.adjust != nil {
+		r.options.adjust(&s)
+	}
 	control := r.options.control
 	if control == nil {
 		control = staticControl(r.options.service)
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -17,6 +17,7 @@
 	"github.com/hickorydock/hickorydock/internal/transport/admin"
 	"github.com/hickorydock/hickorydock/internal/transport/discovery"
 	"github.com/hickorydock/hickorydock/internal/transport/entry"
+	"github.com/hickorydock/hickorydock/internal/transport/guard"
 	"github.com/hickorydock/hickorydock/internal/transport/logging"
 	"github.com/hickorydock/hickorydock/internal/transport/metrics"
 	"github.com/hickorydock/hickorydock/internal/transport/relay"
@@ -46,6 +47,7 @@
 	entry     *entry.Entry
 	metrics   *metrics.Metrics
 	discovery *discovery.Discovery
+	guard     *guard.Guard
 }
 
 // New assembles a node; nothing listens before Start.
@@ -69,10 +71,11 @@
 		admin.Module,
 		upstream.Module,
 		discovery.Module,
+		guard.Module,
 		relay.Module,
 		entry.Module,
 		server.Module,
-		fx.Populate(&n.admin, &n.listener, &n.entry, &n.metrics, &n.discovery),
+		fx.Populate(&n.admin, &n.listener, &n.entry, &n.metrics, &n.discovery, &n.guard),
 	)
 	if err := n.app.Err(); err != nil {
 		return nil, fmt.Errorf("assemble node: %w", err)
@@ -129,3 +132,6 @@
 
 // Metrics is the node's metrics.
 func (n *Node) Metrics() *metrics.Metrics { return n.metrics }
+
+// Guard is the node's quarantine.
+func (n *Node) Guard() *guard.Guard { return n.guard }
--- a/internal/protocol/settings/settings.go
+++ b/internal/protocol/settings/settings.go
@@ -63,6 +63,7 @@
 type Query struct {
 	ManifestIntervalMS int64 `toml:"manifest_interval_ms" min:"10" max:"600000" doc:"Time between two reads of a leaf's manifest, in milliseconds."`
 	ReturnReserveMS    int64 `toml:"return_reserve_ms" min:"0" max:"10000" doc:"Part of each deadline kept for merging and for the way back, in milliseconds."`
+	CanaryShards       int64 `toml:"canary_shards" min:"0" max:"65536" doc:"Number of shards from which a query with a body not seen before runs on one shard first; 0 means never."`
 }
 
 // Stop bounds a graceful stop.
--- a/internal/transport/entry/admission.go
+++ b/internal/transport/entry/admission.go
@@ -7,6 +7,7 @@
 
 	"github.com/hickorydock/hickorydock/internal/coordination/admission"
 	"github.com/hickorydock/hickorydock/internal/coordination/limit"
+	"github.com/hickorydock/hickorydock/internal/coordination/quarantine"
 	"github.com/hickorydock/hickorydock/internal/protocol/fault"
 	"github.com/hickorydock/hickorydock/internal/protocol/note"
 	"github.com/hickorydock/hickorydock/internal/protocol/query"
@@ -57,6 +58,21 @@
 		WithStatus(http.StatusServiceUnavailable, query.NotRun).WithRetryAfter(ticket.RetryAfter)
 }
 
+// refuseSuspect refuses a query that is in quarantine.
+func (e *Entry) refuseSuspect(f quarantine.Fingerprint) error {
+	left, refused := e.guard.Refused(f)
+	if !refused {
+		return nil
+	}
+	return fault.New(fault.StepAdmit, "", "the request is in quarantine, since leafs broke their connections while they ran it").
+		WithStatus(http.StatusUnprocessableEntity, query.NotRun).WithRetryAfter(left)
+}
+
+// isCanary reports whether an unproven query over shards runs on one of them first.
+func (e *Entry) isCanary(shards int) bool {
+	return e.cfg.CanaryShards > 0 && shards >= e.cfg.CanaryShards
+}
+
 // load sums up what the subrequests of a query met.
 type load struct {
 	waited, ran time.Duration
--- a/internal/transport/entry/entry.go
+++ b/internal/transport/entry/entry.go
@@ -15,12 +15,14 @@
 
 	"github.com/hickorydock/hickorydock/internal/coordination/gather"
 	"github.com/hickorydock/hickorydock/internal/coordination/merge"
+	"github.com/hickorydock/hickorydock/internal/coordination/quarantine"
 	"github.com/hickorydock/hickorydock/internal/coordination/snapshot"
 	"github.com/hickorydock/hickorydock/internal/protocol/fault"
 	"github.com/hickorydock/hickorydock/internal/protocol/note"
 	"github.com/hickorydock/hickorydock/internal/protocol/query"
 	contract "github.com/hickorydock/hickorydock/internal/protocol/upstream"
 	"github.com/hickorydock/hickorydock/internal/state/shardmap"
+	"github.com/hickorydock/hickorydock/internal/transport/guard"
 	"github.com/hickorydock/hickorydock/internal/transport/relay"
 	"github.com/hickorydock/hickorydock/internal/transport/throttle"
 	"github.com/hickorydock/hickorydock/internal/transport/tracing"
@@ -39,6 +41,9 @@
 	MaxQueries int
 	// MaxQueue bounds the queries that wait for admission.
 	MaxQueue int
+	// CanaryShards is the number of shards from which an unproven query runs on
+	// one shard first; 0 means never.
+	CanaryShards int
 	// MaxItems bounds the items of an answer; 0 means no bound.
 	MaxItems int
 }
@@ -62,11 +67,12 @@
 	onBroken   func(name string)
 	tracer     *tracing.Tracer
 	admission  *throttle.Throttle
+	guard      *guard.Guard
 }
 
 // New returns an entry; onBroken is told the name of each broken invariant and may be nil.
 func New(cfg Config, store *shardmap.Store, runner Runner, onBroken func(name string), tracer *tracing.Tracer) *Entry {
-	return &Entry{cfg: cfg, store: store, runner: runner, onBroken: onBroken, tracer: tracer, admission: newAdmission(cfg)}
+	return &Entry{cfg: cfg, store: store, runner: runner, onBroken: onBroken, tracer: tracer, admission: newAdmission(cfg), guard: guard.New(nil)}
 }
 
 // Violations counts broken invariants; each failed one query.
@@ -79,6 +85,7 @@
 	query    *gather.Query
 	id       string
 	body     []byte
+	mark     quarantine.Fingerprint
 	deadline time.Time
 	results  chan relay.Result
 	cancel   context.CancelFunc
@@ -90,6 +97,14 @@
 func (e *Entry) Query(ctx context.Context, service note.Service, request query.Request, arrived time.Time) (answer query.Answer, err error) {
 	ctx, span := e.tracer.Start(ctx, tracing.HopPlan, attribute.String("service", service.Name))
 	defer func() { span.End(err) }()
+	body, err := json.Marshal(contract.RunRequest{Query: request.Query})
+	if err != nil {
+		return query.Answer{}, fault.Wrap(err, fault.StepPlan, "", "encode subrequest")
+	}
+	fingerprint := quarantine.Of(service.Name, body)
+	if err := e.refuseSuspect(fingerprint); err != nil {
+		return query.Answer{}, err
+	}
 	deadline := arrived.Add(wait(service, request) - e.cfg.ReturnReserve)
 	if err := e.admit(ctx, service, request, deadline); err != nil {
 		return query.Answer{}, err
@@ -102,10 +117,6 @@
 		return query.Answer{}, fault.New(fault.StepPlan, service.UpstreamGroup, "no leaf of service %s is known", service.Name).
 			WithStatus(http.StatusServiceUnavailable, query.NotRun).WithRetryAfter(retryAfter)
 	}
-	body, err := json.Marshal(contract.RunRequest{Query: request.Query})
-	if err != nil {
-		return query.Answer{}, fault.Wrap(err, fault.StepPlan, "", "encode subrequest")
-	}
 	cfg := gather.Config{
 		Policy:         service.Policy,
 		MinCoverage:    max(service.MinCoverage, request.MinCoverage),
@@ -118,6 +129,7 @@
 		query:    gather.New(cfg, view),
 		id:       uuid.NewString(),
 		body:     body,
+		mark:     fingerprint,
 		deadline: deadline,
 	}
 	answer, err = c.run(ctx)
@@ -188,6 +200,9 @@
 			Replicas:  replicas,
 			Deadline:  c.deadline,
 			Body:      c.body,
+
+			Fingerprint: c.mark,
+			Canary:      c.entry.isCanary(view.ShardCount()),
 		}
 		go func() { results <- c.entry.runner.Run(ctx, task) }()
 	}
--- a/internal/transport/relay/module.go
+++ b/internal/transport/relay/module.go
@@ -7,6 +7,7 @@
 	"github.com/hickorydock/hickorydock/internal/coordination/subrequest"
 	"github.com/hickorydock/hickorydock/internal/protocol/settings"
 	"github.com/hickorydock/hickorydock/internal/state/shardmap"
+	"github.com/hickorydock/hickorydock/internal/transport/guard"
 	"github.com/hickorydock/hickorydock/internal/transport/metrics"
 	"github.com/hickorydock/hickorydock/internal/transport/tracing"
 	"github.com/hickorydock/hickorydock/internal/transport/upstream"
@@ -15,8 +16,9 @@
 // Module provides the relay.
 var Module = fx.Module("relay", fx.Provide(provide))
 
-func provide(client *upstream.Client, store *shardmap.Store, s settings.Settings, choose replica.Chooser, m *metrics.Metrics, tracer *tracing.Tracer) *Relay {
+func provide(client *upstream.Client, store *shardmap.Store, s settings.Settings, choose replica.Chooser, g *guard.Guard, m *metrics.Metrics, tracer *tracing.Tracer) *Relay {
 	relay := New(client, store, s.Node.AvailabilityZone, choose, meter{m}, tracer)
+	relay.guard = g
 	relay.queues.maxQueue = int(s.Limits.LeafQueue)
 	return relay
 }
--- a/internal/transport/relay/queue.go
+++ b/internal/transport/relay/queue.go
@@ -6,6 +6,7 @@
 
 	"github.com/hickorydock/hickorydock/internal/coordination/admission"
 	"github.com/hickorydock/hickorydock/internal/coordination/limit"
+	"github.com/hickorydock/hickorydock/internal/coordination/quarantine"
 	"github.com/hickorydock/hickorydock/internal/coordination/subrequest"
 	"github.com/hickorydock/hickorydock/internal/protocol/fault"
 	"github.com/hickorydock/hickorydock/internal/protocol/note"
@@ -127,28 +128,36 @@
 // priorities of attempts at a leaf's queue: a retry has the least time left.
 var attemptPriorities = map[subrequest.Kind]int{subrequest.First: 1, subrequest.Retry: 2, subrequest.Hedge: 0}
 
-// enter waits for the leaf's limit. It reports true with the reply to use when
-// the attempt must not be sent.
-func (u *run) enter(queue *leafQueue, attempt subrequest.Attempt, target shardmap.Replica) (upstream.Reply, bool) {
+// enter waits for the quarantine and for the leaf's limit. It returns the end
+// of the attempt when it must not be sent, else nil.
+func (u *run) enter(queue *leafQueue, trial *quarantine.Attempt, attempt subrequest.Attempt, target shardmap.Replica) *ended {
+	if refused := u.passGuard(trial, target); refused != nil {
+		return refused
+	}
 	ticket := &admission.Ticket{
 		Class:    u.task.Service.Name,
 		Priority: attemptPriorities[attempt.Kind],
 		Deadline: u.task.Deadline,
 	}
-	if err := queue.Enter(u.ctx, ticket); err != nil {
-		return upstream.Reply{Result: subrequest.Lost, Err: fault.Wrap(err, fault.StepRelay, target.VM.ID, "wait for the leaf")}, true
-	}
-	if ticket.Decision != admission.Admit {
-		return upstream.Reply{Result: subrequest.NotRun, Err: fault.New(fault.StepRelay, target.VM.ID, "queue of the leaf is full or too slow")}, true
-	}
-	u.started.Store(true)
-	// The context is looked at after the store: whoever saw its end before and
-	// found nothing started may rely on nothing being sent.
-	if err := u.ctx.Err(); err != nil {
+	err := queue.Enter(u.ctx, ticket)
+	if err == nil && ticket.Decision == admission.Admit {
+		u.started.Store(true)
+		// The context is looked at after the store: whoever saw its end before and
+		// found nothing started may rely on nothing being sent.
+		if err = u.ctx.Err(); err == nil {
+			return nil
+		}
 		u.leave(queue, leaf.Cancelled, 0)
-		return upstream.Reply{Result: subrequest.Lost, Err: fault.Wrap(err, fault.StepRelay, target.VM.ID, "wait for the leaf")}, true
 	}
-	return upstream.Reply{}, false
+	u.relay.guard.Leave(*trial, quarantine.Unknown)
+	if err != nil {
+		return unsent(subrequest.Lost, fault.Wrap(err, fault.StepRelay, target.VM.ID, "wait for the leaf"))
+	}
+	return unsent(subrequest.NotRun, fault.New(fault.StepRelay, target.VM.ID, "queue of the leaf is full or too slow"))
+}
+
+func unsent(result subrequest.Result, err error) *ended {
+	return &ended{reply: upstream.Reply{Result: result, Err: err}}
 }
 
 // leave ends an attempt at a leaf's queue.
--- a/internal/transport/relay/relay.go
+++ b/internal/transport/relay/relay.go
@@ -14,6 +14,7 @@
 
 	"github.com/hickorydock/hickorydock/internal/coordination/budget"
 	"github.com/hickorydock/hickorydock/internal/coordination/latency"
+	"github.com/hickorydock/hickorydock/internal/coordination/quarantine"
 	"github.com/hickorydock/hickorydock/internal/coordination/replica"
 	"github.com/hickorydock/hickorydock/internal/coordination/subrequest"
 	"github.com/hickorydock/hickorydock/internal/protocol/note"
@@ -22,6 +23,7 @@
 	contract "github.com/hickorydock/hickorydock/internal/protocol/upstream"
 	"github.com/hickorydock/hickorydock/internal/state/leaf"
 	"github.com/hickorydock/hickorydock/internal/state/shardmap"
+	"github.com/hickorydock/hickorydock/internal/transport/guard"
 	"github.com/hickorydock/hickorydock/internal/transport/tracing"
 	"github.com/hickorydock/hickorydock/internal/transport/upstream"
 )
@@ -59,11 +61,12 @@
 	tracer   *tracing.Tracer
 	services sync.Map // service name -> *serviceState
 	queues   *queues
+	guard    *guard.Guard
 }
 
 // New returns a relay in an availability zone; observer may be nil.
 func New(sender Sender, store *shardmap.Store, availabilityZone string, choose replica.Chooser, observer Observer, tracer *tracing.Tracer) *Relay {
-	return &Relay{sender: sender, store: store, zone: availabilityZone, choose: choose, observer: observer, tracer: tracer, queues: newQueues(defaultLeafQueue)}
+	return &Relay{sender: sender, store: store, zone: availabilityZone, choose: choose, observer: observer, tracer: tracer, queues: newQueues(defaultLeafQueue), guard: guard.New(nil)}
 }
 
 // serviceState is what the relay learned about one service.
@@ -115,6 +118,10 @@
 	Deadline time.Time
 	// Body is the encoded RunRequest, shared by all shards.
 	Body []byte
+	// Fingerprint identifies service and body for the quarantine.
+	Fingerprint quarantine.Fingerprint
+	// Canary makes an unproven fingerprint run on one shard first.
+	Canary bool
 }
 
 // Result is the end of a subrequest.
@@ -140,6 +147,8 @@
 	index       int
 	reply       upstream.Reply
 	waited, ran time.Duration
+	// quarantined is true when the attempt was refused by the quarantine.
+	quarantined bool
 }
 
 // run is the state of one subrequest in progress.
@@ -156,6 +165,7 @@
 	// started is true once an attempt may have sent a byte.
 	started     atomic.Bool
 	waited, ran time.Duration
+	quarantined bool
 }
 
 // maxReplicas bounds the attempts of one subrequest and so the channel that
@@ -240,6 +250,7 @@
 func (u *run) settle(e ended) (Result, bool) {
 	u.waited += e.waited
 	u.ran += e.ran
+	u.quarantined = u.quarantined || e.quarantined
 	if e.reply.Sent && e.reply.Result != subrequest.NotRun {
 		u.sent = true
 	}
@@ -248,7 +259,7 @@
 	case subrequest.Deliver:
 		return u.result(Result{OK: true, Items: e.reply.Items, Sent: true}), true
 	case subrequest.GiveUp:
-		return u.failed(u.machine.Reason(), e.reply.Err), true
+		return u.failed(u.reason(), e.reply.Err), true
 	case subrequest.Send:
 		u.send(next)
 	case subrequest.Wait:
@@ -256,6 +267,14 @@
 	return Result{}, false
 }
 
+// reason says why no attempt has a reply.
+func (u *run) reason() query.Reason {
+	if u.quarantined {
+		return query.ReasonSuspect
+	}
+	return u.machine.Reason()
+}
+
 func (u *run) failed(reason query.Reason, err error) Result {
 	sent := u.sent || u.started.Load() && reason == query.ReasonDeadline
 	return u.result(Result{Reason: reason, Sent: sent, Err: err})
@@ -302,12 +321,15 @@
 
 func (u *run) attempt(ctx context.Context, span tracing.Span, attempt subrequest.Attempt, target shardmap.Replica, sub contract.Subrequest) {
 	entered := time.Now()
+	trial := u.trial(attempt, target)
 	queue := u.relay.queues.of(target.VM.ID, u.task.Service)
-	if reply, refused := u.enter(queue, attempt, target); refused {
-		span.End(reply.Err)
+	if refused := u.enter(queue, &trial, attempt, target); refused != nil {
+		span.End(refused.reply.Err)
 		now := time.Now()
-		target.Record.End(now, 0, leafResult(u.ctx, reply))
-		u.results <- ended{index: attempt.Replica, reply: reply, waited: now.Sub(entered)}
+		target.Record.End(now, 0, leafResult(u.ctx, refused.reply))
+		refused.index = attempt.Replica
+		refused.waited = now.Sub(entered)
+		u.results <- *refused
 		return
 	}
 	if u.relay.observer != nil {
@@ -320,6 +342,7 @@
 	elapsed := now.Sub(begun)
 	result := leafResult(u.ctx, reply)
 	u.leave(queue, result, elapsed)
+	u.relay.guard.Leave(trial, trialEnd(reply, result))
 	target.Record.End(now, elapsed, result)
 	if reply.Result == subrequest.OK || isOvertaken(u.ctx, attempt.Kind) {
 		// An overtaken first attempt counts with the time it had taken, or the
--- a/internal/transport/server/module.go
+++ b/internal/transport/server/module.go
@@ -56,6 +56,8 @@
 		return metrics.RefusalUnknown
 	case http.StatusRequestEntityTooLarge:
 		return metrics.RefusalTooLarge
+	case http.StatusUnprocessableEntity:
+		return metrics.RefusalQuarantine
 	case http.StatusServiceUnavailable:
 		return metrics.RefusalOverload
 	default:
