--- a/internal/experiment/experiment.go
+++ b/internal/experiment/experiment.go
@@ -76,6 +76,8 @@
 		sharesExperiment,
 		slopesExperiment,
 		connectionsExperiment,
+		overloadExperiment,
+		crashExperiment,
 	}
 }
 
--- a/internal/transport/relay/relay.go
+++ b/internal/transport/relay/relay.go
@@ -7,12 +7,14 @@
 	"context"
 	"math/rand/v2"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"go.opentelemetry.io/otel/attribute"
 
 	"github.com/hickorydock/hickorydock/internal/coordination/budget"
 	"github.com/hickorydock/hickorydock/internal/coordination/latency"
+	"github.com/hickorydock/hickorydock/internal/coordination/quarantine"
 	"github.com/hickorydock/hickorydock/internal/coordination/replica"
 	"github.com/hickorydock/hickorydock/internal/coordination/subrequest"
 	"github.com/hickorydock/hickorydock/internal/protocol/note"
@@ -21,6 +23,7 @@
 	contract "github.com/hickorydock/hickorydock/internal/protocol/upstream"
 	"github.com/hickorydock/hickorydock/internal/state/leaf"
 	"github.com/hickorydock/hickorydock/internal/state/shardmap"
+	"github.com/hickorydock/hickorydock/internal/transport/guard"
 	"github.com/hickorydock/hickorydock/internal/transport/tracing"
 	"github.com/hickorydock/hickorydock/internal/transport/upstream"
 )
@@ -39,6 +42,8 @@
 type Observer interface {
 	// Subrequest counts an attempt by kind.
 	Subrequest(service string, kind subrequest.Kind)
+	// InvariantBroken counts a broken invariant.
+	InvariantBroken(name string)
 }
 
 // Sender sends one attempt to a leaf; it is met by upstream.Client.
@@ -61,11 +66,23 @@
 	observer Observer
 	tracer   *tracing.Tracer
 	services sync.Map // service name -> *serviceState
+	queues   *queues
+	guard    *guard.Guard
 }
 
 // New returns a relay in an availability zone; refresh and observer may be nil.
 func New(sender Sender, store *shardmap.Store, refresh Refresher, availabilityZone string, choose replica.Chooser, observer Observer, tracer *tracing.Tracer) *Relay {
-	return &Relay{sender: sender, store: store, refresh: refresh, zone: availabilityZone, choose: choose, observer: observer, tracer: tracer}
+	return &Relay{
+		sender:   sender,
+		store:    store,
+		refresh:  refresh,
+		zone:     availabilityZone,
+		choose:   choose,
+		observer: observer,
+		tracer:   tracer,
+		queues:   newQueues(defaultLeafQueue),
+		guard:    guard.New(nil),
+	}
 }
 
 // serviceState is what the relay learned about one service.
@@ -117,6 +134,10 @@
 	Deadline time.Time
 	// Body is the encoded RunRequest, shared by all shards.
 	Body []byte
+	// Fingerprint identifies service and body for the quarantine.
+	Fingerprint quarantine.Fingerprint
+	// Canary makes an unproven fingerprint run on one shard first.
+	Canary bool
 }
 
 // Result is the end of a subrequest.
@@ -132,12 +153,18 @@
 	// did not declare that it ran nothing.
 	Sent bool
 	Err  error
+	// Waited and Ran add up the time in leaf queues and at leafs of all attempts
+	// that ended.
+	Waited, Ran time.Duration
 }
 
 // ended is the end of one attempt.
 type ended struct {
-	index int
-	reply upstream.Reply
+	index       int
+	reply       upstream.Reply
+	waited, ran time.Duration
+	// quarantined is true when the attempt was refused by the quarantine.
+	quarantined bool
 }
 
 // run is the state of one subrequest in progress.
@@ -151,6 +178,10 @@
 	first   tracing.Span
 	count   int
 	sent    bool
+	// started is true once an attempt may have sent a byte.
+	started     atomic.Bool
+	waited, ran time.Duration
+	quarantined bool
 }
 
 // maxReplicas bounds the attempts of one subrequest and so the channel that
@@ -233,6 +264,9 @@
 
 // settle hands the end of an attempt to the machine.
 func (u *run) settle(e ended) (Result, bool) {
+	u.waited += e.waited
+	u.ran += e.ran
+	u.quarantined = u.quarantined || e.quarantined
 	if e.reply.Sent && e.reply.Result != subrequest.NotRun {
 		u.sent = true
 	}
@@ -241,7 +275,7 @@
 	case subrequest.Deliver:
 		return u.result(Result{OK: true, Items: e.reply.Items, Sent: true}), true
 	case subrequest.GiveUp:
-		return u.failed(u.machine.Reason(), e.reply.Err), true
+		return u.failed(u.reason(), e.reply.Err), true
 	case subrequest.Send:
 		u.send(next)
 	case subrequest.Wait:
@@ -249,8 +283,16 @@
 	return Result{}, false
 }
 
+// reason says why no attempt has a reply.
+func (u *run) reason() query.Reason {
+	if u.quarantined {
+		return query.ReasonSuspect
+	}
+	return u.machine.Reason()
+}
+
 func (u *run) failed(reason query.Reason, err error) Result {
-	sent := u.sent || u.count > 0 && reason == query.ReasonDeadline
+	sent := u.sent || u.started.Load() && reason == query.ReasonDeadline
 	return u.result(Result{Reason: reason, Sent: sent, Err: err})
 }
 
@@ -259,6 +301,8 @@
 	r.Shard = u.task.Shard
 	r.Restart = u.task.Restart
 	r.Snapshot = u.task.Snapshot
+	r.Waited = u.waited
+	r.Ran = u.ran
 	return r
 }
 
@@ -274,9 +318,6 @@
 		Class:     contract.ClassQuery,
 	}
 	u.count++
-	if u.relay.observer != nil {
-		u.relay.observer.Subrequest(u.task.Service.Name, attempt.Kind)
-	}
 	target.Record.Begin(time.Now())
 	ctx, span := u.span(attempt, target)
 	go u.attempt(ctx, span, attempt, target, sub)
@@ -295,19 +336,37 @@
 }
 
 func (u *run) attempt(ctx context.Context, span tracing.Span, attempt subrequest.Attempt, target shardmap.Replica, sub contract.Subrequest) {
+	entered := time.Now()
+	trial := u.trial(attempt, target)
+	queue := u.relay.queues.of(target.VM.ID, u.task.Service)
+	if refused := u.enter(queue, &trial, attempt, target); refused != nil {
+		span.End(refused.reply.Err)
+		now := time.Now()
+		target.Record.End(now, 0, leafResult(u.ctx, refused.reply))
+		refused.index = attempt.Replica
+		refused.waited = now.Sub(entered)
+		u.results <- *refused
+		return
+	}
+	if u.relay.observer != nil {
+		u.relay.observer.Subrequest(u.task.Service.Name, attempt.Kind)
+	}
 	begun := time.Now()
 	reply := u.relay.sender.Run(ctx, target.VM, sub, u.task.Deadline.Sub(begun), u.task.Body)
 	span.End(reply.Err)
 	now := time.Now()
 	elapsed := now.Sub(begun)
-	target.Record.End(now, elapsed, leafResult(u.ctx, reply))
+	result := leafResult(u.ctx, reply)
+	u.leave(queue, result, elapsed)
+	u.relay.guard.Leave(trial, trialEnd(reply, result))
+	target.Record.End(now, elapsed, result)
 	if reply.Result == subrequest.OK || isOvertaken(u.ctx, attempt.Kind) {
 		// An overtaken first attempt counts with the time it had taken, or the
 		// window would hold too few of the slow attempts that hedges replace.
-		u.state.window.Observe(now, elapsed)
+		u.state.window.Observe(now, now.Sub(entered))
 	}
 	u.learn(now, target, reply)
-	u.results <- ended{attempt.Replica, reply}
+	u.results <- ended{index: attempt.Replica, reply: reply, waited: begun.Sub(entered), ran: elapsed}
 }
 
 // learn takes over what a reply says about its leaf.
