--- a/cmd/hickorydock/main.go
+++ b/cmd/hickorydock/main.go
@@ -32,12 +32,16 @@
 // commands holds every subcommand in the order of the help.
 var commands = []command{
 	serveCommand,
+	demoCommand,
+	standinCommand,
 	checkCommand,
 	applyCommand,
 	statusCommand,
 	exportCommand,
 	historyCommand,
 	experimentCommand,
+	queryCommand,
+	loadCommand,
 	versionCommand,
 }
 
--- a/cmd/hickorydock/serve.go
+++ b/cmd/hickorydock/serve.go
@@ -5,9 +5,12 @@
 	"fmt"
 	"io"
 	"os"
+	"os/signal"
+	"syscall"
 
 	"github.com/integrii/flaggy"
 
+	"github.com/hickorydock/hickorydock/internal/node"
 	"github.com/hickorydock/hickorydock/internal/protocol/settings"
 )
 
@@ -15,6 +18,7 @@
 	name:    "serve",
 	summary: "Run a node until SIGTERM.",
 	examples: `Settings come from a TOML file and from HICKORYDOCK_… variables, which go first.
+SIGTERM finishes the requests in progress; SIGHUP reads the certificates again.
 Examples:
   hickorydock serve --config node.toml
   hickorydock serve --config node.toml --print-settings`,
@@ -36,7 +40,7 @@
 	}
 }
 
-func runServe(_ context.Context, opts serveOptions, out, _ io.Writer) error {
+func runServe(ctx context.Context, opts serveOptions, out, errOut io.Writer) error {
 	s, err := loadSettings(opts.config)
 	if err != nil {
 		return err
@@ -44,7 +48,43 @@
 	if opts.printSettings {
 		return s.Print(out)
 	}
-	return usageError("serve needs --print-settings")
+	n, err := node.New(node.Config{
+		Settings: s,
+		Logs:     errOut,
+		Control:  node.SettingsPlatform(),
+	})
+	if err != nil {
+		return err
+	}
+	if err := n.Start(ctx); err != nil {
+		return fmt.Errorf("start node: %w", err)
+	}
+	reloadOnHangup(ctx, n, opts)
+	// The stop limit in the settings bounds the stop; the ended ctx must not.
+	return n.Stop(context.WithoutCancel(ctx))
+}
+
+// reloadOnHangup reads the TLS settings again with each SIGHUP until ctx ends.
+func reloadOnHangup(ctx context.Context, n *node.Node, opts serveOptions) {
+	hangup := make(chan os.Signal, 1)
+	signal.Notify(hangup, syscall.SIGHUP)
+	defer signal.Stop(hangup)
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-hangup:
+			s, err := loadSettings(opts.config)
+			if err == nil {
+				err = n.ReloadTLS(s.TLS)
+			}
+			if err != nil {
+				n.Logger().WithField("error", err.Error()).Error("reload refused")
+				continue
+			}
+			n.Logger().Info("certificates reloaded")
+		}
+	}
 }
 
 // loadSettings reads a settings file and the environment. Without a file the
--- a/internal/experiment/drive.go
+++ b/internal/experiment/drive.go
@@ -85,19 +85,37 @@
 	Version    uint64 `json:"version"`
 }
 
+// echo is what the stand-ins repeat in the answer to a query.
+func echo(index int) string { return fmt.Sprintf("caller-%d", index) }
+
 // ask sends one query that was due at begun.
 func (c *caller) ask(ctx context.Context, url, service string, index int, begun time.Time) sample {
 	s := sample{index: index, begun: begun}
-	echo := fmt.Sprintf("caller-%d", index)
-	body := fmt.Sprintf(`{"query":{"echo":%q}}`, echo)
+	body := fmt.Sprintf(`{"query":{"echo":%q}}`, echo(index))
 	s.status, s.answer, s.err = c.post(ctx, url+"/v1/services/"+service+"/query", body)
 	s.elapsed = time.Since(begun)
 	if s.err == nil {
-		s.mixed = isMixed(&s.answer, echo)
+		s.mixed = isMixed(&s.answer, echo(index))
 	}
 	return s
 }
 
+// settlePause is the wait between two looks at a state that is still settling.
+const settlePause = 20 * time.Millisecond
+
+// awaitComplete waits until a node answers a query of a service completely.
+func (c *caller) awaitComplete(ctx context.Context, url, service string) error {
+	for {
+		s := c.ask(ctx, url, service, 0, time.Now())
+		if s.ok() && len(s.answer.Coverage.Missing) == 0 {
+			return nil
+		}
+		if !sleepUntil(ctx, time.Now().Add(settlePause)) {
+			return ctx.Err()
+		}
+	}
+}
+
 func (c *caller) post(ctx context.Context, url, body string) (int, query.Answer, error) {
 	var answer query.Answer
 	request, err := http.NewRequestWithContext(ctx, http.MethodPost, url, bytes.NewReader([]byte(body)))
--- a/internal/experiment/experiment.go
+++ b/internal/experiment/experiment.go
@@ -65,12 +65,20 @@
 func All() []Experiment {
 	return []Experiment{
 		tailExperiment,
+		commandsExperiment,
+		commandsOutageExperiment,
 		slowExperiment,
 		versionsExperiment,
 		coverageExperiment,
 		cancelExperiment,
 		returnExperiment,
 		membershipExperiment,
+		ownershipExperiment,
+		sharesExperiment,
+		slopesExperiment,
+		connectionsExperiment,
+		overloadExperiment,
+		crashExperiment,
 	}
 }
 
--- a/internal/experiment/membership.go
+++ b/internal/experiment/membership.go
@@ -321,7 +321,7 @@
 
 func runMembership(ctx context.Context, seed uint64) (Result, error) {
 	var result Result
-	for _, size := range fleetSizes {
+	for _, size := range nodeCounts {
 		figures, err := measureMembership(ctx, size, seed)
 		if err != nil {
 			return result, err
--- a/internal/transport/entry/entry.go
+++ b/internal/transport/entry/entry.go
@@ -15,13 +15,16 @@
 
 	"github.com/hickorydock/hickorydock/internal/coordination/gather"
 	"github.com/hickorydock/hickorydock/internal/coordination/merge"
+	"github.com/hickorydock/hickorydock/internal/coordination/quarantine"
 	"github.com/hickorydock/hickorydock/internal/coordination/snapshot"
 	"github.com/hickorydock/hickorydock/internal/protocol/fault"
 	"github.com/hickorydock/hickorydock/internal/protocol/note"
 	"github.com/hickorydock/hickorydock/internal/protocol/query"
 	contract "github.com/hickorydock/hickorydock/internal/protocol/upstream"
 	"github.com/hickorydock/hickorydock/internal/state/shardmap"
+	"github.com/hickorydock/hickorydock/internal/transport/guard"
 	"github.com/hickorydock/hickorydock/internal/transport/relay"
+	"github.com/hickorydock/hickorydock/internal/transport/throttle"
 	"github.com/hickorydock/hickorydock/internal/transport/tracing"
 )
 
@@ -34,13 +37,20 @@
 	ReturnReserve time.Duration
 	// RestartReserve is the time that must be left to restart in another snapshot.
 	RestartReserve time.Duration
+	// MaxQueries bounds the queries in flight.
+	MaxQueries int
+	// MaxQueue bounds the queries that wait for admission.
+	MaxQueue int
+	// CanaryShards is the number of shards from which an unproven query runs on
+	// one shard first; 0 means never.
+	CanaryShards int
 	// MaxItems bounds the items of an answer; 0 means no bound.
 	MaxItems int
 }
 
 // DefaultConfig returns the reserves used when nothing else is set.
 func DefaultConfig() Config {
-	return Config{ReturnReserve: 2 * time.Millisecond, RestartReserve: 5 * time.Millisecond}
+	return Config{ReturnReserve: 2 * time.Millisecond, RestartReserve: 5 * time.Millisecond, MaxQueries: 2000, MaxQueue: 500}
 }
 
 // Runner runs one subrequest; it is met by relay.Relay.
@@ -56,11 +66,13 @@
 	violations atomic.Int64
 	onBroken   func(name string)
 	tracer     *tracing.Tracer
+	admission  *throttle.Throttle
+	guard      *guard.Guard
 }
 
 // New returns an entry; onBroken is told the name of each broken invariant and may be nil.
 func New(cfg Config, store *shardmap.Store, runner Runner, onBroken func(name string), tracer *tracing.Tracer) *Entry {
-	return &Entry{cfg: cfg, store: store, runner: runner, onBroken: onBroken, tracer: tracer}
+	return &Entry{cfg: cfg, store: store, runner: runner, onBroken: onBroken, tracer: tracer, admission: newAdmission(cfg), guard: guard.New(nil)}
 }
 
 // Violations counts broken invariants; each failed one query.
@@ -73,26 +85,38 @@
 	query    *gather.Query
 	id       string
 	body     []byte
+	mark     quarantine.Fingerprint
 	deadline time.Time
 	results  chan relay.Result
 	cancel   context.CancelFunc
 	last     error
+	load     load
 }
 
 // Query answers a query of a service, which arrived at arrived.
 func (e *Entry) Query(ctx context.Context, service note.Service, request query.Request, arrived time.Time) (answer query.Answer, err error) {
 	ctx, span := e.tracer.Start(ctx, tracing.HopPlan, attribute.String("service", service.Name))
 	defer func() { span.End(err) }()
-	view := snapshot.Choose(e.store.View(service.UpstreamGroup, service.Name), nil)
-	if view == nil {
-		return query.Answer{}, fault.New(fault.StepPlan, service.UpstreamGroup, "no leaf of service %s is known", service.Name).
-			WithStatus(http.StatusServiceUnavailable, query.NotRun).WithRetryAfter(retryAfter)
-	}
 	body, err := json.Marshal(contract.RunRequest{Query: request.Query})
 	if err != nil {
 		return query.Answer{}, fault.Wrap(err, fault.StepPlan, "", "encode subrequest")
 	}
+	fingerprint := quarantine.Of(service.Name, body)
+	if err := e.refuseSuspect(fingerprint); err != nil {
+		return query.Answer{}, err
+	}
 	deadline := arrived.Add(wait(service, request) - e.cfg.ReturnReserve)
+	if err := e.admit(ctx, service, request, deadline); err != nil {
+		return query.Answer{}, err
+	}
+	begun := time.Now()
+	var met load
+	defer func() { e.done(service, time.Since(begun), met) }()
+	view := snapshot.Choose(e.store.View(service.UpstreamGroup, service.Name), nil)
+	if view == nil {
+		return query.Answer{}, fault.New(fault.StepPlan, service.UpstreamGroup, "no leaf of service %s is known", service.Name).
+			WithStatus(http.StatusServiceUnavailable, query.NotRun).WithRetryAfter(retryAfter)
+	}
 	cfg := gather.Config{
 		Policy:         service.Policy,
 		MinCoverage:    max(service.MinCoverage, request.MinCoverage),
@@ -105,9 +129,12 @@
 		query:    gather.New(cfg, view),
 		id:       uuid.NewString(),
 		body:     body,
+		mark:     fingerprint,
 		deadline: deadline,
 	}
-	return c.run(ctx)
+	answer, err = c.run(ctx)
+	met = c.load
+	return answer, err
 }
 
 func wait(service note.Service, request query.Request) time.Duration {
@@ -173,6 +200,9 @@
 			Replicas:  replicas,
 			Deadline:  c.deadline,
 			Body:      c.body,
+
+			Fingerprint: c.mark,
+			Canary:      c.entry.isCanary(view.ShardCount()),
 		}
 		go func() { results <- c.entry.runner.Run(ctx, task) }()
 	}
@@ -183,6 +213,9 @@
 	if r.Sent {
 		c.query.Sent()
 	}
+	c.load.waited += r.Waited
+	c.load.ran += r.Ran
+	c.load.shed = c.load.shed || r.Reason == query.ReasonShed
 	var progress gather.Progress
 	var err error
 	if r.OK {
@@ -197,12 +230,17 @@
 	return progress, nil
 }
 
+// violated counts a broken invariant.
+func (e *Entry) violated(name string) {
+	e.violations.Add(1)
+	if e.onBroken != nil {
+		e.onBroken(name)
+	}
+}
+
 // broken counts a broken invariant and returns the error that fails the query.
 func (c *collection) broken(name string, err error) error {
-	c.entry.violations.Add(1)
-	if c.entry.onBroken != nil {
-		c.entry.onBroken(name)
-	}
+	c.entry.violated(name)
 	return fault.Wrap(err, fault.StepInternal, "", "invariant %s of request %s", name, c.id)
 }
 
--- a/internal/transport/upstream/client.go
+++ b/internal/transport/upstream/client.go
@@ -11,6 +11,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptrace"
 	"strings"
 	"sync/atomic"
 	"time"
@@ -20,6 +21,7 @@
 	"github.com/hickorydock/hickorydock/internal/protocol/platform"
 	"github.com/hickorydock/hickorydock/internal/protocol/query"
 	contract "github.com/hickorydock/hickorydock/internal/protocol/upstream"
+	"github.com/hickorydock/hickorydock/internal/transport/credentials"
 )
 
 // Config bounds what a client accepts and opens.
@@ -32,6 +34,9 @@
 	ConnectionsPerLeaf int
 	// DialTimeout bounds opening a connection.
 	DialTimeout time.Duration
+	// Dial opens a connection, with TLS where the settings ask for it; nil means
+	// plain TCP.
+	Dial credentials.DialFunc
 	// ManifestTimeout bounds fetching a manifest.
 	ManifestTimeout time.Duration
 }
@@ -54,6 +59,7 @@
 type Client struct {
 	cfg    Config
 	http   *http.Client
+	shares *shares
 	tracer Injector
 	opened atomic.Int64
 }
@@ -64,11 +70,16 @@
 // New returns a client; inject may be nil.
 func New(cfg Config, inject Injector) *Client {
 	c := &Client{cfg: cfg, tracer: inject}
-	dialer := &net.Dialer{Timeout: cfg.DialTimeout}
+	dial := cfg.Dial
+	if dial == nil {
+		dial = new(net.Dialer).DialContext
+	}
 	transport := &http.Transport{
 		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
 			c.opened.Add(1)
-			return dialer.DialContext(ctx, network, address)
+			ctx, cancel := context.WithTimeout(ctx, cfg.DialTimeout)
+			defer cancel()
+			return dial(ctx, network, address)
 		},
 		MaxConnsPerHost:        cfg.ConnectionsPerLeaf,
 		MaxIdleConns:           0,
@@ -77,8 +88,9 @@
 		DisableCompression:     true,
 		MaxResponseHeaderBytes: cfg.MaxReplyHeaderBytes,
 	}
+	c.shares = newShares(transport, cfg.ManifestTimeout)
 	c.http = &http.Client{
-		Transport:     transport,
+		Transport:     c.shares,
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 	}
 	return c
@@ -98,8 +110,15 @@
 // ConnectionsOpened counts the connections opened so far.
 func (c *Client) ConnectionsOpened() int64 { return c.opened.Load() }
 
-// Close closes idle connections.
-func (c *Client) Close() { c.http.CloseIdleConnections() }
+// SetShare bounds the connections to a leaf. They are opened ahead of need, and
+// requests wait for a free one. Without a share a leaf has ConnectionsPerLeaf.
+func (c *Client) SetShare(vm platform.VM, count int) { c.shares.set(vm.Address, count) }
+
+// DropShare closes the connections to a leaf that is gone and forgets its share.
+func (c *Client) DropShare(vm platform.VM) { c.shares.drop(vm.Address) }
+
+// Close closes idle connections; those in use close when they are free.
+func (c *Client) Close() { c.shares.close() }
 
 // Reply is the result of one attempt.
 type Reply struct {
@@ -121,11 +140,18 @@
 // left is the time that the leaf is given; body is the encoded RunRequest.
 func (c *Client) Run(ctx context.Context, vm platform.VM, sub contract.Subrequest, left time.Duration, body []byte) Reply {
 	url := "http://" + vm.Address + contract.RunPath(sub.Shard)
+	isCommand := sub.Class == contract.ClassCommand
+	connected := &atomic.Bool{}
+	if isCommand {
+		ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
+			GotConn: func(httptrace.GotConnInfo) { connected.Store(true) },
+		})
+	}
 	request, err := http.NewRequestWithContext(ctx, http.MethodPost, url, bytes.NewReader(body))
 	if err != nil {
 		return Reply{Result: subrequest.Lost, Err: fault.Wrap(err, fault.StepSend, vm.ID, "build request")}
 	}
-	if sub.Class == contract.ClassCommand {
+	if isCommand {
 		// Without GetBody, net/http cannot send the request a second time.
 		request.GetBody = nil
 	}
@@ -136,15 +162,20 @@
 	}
 	response, err := c.http.Do(request)
 	if err != nil {
-		return failedSend(err, vm)
+		return failedSend(err, vm, isCommand && !connected.Load())
 	}
 	defer response.Body.Close()
 	return c.read(response, vm, sub)
 }
 
-func failedSend(err error, vm platform.VM) Reply {
+// failedSend is the reply to a request that failed before its reply began.
+// unsent is true when it certainly had no connection.
+func failedSend(err error, vm platform.VM, unsent bool) Reply {
 	var op *net.OpError
-	if errors.As(err, &op) && op.Op == "dial" {
+	var handshake *fault.Error
+	noHandshake := errors.As(err, &handshake) && handshake.Step == fault.StepConnect
+	noDial := errors.As(err, &op) && op.Op == "dial"
+	if unsent || noDial || noHandshake {
 		return Reply{Result: subrequest.Lost, Err: fault.Wrap(err, fault.StepConnect, vm.ID, "connect")}
 	}
 	return Reply{Result: subrequest.Lost, Sent: true, Err: fault.Wrap(err, fault.StepSend, vm.ID, "send")}
@@ -162,6 +193,14 @@
 		reply.Err = fault.Wrap(err, fault.StepReply, vm.ID, "read body")
 		return reply
 	}
+	if sub.Class == contract.ClassCommand {
+		// What lets a command go to another leaf must itself name the command.
+		if err := sub.VerifyReply(response.Header, body); err != nil {
+			reply.Result = subrequest.Bad
+			reply.Err = fault.Wrap(err, fault.StepReply, vm.ID, "verify")
+			return reply
+		}
+	}
 	switch {
 	case response.StatusCode == http.StatusOK:
 		return decode(reply, response.Header, body, vm, sub)
