--- a/internal/coordination/membership/membership_test.go
+++ b/internal/coordination/membership/membership_test.go
@@ -148,6 +148,18 @@
 	}
 }
 
+// TestZoneDies holds the limit of a single death for a whole availability zone.
+func TestZoneDies(t *testing.T) {
+	n := newNetwork(60)
+	for i := 3; i < 60; i += 10 { // zones go by the last digit
+		n.down[name(i)] = true
+	}
+	n.run(5 * time.Second)
+	for i := 3; i < 60; i += 10 {
+		n.want(t, name(i), membership.Dead)
+	}
+}
+
 func TestLeaving(t *testing.T) {
 	n := newNetwork(20)
 	n.carry(name(3), n.nodes[name(3)].Leave(n.now))
--- a/internal/experiment/membership.go
+++ b/internal/experiment/membership.go
@@ -22,6 +22,8 @@
 
 const (
 	membershipLoss = 0.01
+	// fleetZones is the number of availability zones.
+	fleetZones = 6
 	// packetOverhead is that of IP and TCP with timestamps, in bytes a message.
 	packetOverhead = 52
 	latencyLeast   = 300 * time.Microsecond
@@ -73,7 +75,7 @@
 	return membership.Member{
 		ID:               fmt.Sprintf("node-%04d", i),
 		Address:          fmt.Sprintf("10.1.%d.%d:7070", i/250, 1+i%250),
-		AvailabilityZone: fmt.Sprintf("zone-%d", i%6),
+		AvailabilityZone: fmt.Sprintf("zone-%d", i%fleetZones),
 		Start:            start,
 		State:            membership.Alive,
 	}
@@ -174,7 +176,7 @@
 type membershipFigures struct {
 	messagesPerS, bytesPerS      float64 // sent by each node while nothing changes
 	eventBytesPerS               float64 // sent by each node over the whole run
-	deadS, rackDeadS             float64
+	deadS, zoneDeadS             float64
 	leavingS, joinS, resumeS     float64
 	falseSuspicions, notEveryone float64
 	corePercent, heapMB          float64
@@ -187,7 +189,7 @@
 		{prefix + "bytes_per_node_s", m.bytesPerS},
 		{prefix + "bytes_per_node_s_with_changes", m.eventBytesPerS},
 		{prefix + "dead_known_s", m.deadS},
-		{prefix + "many_dead_known_s", m.rackDeadS},
+		{prefix + "zone_dead_known_s", m.zoneDeadS},
 		{prefix + "leaving_known_s", m.leavingS},
 		{prefix + "joined_known_s", m.joinS},
 		{prefix + "resumed_known_s", m.resumeS},
@@ -264,9 +266,12 @@
 	if s.figures.resumeS, err = s.expect(paused, membership.Alive); err != nil {
 		return err
 	}
-	many := s.names[size-max(1, size/20):]
-	s.stopAll(many)
-	s.figures.rackDeadS, err = s.expect(many, membership.Dead)
+	var zone []string
+	for i := fleetZones - 1; i < size; i += fleetZones {
+		zone = append(zone, s.names[i])
+	}
+	s.stopAll(zone)
+	s.figures.zoneDeadS, err = s.expect(zone, membership.Dead)
 	return err
 }
 
@@ -330,7 +335,7 @@
 		result.Policy = append(result.Policy, figures.list(size)...)
 		prefix := fmt.Sprintf("nodes_%d_", size)
 		result.Checks = append(result.Checks,
-			AtMost(prefix+"dead_known_s", max(figures.deadS, figures.rackDeadS), 5),
+			AtMost(prefix+"dead_known_s", max(figures.deadS, figures.zoneDeadS), 5),
 			AtMost(prefix+"leaving_known_s", figures.leavingS, 3),
 			AtMost(prefix+"false_suspicions", figures.falseSuspicions, 0),
 			AtMost(prefix+"changes_not_known_everywhere", figures.notEveryone, 0),
