--- a/internal/coordination/snapshot/snapshot.go
+++ b/internal/coordination/snapshot/snapshot.go
@@ -6,8 +6,14 @@
 	"github.com/hickorydock/hickorydock/internal/state/shardmap"
 )
 
+// tolerance is the difference in expected coverage that does not count.
+const tolerance = 1e-9
+
 // Choose returns the newest snapshot among those with the best expected
 // coverage, leaving out the excluded ones. It returns nil when none is known.
+// While replicas move to a newer snapshot one after another, the older one is
+// kept until the newer one has as many replicas, since the first replicas to
+// move could not carry the load of all.
 func Choose(view *shardmap.View, excluded []query.Snapshot) *shardmap.SnapshotView {
 	if view == nil {
 		return nil
@@ -17,17 +23,13 @@
 		if isExcluded(candidate.Snapshot, excluded) || candidate.ShardCount() == 0 {
 			continue
 		}
-		if best == nil || share(candidate) > share(best) {
+		if best == nil || candidate.Expected > best.Expected+tolerance {
 			best = candidate
 		}
 	}
 	return best
 }
 
-func share(v *shardmap.SnapshotView) float64 {
-	return float64(v.Covered) / float64(v.ShardCount())
-}
-
 func isExcluded(s query.Snapshot, excluded []query.Snapshot) bool {
 	for _, e := range excluded {
 		if e == s {
--- a/internal/state/leaf/leaf.go
+++ b/internal/state/leaf/leaf.go
@@ -51,6 +51,9 @@
 	Answered Result = iota
 	// Shed means that the leaf declared that it did not run the subrequest.
 	Shed
+	// Gone means that the leaf does not hold the snapshot. Its quick reply is no
+	// sample of latency.
+	Gone
 	// Broken means that the connection failed or that the reply was unusable.
 	Broken
 	// Cancelled means that the tier gave the subrequest up.
@@ -91,7 +94,7 @@
 		r.stats.Unanswered = 0
 		r.observe(now, elapsed)
 		r.stats.LastReply = now
-	case Shed:
+	case Shed, Gone:
 		r.stats.Unanswered = 0
 		r.stats.LastReply = now
 	case Broken:
--- a/internal/state/shardmap/view.go
+++ b/internal/state/shardmap/view.go
@@ -3,6 +3,7 @@
 package shardmap
 
 import (
+	"math"
 	"slices"
 
 	"github.com/hickorydock/hickorydock/internal/protocol/platform"
@@ -23,8 +24,14 @@
 	Replicas [][]Replica
 	// Covered is the number of shards with at least one replica.
 	Covered int
+	// Expected is the share of shards that are expected to answer, in [0, 1]; a
+	// shard with more replicas counts more.
+	Expected float64
 }
 
+// lossRate is the assumed probability that one replica does not answer.
+const lossRate = 0.01
+
 // ShardCount is the number of shards of the snapshot's map generation.
 func (v *SnapshotView) ShardCount() int { return len(v.Replicas) }
 
@@ -81,10 +88,15 @@
 			v.Replicas[shard] = append(v.Replicas[shard], h.replica)
 		}
 	}
+	expected := 0.0
 	for _, replicas := range v.Replicas {
 		if len(replicas) > 0 {
 			v.Covered++
 		}
+		expected += 1 - math.Pow(lossRate, float64(len(replicas)))
+	}
+	if count > 0 {
+		v.Expected = expected / float64(count)
 	}
 	return v
 }
--- a/internal/transport/entry/versions_test.go
+++ b/internal/transport/entry/versions_test.go
@@ -141,16 +141,20 @@
 		}
 		d.SetVMs(vms)
 		time.Sleep(time.Second)
-		var mover sync.WaitGroup
-		mover.Go(func() { m.move(ctx, first) })
 		runner := relay.New(m, store, d, "az-1", replica.Choose, nil, tracing.Off())
 		e := New(DefaultConfig(), store, runner, nil, tracing.Off())
+		quiet, _ := askMoving(t, e)
+		var mover sync.WaitGroup
+		mover.Go(func() { m.move(ctx, first) })
 		took, incomplete := askMoving(t, e)
 		stop()
 		mover.Wait()
 		d.Close()
-		p99 := took[len(took)*99/100]
-		t.Logf("p99 %v, incomplete %d of %d", p99, incomplete, len(took))
+		p99, quietP99 := took[len(took)*99/100], quiet[len(quiet)*99/100]
+		t.Logf("p99 %v, quiet %v, incomplete %d of %d", p99, quietP99, incomplete, len(took))
+		if p99 > 2*quietP99 {
+			t.Errorf("p99 %v, above twice %v without moves", p99, quietP99)
+		}
 		if float64(incomplete) > 0.001*float64(len(took)) {
 			t.Errorf("%d of %d incomplete, above 0.1 %%", incomplete, len(took))
 		}
--- a/internal/transport/relay/queue.go
+++ b/internal/transport/relay/queue.go
@@ -168,7 +168,7 @@
 		sample.Verdict = limit.Completed
 	case leaf.Shed:
 		sample.Verdict = limit.Shed
-	case leaf.Broken, leaf.Cancelled:
+	case leaf.Gone, leaf.Broken, leaf.Cancelled:
 		sample.Verdict = limit.Ignored
 	}
 	if err := queue.Done(u.task.Service.Name, sample); err != nil && u.relay.observer != nil {
--- a/internal/transport/relay/relay.go
+++ b/internal/transport/relay/relay.go
@@ -394,8 +394,10 @@
 
 func leafResult(ctx context.Context, reply upstream.Reply) leaf.Result {
 	switch reply.Result {
-	case subrequest.OK, subrequest.Gone, subrequest.Failed:
+	case subrequest.OK:
 		return leaf.Answered
+	case subrequest.Gone:
+		return leaf.Gone
 	case subrequest.NotRun:
 		return leaf.Shed
 	default:
