--- a/internal/experiment/commands.go
+++ b/internal/experiment/commands.go
@@ -158,7 +158,7 @@
 	untrue int
 	// doubled counts keys that ran more than once.
 	doubled int
-	// overtaken counts sends told not_run while another send of the key ran.
+	// overtaken counts sends told not_run while a concurrent send of the key had begun to run.
 	overtaken int
 	latency   *hdrhistogram.Histogram // µs, of first sends
 }
@@ -196,7 +196,7 @@
 		v.notRun++
 		if k.runs > 0 && k.begun.Before(t.sent) {
 			v.untrue++
-		} else if k.runs > 0 {
+		} else if k.runs > 0 && k.begun.Before(t.sent.Add(t.elapsed)) {
 			v.overtaken++
 		}
 	case t.answer.Outcome == query.Unknown:
