--- a/internal/experiment/experiment.go
+++ b/internal/experiment/experiment.go
@@ -71,6 +71,11 @@
 		versionsExperiment,
 		coverageExperiment,
 		cancelExperiment,
+		returnExperiment,
+		ownershipExperiment,
+		sharesExperiment,
+		slopesExperiment,
+		connectionsExperiment,
 	}
 }
 
--- a/internal/transport/server/server_test.go
+++ b/internal/transport/server/server_test.go
@@ -10,14 +10,19 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/hickorydock/hickorydock/internal/protocol/fault"
 	"github.com/hickorydock/hickorydock/internal/protocol/note"
 	"github.com/hickorydock/hickorydock/internal/protocol/query"
+	"github.com/hickorydock/hickorydock/internal/transport/credentials"
 	"github.com/hickorydock/hickorydock/internal/transport/tracing"
 )
 
 type oneService struct{}
 
 func (oneService) Find(name string) (note.Service, bool) {
+	if name == "closed" {
+		return note.Service{Name: name, CallerTokens: note.TokenHashes(credentials.TokenHash("secret"))}, true
+	}
 	return note.Service{Name: name}, name == "desk"
 }
 
@@ -65,6 +70,10 @@
 		{"coverage above 1", path, `{"query":1,"min_coverage":1.1}`, 400, "min_coverage"},
 		{"unknown priority", path, `{"query":1,"priority":"urgent"}`, 400, "priority"},
 		{"data after the value", path, `{"query":1} {}`, 400, "body"},
+		{"bracket after the value", path, `{"query":1}}`, 400, "body"},
+		{"not an object", path, `[]`, 400, "body"},
+		{"oversized by space after the value", path, `{"query":1}` + strings.Repeat(" ", 80), 413, "body"},
+		{"no token", "/v1/services/closed/query", `{"query":1}`, 401, "Authorization"},
 		{"oversized", path, `{"query":"` + strings.Repeat("x", 80) + `"}`, 413, "body"},
 		{"unknown service", "/v1/services/other/query", `{"query":1}`, 404, "service"},
 		{"unknown path", "/v1/other", `{}`, 404, ""},
@@ -73,7 +82,7 @@
 		t.Run(test.name, func(t *testing.T) {
 			queries := &recorder{}
 			w := post(newTestServer(queries), test.path, test.body)
-			var p problem
+			var p fault.Problem
 			if err := json.Unmarshal(w.Body.Bytes(), &p); err != nil {
 				t.Fatalf("body %q: %v", w.Body, err)
 			}
@@ -135,3 +144,15 @@
 		leave()
 	})
 }
+
+func TestTokenOpensAClosedService(t *testing.T) {
+	for token, status := range map[string]int{"secret": http.StatusOK, "guess": http.StatusUnauthorized} {
+		request := httptest.NewRequest(http.MethodPost, "/v1/services/closed/query", strings.NewReader(`{"query":1}`))
+		request.Header.Set("Authorization", "Bearer "+token)
+		w := httptest.NewRecorder()
+		newTestServer(&recorder{}).ServeHTTP(w, request)
+		if w.Code != status {
+			t.Errorf("token %q got %d, want %d", token, w.Code, status)
+		}
+	}
+}
