--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -19,6 +19,7 @@
 	"github.com/hickorydock/hickorydock/internal/protocol/platform"
 	"github.com/hickorydock/hickorydock/internal/protocol/settings"
 	"github.com/hickorydock/hickorydock/internal/transport/admin"
+	"github.com/hickorydock/hickorydock/internal/transport/command"
 	"github.com/hickorydock/hickorydock/internal/transport/credentials"
 	"github.com/hickorydock/hickorydock/internal/transport/discovery"
 	"github.com/hickorydock/hickorydock/internal/transport/entry"
@@ -44,14 +45,14 @@
 	Choose replica.Chooser
 }
 
-// PlatformControl keeps a node in line with a platform.
+// PlatformControl keeps a node in line with a platform and lets it run commands.
 func PlatformControl(c platform.Client) fx.Option {
-	return fx.Options(fx.Provide(func() platform.Client { return c }), control.Module)
+	return fx.Options(fx.Provide(func() platform.Client { return c }), control.Module, command.Module)
 }
 
 // SettingsPlatform keeps a node in line with the platform that its settings name.
 func SettingsPlatform() fx.Option {
-	return fx.Options(fx.Provide(NewPlatformClient), control.Module)
+	return fx.Options(fx.Provide(NewPlatformClient), control.Module, command.Module)
 }
 
 // NewPlatformClient reaches the platform that the settings name, over TLS when
