--- a/cmd/hickorydock/apply.go
+++ b/cmd/hickorydock/apply.go
@@ -50,7 +50,10 @@
 	if err != nil {
 		return err
 	}
-	client := connectPlatform(opts.platform)
+	client, err := connectPlatform(opts.platform)
+	if err != nil {
+		return err
+	}
 	result, err := operator.Apply(ctx, client, document.Note, operator.Options{DryRun: opts.dryRun})
 	if err != nil {
 		return placeRefusal(document, err)
--- a/cmd/hickorydock/caller_test.go
+++ b/cmd/hickorydock/caller_test.go
@@ -17,12 +17,8 @@
 	"github.com/hickorydock/hickorydock/internal/transport/tracing"
 )
 
-func TestMain(m *testing.M) {
-	testscript.Main(m, map[string]func(){"hickorydock": main})
-}
-
-// TestCallerScripts runs the cases in testdata/caller against a caller interface with canned answers,
-// whose base URL is in $URL.
+// TestCallerScripts runs the cases in testdata/caller against a caller interface
+// with canned answers, whose base URL is in $URL.
 func TestCallerScripts(t *testing.T) {
 	testscript.Run(t, testscript.Params{
 		Dir:           "testdata/caller",
--- a/cmd/hickorydock/check.go
+++ b/cmd/hickorydock/check.go
@@ -46,7 +46,11 @@
 	}
 	var current note.Catalogue
 	if opts.platform != "" {
-		stored, err := operator.Read(ctx, connectPlatform(opts.platform))
+		client, err := connectPlatform(opts.platform)
+		if err != nil {
+			return err
+		}
+		stored, err := operator.Read(ctx, client)
 		if err != nil {
 			return err
 		}
--- a/cmd/hickorydock/export.go
+++ b/cmd/hickorydock/export.go
@@ -35,7 +35,11 @@
 }
 
 func runExport(ctx context.Context, opts exportOptions, out, _ io.Writer) error {
-	exported, err := operator.Export(ctx, connectPlatform(opts.platform), opts.author)
+	client, err := connectPlatform(opts.platform)
+	if err != nil {
+		return err
+	}
+	exported, err := operator.Export(ctx, client, opts.author)
 	if err != nil {
 		return err
 	}
--- a/cmd/hickorydock/history.go
+++ b/cmd/hickorydock/history.go
@@ -38,7 +38,11 @@
 }
 
 func runHistory(ctx context.Context, opts historyOptions, out, _ io.Writer) error {
-	history, err := operator.History(ctx, connectPlatform(opts.platform))
+	client, err := connectPlatform(opts.platform)
+	if err != nil {
+		return err
+	}
+	history, err := operator.History(ctx, client)
 	if err != nil {
 		return err
 	}
--- a/cmd/hickorydock/load.go
+++ b/cmd/hickorydock/load.go
@@ -120,7 +120,7 @@
 	if o.json {
 		return json.NewEncoder(out).Encode(report)
 	}
-	return printReport(report, out)
+	return printLoad(report, out)
 }
 
 func writePage(file string, report load.Report) error {
@@ -135,7 +135,7 @@
 	return f.Close()
 }
 
-func printReport(r load.Report, out io.Writer) error {
+func printLoad(r load.Report, out io.Writer) error {
 	_, err := fmt.Fprintf(out, "answered %d at %.1f/s, unsent %d, coverage %.2f %%, outcomes %v\n",
 		r.All.Answered, r.Achieved, r.All.Unsent, 100*r.All.Coverage, r.All.Outcomes)
 	for _, p := range r.All.Latency {
--- a/cmd/hickorydock/platform.go
+++ b/cmd/hickorydock/platform.go
@@ -7,10 +7,11 @@
 	"github.com/integrii/flaggy"
 
 	"github.com/hickorydock/hickorydock/internal/coordination/reconcile"
+	"github.com/hickorydock/hickorydock/internal/node"
 	"github.com/hickorydock/hickorydock/internal/protocol/note"
 	"github.com/hickorydock/hickorydock/internal/protocol/platform"
 	"github.com/hickorydock/hickorydock/internal/protocol/settings"
-	transport "github.com/hickorydock/hickorydock/internal/transport/platform"
+	"github.com/hickorydock/hickorydock/internal/transport/credentials"
 )
 
 // platformVariable names the environment variable with the platform's URL.
@@ -33,11 +34,19 @@
 }
 
 // connectPlatform returns a client for the URL of the flag or the environment.
-func connectPlatform(flag string) platform.Client {
-	return transport.New(transport.Config{
-		BaseURL: platformURL(flag),
-		Timeout: settings.Default().Platform.Timeout(),
+// For https it takes the TLS variables that nodes take.
+func connectPlatform(flag string) (platform.Client, error) {
+	s := settings.Default()
+	s.Platform.URL = platformURL(flag)
+	tls, err := credentials.New(settings.TLS{
+		PlatformCA: os.Getenv("HICKORYDOCK_TLS_PLATFORM_CA"),
+		NodeCert:   os.Getenv("HICKORYDOCK_TLS_NODE_CERT"),
+		NodeKey:    os.Getenv("HICKORYDOCK_TLS_NODE_KEY"),
 	})
+	if err != nil {
+		return nil, usageError("%w", err)
+	}
+	return node.NewPlatformClient(s, tls), nil
 }
 
 // readNote reads and parses a note. Faults are a failure, not wrong usage.
--- a/cmd/hickorydock/status.go
+++ b/cmd/hickorydock/status.go
@@ -38,7 +38,11 @@
 }
 
 func runStatus(ctx context.Context, opts statusOptions, out, _ io.Writer) error {
-	report, err := operator.Status(ctx, connectPlatform(opts.platform))
+	client, err := connectPlatform(opts.platform)
+	if err != nil {
+		return err
+	}
+	report, err := operator.Status(ctx, client)
 	if err != nil {
 		return err
 	}
--- a/internal/node/tls_test.go
+++ b/internal/node/tls_test.go
@@ -4,16 +4,21 @@
 	"context"
 	"crypto/tls"
 	"crypto/x509"
+	"errors"
 	"io"
 	"net/http"
+	"net/http/httptest"
 	"testing"
 	"time"
 
 	"go.uber.org/fx"
 
 	"github.com/hickorydock/hickorydock/internal/protocol/note"
+	"github.com/hickorydock/hickorydock/internal/protocol/platform"
 	"github.com/hickorydock/hickorydock/internal/protocol/settings"
+	standin "github.com/hickorydock/hickorydock/internal/standin/platform"
 	"github.com/hickorydock/hickorydock/internal/transport/certtest"
+	"github.com/hickorydock/hickorydock/internal/transport/credentials"
 	"github.com/hickorydock/hickorydock/internal/transport/server"
 )
 
@@ -55,6 +60,37 @@
 	}
 }
 
+func TestPlatformOverTLS(t *testing.T) {
+	ours, theirs := certtest.NewAuthority(t), certtest.NewAuthority(t)
+	cert, key := ours.Issue(t, "platform.test", time.Now().Add(time.Hour))
+	pair, err := tls.X509KeyPair([]byte(cert), []byte(key))
+	if err != nil {
+		t.Fatal(err)
+	}
+	p := httptest.NewUnstartedServer(standin.New(standin.Options{}))
+	p.TLS = &tls.Config{Certificates: []tls.Certificate{pair}}
+	p.StartTLS()
+	defer p.Close()
+	for _, c := range []struct {
+		name, authority string
+		want            error
+	}{
+		{"its authority", ours.PEM, platform.ErrNotFound},
+		{"another authority", theirs.PEM, platform.ErrUnavailable},
+	} {
+		s := settings.Default()
+		s.Platform.URL, s.TLS.PlatformCA = p.URL, c.authority
+		credentials, err := credentials.New(s.TLS)
+		if err != nil {
+			t.Fatal(err)
+		}
+		_, err = NewPlatformClient(s, credentials).Get(t.Context(), platform.KindCatalogue, "x")
+		if !errors.Is(err, c.want) {
+			t.Errorf("%s: got %v, want %v", c.name, err, c.want)
+		}
+	}
+}
+
 func newCaller(ca *certtest.Authority) *http.Client {
 	pool := x509.NewCertPool()
 	pool.AppendCertsFromPEM([]byte(ca.PEM))
