--- a/internal/transport/upstream/client.go
+++ b/internal/transport/upstream/client.go
@@ -59,6 +59,7 @@
 type Client struct {
 	cfg    Config
 	http   *http.Client
+	shares *shares
 	tracer Injector
 	opened atomic.Int64
 }
@@ -87,8 +88,9 @@
 		DisableCompression:     true,
 		MaxResponseHeaderBytes: cfg.MaxReplyHeaderBytes,
 	}
+	c.shares = newShares(transport, cfg.ManifestTimeout)
 	c.http = &http.Client{
-		Transport:     transport,
+		Transport:     c.shares,
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 	}
 	return c
@@ -108,8 +110,15 @@
 // ConnectionsOpened counts the connections opened so far.
 func (c *Client) ConnectionsOpened() int64 { return c.opened.Load() }
 
-// Close closes idle connections.
-func (c *Client) Close() { c.http.CloseIdleConnections() }
+// SetShare bounds the connections to a leaf. They are opened ahead of need, and
+// requests wait for a free one. Without a share a leaf has ConnectionsPerLeaf.
+func (c *Client) SetShare(vm platform.VM, count int) { c.shares.set(vm.Address, count) }
+
+// DropShare closes the connections to a leaf that is gone and forgets its share.
+func (c *Client) DropShare(vm platform.VM) { c.shares.drop(vm.Address) }
+
+// Close closes idle connections; those in use close when they are free.
+func (c *Client) Close() { c.shares.close() }
 
 // Reply is the result of one attempt.
 type Reply struct {
@@ -163,7 +172,10 @@
 // unsent is true when it certainly had no connection.
 func failedSend(err error, vm platform.VM, unsent bool) Reply {
 	var op *net.OpError
-	if unsent || errors.As(err, &op) && op.Op == "dial" {
+	var handshake *fault.Error
+	noHandshake := errors.As(err, &handshake) && handshake.Step == fault.StepConnect
+	noDial := errors.As(err, &op) && op.Op == "dial"
+	if unsent || noDial || noHandshake {
 		return Reply{Result: subrequest.Lost, Err: fault.Wrap(err, fault.StepConnect, vm.ID, "connect")}
 	}
 	return Reply{Result: subrequest.Lost, Sent: true, Err: fault.Wrap(err, fault.StepSend, vm.ID, "send")}
