Close commands and tickets without a token; count what was not counted

Cause: a service with caller tokens still took commands and gave out tickets without one. Metrics for restarts, cancelled subrequests and queries in flight had no caller. Change: commands and tickets check the token; the relay tells restarts and cancelled attempts, the server requests in progress.

--- a/internal/transport/command/fake_test.go
+++ b/internal/transport/command/fake_test.go
@@ -15,6 +15,7 @@
 	"github.com/hickorydock/hickorydock/internal/protocol/note"
 	"github.com/hickorydock/hickorydock/internal/protocol/platform"
 	"github.com/hickorydock/hickorydock/internal/protocol/query"
+	"github.com/hickorydock/hickorydock/internal/transport/credentials"
 )
 
 // course is how a call of the fake platform goes.
@@ -252,7 +253,14 @@
 
 type fakeServices struct{}
 
-func (fakeServices) Find(name string) (note.Service, bool) { return desk, name == desk.Name }
+func (fakeServices) Find(name string) (note.Service, bool) {
+	if name == "closed" {
+		closed := desk
+		closed.Name, closed.CallerTokens = name, note.TokenHashes(credentials.TokenHash("secret"))
+		return closed, true
+	}
+	return desk, name == desk.Name
+}
 
 // bench is a platform and an upstream with any number of nodes.
 type bench struct {
--- a/internal/transport/command/http.go
+++ b/internal/transport/command/http.go
@@ -69,6 +69,9 @@
 	if err != nil {
 		return nil, err
 	}
+	if err := server.Authorise(c, service); err != nil {
+		return nil, err
+	}
 	key := c.GetHeader(command.HeaderKey)
 	if !command.IsTicket(key) {
 		if err := command.CheckKey(key); err != nil {
@@ -151,6 +154,10 @@
 		server.Problem(c, err)
 		return
 	}
+	if err := server.Authorise(c, service); err != nil {
+		server.Problem(c, err)
+		return
+	}
 	reply, err := h.runner.IssueTicket(service)
 	if err != nil {
 		server.Problem(c, fault.Wrap(err, fault.StepAdmit, "", "no ticket").
--- a/internal/transport/command/http_test.go
+++ b/internal/transport/command/http_test.go
@@ -71,6 +71,8 @@
 		{"priority", path, "k", `{"query":1,"shard_key":"d","priority":"x"}`, 400, "priority"},
 		{"too large", path, "k", `{"query":"` + strings.Repeat("x", 65<<10) + `","shard_key":"d"}`, 413, "body"},
 		{"ticket of unknown service", "/v1/tickets", "", `{"service":"other"}`, 404, "service"},
+		{"no token", "/v1/services/closed/command", "k", good, 401, "Authorization"},
+		{"ticket without a token", "/v1/tickets", "", `{"service":"closed"}`, 401, "Authorization"},
 		{"ticket without body", "/v1/tickets", "", ``, 400, "body"},
 	}
 	for _, c := range cases {
--- a/internal/transport/metrics/metrics.go
+++ b/internal/transport/metrics/metrics.go
@@ -29,17 +29,6 @@
 	KindRestart Kind = "restart"
 )
 
-// CancelReason says why a run was cancelled.
-type CancelReason string
-
-// Reasons for a cancelled run.
-const (
-	CancelLoser    CancelReason = "loser"
-	CancelDeadline CancelReason = "deadline"
-	CancelCaller   CancelReason = "caller"
-	CancelRestart  CancelReason = "restart"
-)
-
 // Refusal says why a request was refused before it ran.
 type Refusal string
 
@@ -89,9 +78,9 @@
 		registry:      prometheus.NewRegistry(),
 		queries:       histogram("query_duration_seconds", "Time from a request's header to its answer, by service and outcome.", latencyBuckets, "service", "outcome"),
 		coverage:      histogram("query_coverage_ratio", "Share of shards that an answer covers, by service.", coverageBuckets, "service"),
-		inFlight:      gauge("queries_in_flight", "Queries and commands that the node works on."),
+		inFlight:      gauge("queries_in_flight", "Queries that the node works on."),
 		subrequests:   counter("subrequests_total", "Subrequests sent to upstreams, by service and kind: first, hedge, retry or restart.", "service", "kind"),
-		cancelled:     counter("subrequests_cancelled_total", "Subrequests cancelled after they were sent, by service and reason.", "service", "reason"),
+		cancelled:     counter("subrequests_cancelled_total", "Subrequests given up after they were sent, by service.", "service"),
 		refusals:      counter("refusals_total", "Requests refused before they ran, by reason.", "reason"),
 		invariants:    counter("invariant_violations_total", "Broken invariants, each of which failed one request, by name.", "name"),
 		revision:      gauge("catalogue_revision", "Revision of the catalogue in force on this node."),
@@ -163,10 +152,10 @@
 	}
 }
 
-// Cancelled counts a subrequest that was cancelled after it was sent.
-func (m *Metrics) Cancelled(service string, reason CancelReason) {
+// Cancelled counts a subrequest that was given up after it was sent.
+func (m *Metrics) Cancelled(service string) {
 	if m != nil {
-		m.cancelled.WithLabelValues(service, string(reason)).Inc()
+		m.cancelled.WithLabelValues(service).Inc()
 	}
 }
 
@@ -212,13 +201,6 @@
 	}
 }
 
-// LeafConnectionDelta adds to the open connections of an upstream group.
-func (m *Metrics) LeafConnectionDelta(group string, delta int) {
-	if m != nil {
-		m.connections.WithLabelValues(group).Add(float64(delta))
-	}
-}
-
 // QuarantineSize records the number of requests in quarantine.
 func (m *Metrics) QuarantineSize(entries int) {
 	if m != nil {
--- a/internal/transport/metrics/metrics_test.go
+++ b/internal/transport/metrics/metrics_test.go
@@ -15,14 +15,13 @@
 	m.QueryDone("s", query.Partial, time.Second, query.Coverage{Covered: 1, Total: 2})
 	m.QueryDone("s", query.NotRun, time.Second, query.Coverage{})
 	m.Subrequest("s", KindHedge)
-	m.Cancelled("s", CancelLoser)
+	m.Cancelled("s")
 	m.Refused(RefusalOverload)
 	m.InvariantViolated("one_snapshot")
 	m.RevisionInForce(7)
 	m.OldRevisionRefused()
 	m.PlatformCall("get", "ok", time.Millisecond)
 	m.LeafConnections("g", 3)
-	m.LeafConnectionDelta("g", -1)
 	m.QuarantineSize(2)
 	m.Peers(6)
 }
@@ -49,7 +48,7 @@
 		"in flight":   testutil.ToFloat64(m.inFlight),
 		"violations":  testutil.ToFloat64(m.invariants.WithLabelValues("one_snapshot")),
 	}
-	want := map[string]float64{"revision": 7, "connections": 2, "hedges": 1, "in flight": 0, "violations": 1}
+	want := map[string]float64{"revision": 7, "connections": 3, "hedges": 1, "in flight": 0, "violations": 1}
 	for name, value := range want {
 		if counts[name] != value {
 			t.Errorf("%s is %v, want %v", name, counts[name], value)
--- a/internal/transport/relay/module.go
+++ b/internal/transport/relay/module.go
@@ -24,13 +24,18 @@
 type meter struct{ metrics *metrics.Metrics }
 
 // Subrequest counts an attempt by kind.
-func (m meter) Subrequest(service string, kind subrequest.Kind) {
-	switch kind {
-	case subrequest.First:
+func (m meter) Subrequest(service string, kind subrequest.Kind, restarted bool) {
+	switch {
+	case kind == subrequest.First && restarted:
+		m.metrics.Subrequest(service, metrics.KindRestart)
+	case kind == subrequest.First:
 		m.metrics.Subrequest(service, metrics.KindFirst)
-	case subrequest.Hedge:
+	case kind == subrequest.Hedge:
 		m.metrics.Subrequest(service, metrics.KindHedge)
-	case subrequest.Retry:
+	case kind == subrequest.Retry:
 		m.metrics.Subrequest(service, metrics.KindRetry)
 	}
 }
+
+// Cancelled counts an attempt that was given up.
+func (m meter) Cancelled(service string) { m.metrics.Cancelled(service) }
--- a/internal/transport/relay/relay.go
+++ b/internal/transport/relay/relay.go
@@ -37,8 +37,11 @@
 
 // Observer receives counts of what the relay does; it is met by the metrics.
 type Observer interface {
-	// Subrequest counts an attempt by kind.
-	Subrequest(service string, kind subrequest.Kind)
+	// Subrequest counts an attempt by kind; restarted is true when its query
+	// began again in another snapshot.
+	Subrequest(service string, kind subrequest.Kind, restarted bool)
+	// Cancelled counts an attempt that was given up after it was sent.
+	Cancelled(service string)
 }
 
 // Sender sends one attempt to a leaf; it is met by upstream.Client.
@@ -275,7 +278,7 @@
 	}
 	u.count++
 	if u.relay.observer != nil {
-		u.relay.observer.Subrequest(u.task.Service.Name, attempt.Kind)
+		u.relay.observer.Subrequest(u.task.Service.Name, attempt.Kind, u.task.Restart > 1)
 	}
 	target.Record.Begin(time.Now())
 	ctx, span := u.span(attempt, target)
@@ -300,7 +303,11 @@
 	span.End(reply.Err)
 	now := time.Now()
 	elapsed := now.Sub(begun)
-	target.Record.End(now, elapsed, leafResult(u.ctx, reply))
+	result := leafResult(u.ctx, reply)
+	target.Record.End(now, elapsed, result)
+	if result == leaf.Cancelled && reply.Sent && u.relay.observer != nil {
+		u.relay.observer.Cancelled(u.task.Service.Name)
+	}
 	if reply.Result == subrequest.OK || isOvertaken(u.ctx, attempt.Kind) {
 		// An overtaken first attempt counts with the time it had taken, or the
 		// window would hold too few of the slow attempts that hedges replace.
--- a/internal/transport/server/module.go
+++ b/internal/transport/server/module.go
@@ -37,6 +37,9 @@
 	logger  log.Interface
 }
 
+// Started counts a request as in progress.
+func (m meter) Started() (done func()) { return m.metrics.QueryStarted() }
+
 // Request records the end of a request.
 func (m meter) Request(service string, outcome query.Outcome, coverage query.Coverage, elapsed time.Duration, err error) {
 	if err == nil {
--- a/internal/transport/server/server.go
+++ b/internal/transport/server/server.go
@@ -35,8 +35,10 @@
 	Query(ctx context.Context, service note.Service, request query.Request, arrived time.Time) (query.Answer, error)
 }
 
-// Observer receives the end of every request; it is met by the metrics.
+// Observer receives the start and the end of every request; it is met by the metrics.
 type Observer interface {
+	// Started counts a request as in progress until done runs.
+	Started() (done func())
 	Request(service string, outcome query.Outcome, coverage query.Coverage, elapsed time.Duration, err error)
 }
 
@@ -159,6 +161,9 @@
 func (s *Server) query(c *gin.Context) {
 	arrived := time.Now()
 	name := c.Param("service")
+	if s.observer != nil {
+		defer s.observer.Started()()
+	}
 	ctx := s.tracer.Extract(c.Request.Context(), c.Request.Header)
 	ctx, span := s.tracer.Start(ctx, tracing.HopCaller, attribute.String("service", name))
 	answer, err := s.answer(ctx, c, name, arrived)
@@ -183,7 +188,7 @@
 	if !ok {
 		return query.Answer{}, notFound("service %q is not in force", name).WithField("service")
 	}
-	if err := authorise(c, service); err != nil {
+	if err := Authorise(c, service); err != nil {
 		return query.Answer{}, err
 	}
 	request, err := s.decode(c, service)
@@ -193,8 +198,8 @@
 	return s.queries.Query(ctx, service, request, arrived)
 }
 
-// authorise refuses callers without a token of the service.
-func authorise(c *gin.Context, service note.Service) error {
+// Authorise refuses callers without a token of the service.
+func Authorise(c *gin.Context, service note.Service) error {
 	if credentials.Permitted(service.CallerTokens.List(), c.GetHeader("Authorization")) {
 		return nil
 	}
