--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -23,6 +23,7 @@
 	"github.com/hickorydock/hickorydock/internal/transport/credentials"
 	"github.com/hickorydock/hickorydock/internal/transport/discovery"
 	"github.com/hickorydock/hickorydock/internal/transport/entry"
+	"github.com/hickorydock/hickorydock/internal/transport/guard"
 	"github.com/hickorydock/hickorydock/internal/transport/logging"
 	"github.com/hickorydock/hickorydock/internal/transport/metrics"
 	client "github.com/hickorydock/hickorydock/internal/transport/platform"
@@ -77,6 +78,7 @@
 	discovery *discovery.Discovery
 	tls       *credentials.Credentials
 	logger    log.Interface
+	guard     *guard.Guard
 }
 
 // New assembles a node; nothing listens before Start.
@@ -101,11 +103,12 @@
 		admin.Module,
 		upstream.Module,
 		discovery.Module,
+		guard.Module,
 		relay.Module,
 		entry.Module,
 		server.Module,
 		status.Module,
-		fx.Populate(&n.admin, &n.listener, &n.entry, &n.metrics, &n.discovery, &n.tls, &n.logger),
+		fx.Populate(&n.admin, &n.listener, &n.entry, &n.metrics, &n.discovery, &n.tls, &n.logger, &n.guard),
 	)
 	if err := n.app.Err(); err != nil {
 		return nil, fmt.Errorf("assemble node: %w", err)
@@ -178,3 +181,6 @@
 
 // Metrics is the node's metrics.
 func (n *Node) Metrics() *metrics.Metrics { return n.metrics }
+
+// Guard is the node's quarantine.
+func (n *Node) Guard() *guard.Guard { return n.guard }
--- a/internal/transport/relay/module.go
+++ b/internal/transport/relay/module.go
@@ -8,6 +8,7 @@
 	"github.com/hickorydock/hickorydock/internal/protocol/settings"
 	"github.com/hickorydock/hickorydock/internal/state/shardmap"
 	"github.com/hickorydock/hickorydock/internal/transport/discovery"
+	"github.com/hickorydock/hickorydock/internal/transport/guard"
 	"github.com/hickorydock/hickorydock/internal/transport/metrics"
 	"github.com/hickorydock/hickorydock/internal/transport/tracing"
 	"github.com/hickorydock/hickorydock/internal/transport/upstream"
@@ -16,8 +17,11 @@
 // Module provides the relay.
 var Module = fx.Module("relay", fx.Provide(provide))
 
-func provide(client *upstream.Client, store *shardmap.Store, d *discovery.Discovery, s settings.Settings, choose replica.Chooser, m *metrics.Metrics, tracer *tracing.Tracer) *Relay {
-	return New(client, store, d, s.Node.AvailabilityZone, choose, meter{m}, tracer)
+func provide(client *upstream.Client, store *shardmap.Store, d *discovery.Discovery, s settings.Settings, choose replica.Chooser, g *guard.Guard, m *metrics.Metrics, tracer *tracing.Tracer) *Relay {
+	relay := New(client, store, d, s.Node.AvailabilityZone, choose, meter{m}, tracer)
+	relay.guard = g
+	relay.queues.maxQueue = int(s.Limits.LeafQueue)
+	return relay
 }
 
 // meter counts attempts in the metrics.
@@ -39,3 +43,6 @@
 
 // Cancelled counts an attempt that was given up.
 func (m meter) Cancelled(service string) { m.metrics.Cancelled(service) }
+
+// InvariantBroken counts a broken invariant.
+func (m meter) InvariantBroken(name string) { m.metrics.InvariantViolated(name) }
