Measure the control state of a node by cause

Change: experiment control-size: the node's own control loop against the stand-in platform with 3,510 VMs and 100 services, the shard map of 2,900 leafs with 20 services each, owners, shares and the state of each service; cost by cause.

--- a/internal/experiment/experiment.go
+++ b/internal/experiment/experiment.go
@@ -75,6 +75,7 @@
 		sharesExperiment,
 		slopesExperiment,
 		connectionsExperiment,
+		controlSizeExperiment,
 	}
 }
 
--- a/internal/experiment/slopecontrol.go
+++ b/internal/experiment/slopecontrol.go
@@ -93,6 +93,10 @@
 	window *latency.Window
 }
 
+func newServiceState(s note.Service) serviceState {
+	return serviceState{budget.New(s.HedgeShare), latency.NewWindow(1 - s.HedgeShare)}
+}
+
 var serviceMemorySource = slopeSource{
 	name: "service_memory", unit: unitBytes, per: "service: specification, budget and latency window",
 	sizes: []int{50, 100, 200, 400},
@@ -109,7 +113,7 @@
 				}
 				states := make(map[string]serviceState)
 				for _, s := range c.Services {
-					states[s.Name] = serviceState{budget.New(s.HedgeShare), latency.NewWindow(1 - s.HedgeShare)}
+					states[s.Name] = newServiceState(s)
 				}
 				return []any{c, states}, nil
 			})
--- a/internal/experiment/slopequery.go
+++ b/internal/experiment/slopequery.go
@@ -237,6 +237,19 @@
 	},
 }
 
+// pollCost is the processor time and the size of one manifest poll.
+func pollCost(ctx context.Context, e *echoLeaf) (micros, size float64, err error) {
+	c := client.New(client.DefaultConfig(), nil)
+	defer c.Close()
+	vm := platform.VM{ID: "leaf-1", Address: e.address()}
+	const polls = 2000
+	before := e.bytes.Load()
+	micros, err = processorOf(func() error {
+		return spread(polls, func() error { _, err := c.Manifest(ctx, vm); return err })
+	})
+	return micros / polls, float64(e.bytes.Load()-before) / polls, err
+}
+
 var mergeSource = slopeSource{
 	name: "merged_item", unit: unitMicroseconds, per: "item merged by top_k",
 	sizes: []int{310, 1240, 3100, 6200},
