--- /dev/null
+++ b/internal/coordination/limit/limit_test.go
@@ -0,0 +1,118 @@
+package limit
+
+import (
+	"flag"
+	"os"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+// TestMain fixes the seed of the random runs; -rapid.seed overrides it.
+func TestMain(m *testing.M) {
+	if err := flag.Set("rapid.seed", "1"); err != nil {
+		panic(err)
+	}
+	flag.Parse()
+	os.Exit(m.Run())
+}
+
+var start = time.Unix(1000, 0)
+
+// feed gives windows of equal samples, one a millisecond, with inFlight work in flight.
+func feed(l *Limiter, from time.Time, windows, inFlight int, s Sample) time.Time {
+	for range windows * windowSize {
+		from = from.Add(time.Millisecond)
+		l.Observe(from, inFlight, s)
+	}
+	return from
+}
+
+func TestLimitFollowsCongestion(t *testing.T) {
+	quiet := Sample{Elapsed: 5 * time.Millisecond, Worked: 5 * time.Millisecond}
+	slow := Sample{Elapsed: 50 * time.Millisecond, Worked: 50 * time.Millisecond}
+	queued := Sample{Elapsed: 5 * time.Millisecond, Worked: 5 * time.Millisecond, Waited: 50 * time.Millisecond}
+	cases := []struct {
+		name     string
+		sample   Sample
+		inFlight int
+		want     func(before, after int) bool
+	}{
+		{"grows while in use", quiet, 100, func(b, a int) bool { return a > b }},
+		{"stays when not in use", quiet, 1, func(b, a int) bool { return a == b }},
+		{"falls when slow", slow, 100, func(b, a int) bool { return a < b }},
+		{"falls when work waits", queued, 100, func(b, a int) bool { return a < b }},
+		{"falls when shed", Sample{Verdict: Shed}, 100, func(b, a int) bool { return a < b }},
+		{"stays when ignored", Sample{Verdict: Ignored}, 100, func(b, a int) bool { return a == b }},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			l := New(Config{Floor: 1, Ceiling: 100, Initial: 20, Tolerance: 2, WaitTolerance: 2})
+			now := feed(l, start, 2, 1, quiet)
+			before := l.Limit()
+			feed(l, now, 2, c.inFlight, c.sample)
+			if !c.want(before, l.Limit()) {
+				t.Errorf("limit went from %d to %d", before, l.Limit())
+			}
+		})
+	}
+}
+
+func TestLimitRecoversAfterShedding(t *testing.T) {
+	l := New(Config{Floor: 1, Ceiling: 8, Initial: 8})
+	now := feed(l, start, 4, 8, Sample{Verdict: Shed})
+	if l.Limit() != 1 {
+		t.Fatalf("limit %d after shedding, want 1", l.Limit())
+	}
+	feed(l, now, 8, 8, Sample{Elapsed: time.Millisecond})
+	if l.Limit() != 8 {
+		t.Errorf("limit %d after quiet windows, want 8", l.Limit())
+	}
+}
+
+// TestOneDecreaseEachLatency holds that the sheds of one moment, caused by one
+// limit, lower it once.
+func TestOneDecreaseEachLatency(t *testing.T) {
+	l := New(Config{Floor: 1, Ceiling: 100, Initial: 50})
+	now := feed(l, start, 1, 1, Sample{Elapsed: 10 * time.Millisecond})
+	for range 20 {
+		l.Observe(now, 50, Sample{Verdict: Shed})
+	}
+	if l.Limit() != 40 {
+		t.Errorf("limit %d, want 40", l.Limit())
+	}
+}
+
+func TestCeilingMoves(t *testing.T) {
+	l := New(Config{Floor: 1, Ceiling: 4, Initial: 4})
+	l.SetCeiling(2)
+	if l.Limit() != 2 {
+		t.Errorf("limit %d under a ceiling of 2", l.Limit())
+	}
+	l.SetCeiling(6)
+	if l.Limit() != 6 {
+		t.Errorf("limit %d, want to follow the ceiling of 6", l.Limit())
+	}
+}
+
+func TestLimitStaysWithinBounds(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		floor := rapid.IntRange(1, 5).Draw(t, "floor")
+		ceiling := floor + rapid.IntRange(0, 50).Draw(t, "room")
+		l := New(Config{Floor: floor, Ceiling: ceiling, Initial: rapid.IntRange(0, 100).Draw(t, "initial"), Tolerance: 2, WaitTolerance: 1})
+		now := start
+		for range rapid.IntRange(1, 300).Draw(t, "steps") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 20).Draw(t, "ms")) * time.Millisecond)
+			l.Observe(now, rapid.IntRange(0, 60).Draw(t, "in flight"), Sample{
+				Verdict: Verdict(rapid.IntRange(0, 2).Draw(t, "verdict")),
+				Elapsed: time.Duration(rapid.IntRange(0, 100).Draw(t, "elapsed")) * time.Millisecond,
+				Waited:  time.Duration(rapid.IntRange(0, 100).Draw(t, "waited")) * time.Millisecond,
+				Worked:  time.Duration(rapid.IntRange(0, 100).Draw(t, "worked")) * time.Millisecond,
+			})
+			if l.Limit() < floor || l.Limit() > ceiling {
+				t.Fatalf("limit %d outside %d..%d", l.Limit(), floor, ceiling)
+			}
+		}
+	})
+}
--- /dev/null
+++ b/internal/node/control/module.go
@@ -0,0 +1,59 @@
+package control
+
+import (
+	"context"
+
+	"github.com/apex/log"
+	"go.uber.org/fx"
+
+	"github.com/hickorydock/hickorydock/internal/protocol/platform"
+	"github.com/hickorydock/hickorydock/internal/protocol/settings"
+	"github.com/hickorydock/hickorydock/internal/state/catalogue"
+	"github.com/hickorydock/hickorydock/internal/transport/discovery"
+	"github.com/hickorydock/hickorydock/internal/transport/metrics"
+	"github.com/hickorydock/hickorydock/internal/transport/server"
+)
+
+// Module runs the control loop against the platform.Client that the
+// application provides, and serves the catalogue to the other packages.
+var Module = fx.Module("control",
+	fx.Provide(catalogue.New, provide, services, readiness),
+	fx.Invoke(func(*Control) {}),
+)
+
+// params are the values that the control loop is made of.
+type params struct {
+	fx.In
+	Settings  settings.Settings
+	Client    platform.Client
+	Store     *catalogue.Store
+	Discovery *discovery.Discovery
+	Logger    log.Interface
+	Metrics   *metrics.Metrics
+	Peers     Peers `optional:"true"`
+	Lifecycle fx.Lifecycle
+}
+
+func provide(p params) *Control {
+	c := New(Config{
+		Node:             p.Settings.Node.ID,
+		AvailabilityZone: p.Settings.Node.AvailabilityZone,
+		Client:           p.Client,
+		Store:            p.Store,
+		Peers:            p.Peers,
+		VMs:              p.Discovery.SetVMs,
+		Log:              p.Logger,
+		Metrics:          p.Metrics,
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	p.Lifecycle.Append(fx.StartStopHook(
+		func() { go func() { defer close(done); c.Run(ctx) }() },
+		func() { cancel(); <-done },
+	))
+	return c
+}
+
+func services(store *catalogue.Store) server.Services { return store }
+
+func readiness(c *Control) server.Readiness { return c.Ready }
--- a/internal/state/leaf/leaf.go
+++ b/internal/state/leaf/leaf.go
@@ -13,8 +13,15 @@
 // tableShards is the number of locks of a Table; a power of two.
 const tableShards = 32
 
-// latencyWeight is the weight of a new sample in the moving average of latency.
-const latencyWeight = 0.1
+const (
+	// minWeight is the weight of a new sample in the moving average of latency
+	// when samples are frequent.
+	minWeight = 0.1
+	// silentAfter is the time without a reply after which a leaf counts as silent.
+	silentAfter = 100 * time.Millisecond
+	// memory is the age at which a sample has lost most of its weight.
+	memory = time.Second
+)
 
 // Stats is a copy of a record's fields.
 type Stats struct {
@@ -22,8 +29,13 @@
 	InFlight int
 	// Latency is the moving average of answered subrequests; 0 before the first.
 	Latency time.Duration
-	// Failures counts failed subrequests since the last success.
+	// Failures counts failed subrequests since the last answered one.
 	Failures int
+	// Unanswered counts subrequests that were cancelled while the leaf had not
+	// replied to anything for silentAfter; it is 0 after a reply.
+	Unanswered int
+	// LastBegin is the time of the last subrequest sent; zero before the first.
+	LastBegin time.Time
 	// LastReply is the time of the last reply; zero before the first.
 	LastReply time.Time
 	// Draining is true when a reply said that the leaf is leaving.
@@ -43,12 +55,15 @@
 	Broken
 	// Cancelled means that the tier gave the subrequest up.
 	Cancelled
+	// Unsent means that the subrequest was never sent.
+	Unsent
 )
 
 // Record holds the measurements of one leaf. It is safe for concurrent use.
 type Record struct {
-	mu    sync.Mutex
-	stats Stats
+	mu       sync.Mutex
+	stats    Stats
+	holdings string
 }
 
 // Stats returns a copy of the measurements.
@@ -58,10 +73,11 @@
 	return r.stats
 }
 
-// Begin counts a subrequest that is about to be sent.
-func (r *Record) Begin() {
+// Begin counts a subrequest that is about to be sent at now.
+func (r *Record) Begin(now time.Time) {
 	r.mu.Lock()
 	r.stats.InFlight++
+	r.stats.LastBegin = now
 	r.mu.Unlock()
 }
 
@@ -74,25 +90,39 @@
 	switch result {
 	case Answered:
 		r.stats.Failures = 0
+		r.stats.Unanswered = 0
+		r.observe(now, elapsed)
 		r.stats.LastReply = now
-		r.observe(elapsed)
 	case Shed:
+		r.stats.Unanswered = 0
 		r.stats.LastReply = now
 	case Broken:
 		r.stats.Failures++
 	case Cancelled:
+		r.countSilence(now)
 		if elapsed > r.stats.Latency {
-			r.observe(elapsed)
+			r.observe(now, elapsed)
 		}
 	}
 }
 
-func (r *Record) observe(elapsed time.Duration) {
+// countSilence counts a cancelled subrequest of a leaf that has not replied for
+// silentAfter. A busy leaf whose attempts are overtaken still replies to others.
+func (r *Record) countSilence(now time.Time) {
+	if now.Sub(r.stats.LastReply) >= silentAfter {
+		r.stats.Unanswered++
+	}
+}
+
+// observe adds a sample to the moving average. A sample after a pause weighs
+// more, so that few of them are enough for a leaf that is rarely used.
+func (r *Record) observe(now time.Time, elapsed time.Duration) {
 	if r.stats.Latency == 0 {
 		r.stats.Latency = elapsed
 		return
 	}
-	r.stats.Latency += time.Duration(latencyWeight * float64(elapsed-r.stats.Latency))
+	weight := min(max(minWeight, float64(now.Sub(r.stats.LastReply))/float64(memory)), 1)
+	r.stats.Latency += time.Duration(weight * float64(elapsed-r.stats.Latency))
 }
 
 // SetDraining records whether the leaf said that it is leaving.
@@ -102,6 +132,15 @@
 	r.mu.Unlock()
 }
 
+// SetHoldings records the tag of a leaf's holdings and reports whether it changed.
+func (r *Record) SetHoldings(tag string) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	changed := r.holdings != tag
+	r.holdings = tag
+	return changed
+}
+
 // Table finds records by leaf identifier. It is safe for concurrent use.
 type Table struct {
 	shards [tableShards]tableShard
--- a/internal/transport/relay/relay.go
+++ b/internal/transport/relay/relay.go
@@ -51,10 +51,16 @@
 	Run(ctx context.Context, vm platform.VM, sub contract.Subrequest, left time.Duration, body []byte) upstream.Reply
 }
 
+// Refresher fetches the manifest of a leaf soon; it is met by discovery.Discovery.
+type Refresher interface {
+	Refresh(id string)
+}
+
 // Relay runs subrequests of all services. It is safe for concurrent use.
 type Relay struct {
 	sender   Sender
 	store    *shardmap.Store
+	refresh  Refresher
 	zone     string
 	choose   replica.Chooser
 	observer Observer
@@ -64,9 +70,12 @@
 	guard    *guard.Guard
 }
 
-// New returns a relay in an availability zone; observer may be nil.
-func New(sender Sender, store *shardmap.Store, availabilityZone string, choose replica.Chooser, observer Observer, tracer *tracing.Tracer) *Relay {
-	return &Relay{sender: sender, store: store, zone: availabilityZone, choose: choose, observer: observer, tracer: tracer, queues: newQueues(defaultLeafQueue), guard: guard.New(nil)}
+// New returns a relay in an availability zone; refresh and observer may be nil.
+func New(sender Sender, store *shardmap.Store, refresh Refresher, availabilityZone string, choose replica.Chooser, observer Observer, tracer *tracing.Tracer) *Relay {
+	return &Relay{
+		sender: sender, store: store, refresh: refresh, zone: availabilityZone, choose: choose, observer: observer, tracer: tracer,
+		queues: newQueues(defaultLeafQueue), guard: guard.New(nil),
+	}
 }
 
 // serviceState is what the relay learned about one service.
@@ -302,7 +311,7 @@
 		Class:     contract.ClassQuery,
 	}
 	u.count++
-	target.Record.Begin()
+	target.Record.Begin(time.Now())
 	ctx, span := u.span(attempt, target)
 	go u.attempt(ctx, span, attempt, target, sub)
 }
@@ -326,7 +335,7 @@
 	if refused := u.enter(queue, &trial, attempt, target); refused != nil {
 		span.End(refused.reply.Err)
 		now := time.Now()
-		target.Record.End(now, 0, leafResult(u.ctx, refused.reply))
+		target.Record.End(now, 0, leaf.Unsent)
 		refused.index = attempt.Replica
 		refused.waited = now.Sub(entered)
 		u.results <- *refused
@@ -341,7 +350,7 @@
 	now := time.Now()
 	elapsed := now.Sub(begun)
 	result := leafResult(u.ctx, reply)
-	u.leave(queue, result, elapsed)
+	u.leave(queue, sampleOf(reply.Result, elapsed))
 	u.relay.guard.Leave(trial, trialEnd(reply, result))
 	target.Record.End(now, elapsed, result)
 	if reply.Result == subrequest.OK || isOvertaken(u.ctx, attempt.Kind) {
@@ -359,6 +368,9 @@
 	if answered {
 		target.Record.SetDraining(reply.Draining)
 	}
+	if reply.Holdings != "" && target.Record.SetHoldings(reply.Holdings) && u.relay.refresh != nil {
+		u.relay.refresh.Refresh(target.VM.ID)
+	}
 	if reply.Result != subrequest.Gone {
 		return
 	}
