--- a/cmd/hickorydock/main.go
+++ b/cmd/hickorydock/main.go
@@ -34,7 +34,14 @@
 	serveCommand,
 	demoCommand,
 	standinCommand,
+	checkCommand,
+	applyCommand,
+	statusCommand,
+	exportCommand,
+	historyCommand,
 	experimentCommand,
+	queryCommand,
+	loadCommand,
 	versionCommand,
 }
 
--- a/internal/experiment/experiment.go
+++ b/internal/experiment/experiment.go
@@ -65,10 +65,17 @@
 func All() []Experiment {
 	return []Experiment{
 		tailExperiment,
+		commandsExperiment,
+		commandsOutageExperiment,
 		slowExperiment,
 		versionsExperiment,
 		coverageExperiment,
 		cancelExperiment,
+		returnExperiment,
+		ownershipExperiment,
+		sharesExperiment,
+		slopesExperiment,
+		connectionsExperiment,
 		overloadExperiment,
 		crashExperiment,
 	}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -7,6 +7,8 @@
 	"context"
 	"fmt"
 	"io"
+	"net"
+	"net/http"
 	"os"
 
 	"github.com/apex/log"
@@ -17,13 +19,17 @@
 	"github.com/hickorydock/hickorydock/internal/protocol/platform"
 	"github.com/hickorydock/hickorydock/internal/protocol/settings"
 	"github.com/hickorydock/hickorydock/internal/transport/admin"
+	"github.com/hickorydock/hickorydock/internal/transport/command"
+	"github.com/hickorydock/hickorydock/internal/transport/credentials"
 	"github.com/hickorydock/hickorydock/internal/transport/discovery"
 	"github.com/hickorydock/hickorydock/internal/transport/entry"
 	"github.com/hickorydock/hickorydock/internal/transport/guard"
 	"github.com/hickorydock/hickorydock/internal/transport/logging"
 	"github.com/hickorydock/hickorydock/internal/transport/metrics"
+	client "github.com/hickorydock/hickorydock/internal/transport/platform"
 	"github.com/hickorydock/hickorydock/internal/transport/relay"
 	"github.com/hickorydock/hickorydock/internal/transport/server"
+	"github.com/hickorydock/hickorydock/internal/transport/status"
 	"github.com/hickorydock/hickorydock/internal/transport/tracing"
 	"github.com/hickorydock/hickorydock/internal/transport/upstream"
 )
@@ -40,9 +46,25 @@
 	Choose replica.Chooser
 }
 
-// PlatformControl keeps a node in line with a platform.
+// PlatformControl keeps a node in line with a platform and lets it run commands.
 func PlatformControl(c platform.Client) fx.Option {
-	return fx.Options(fx.Provide(func() platform.Client { return c }), control.Module)
+	return fx.Options(fx.Provide(func() platform.Client { return c }), control.Module, command.Module)
+}
+
+// SettingsPlatform keeps a node in line with the platform that its settings name.
+func SettingsPlatform() fx.Option {
+	return fx.Options(fx.Provide(NewPlatformClient), control.Module, command.Module)
+}
+
+// NewPlatformClient reaches the platform that the settings name, over TLS when
+// its URL says https.
+func NewPlatformClient(s settings.Settings, tls *credentials.Credentials) platform.Client {
+	transport := tls.PlatformTransport(new(net.Dialer).DialContext)
+	return client.New(client.Config{
+		BaseURL:    s.Platform.URL,
+		Timeout:    s.Platform.Timeout(),
+		HTTPClient: &http.Client{Transport: transport},
+	})
 }
 
 // Node is an assembled node. Start and Stop are called once each, by one goroutine.
@@ -54,6 +76,8 @@
 	entry     *entry.Entry
 	metrics   *metrics.Metrics
 	discovery *discovery.Discovery
+	tls       *credentials.Credentials
+	logger    log.Interface
 	guard     *guard.Guard
 }
 
@@ -75,6 +99,7 @@
 		fx.Provide(func() (log.Interface, error) { return newLogger(logs, cfg.Settings.Log) }),
 		fx.Provide(metrics.New, newTracer),
 		cfg.Control,
+		credentials.Module,
 		admin.Module,
 		upstream.Module,
 		discovery.Module,
@@ -82,7 +107,8 @@
 		relay.Module,
 		entry.Module,
 		server.Module,
-		fx.Populate(&n.admin, &n.listener, &n.entry, &n.metrics, &n.discovery, &n.guard),
+		status.Module,
+		fx.Populate(&n.admin, &n.listener, &n.entry, &n.metrics, &n.discovery, &n.tls, &n.logger, &n.guard),
 	)
 	if err := n.app.Err(); err != nil {
 		return nil, fmt.Errorf("assemble node: %w", err)
@@ -125,11 +151,24 @@
 	return n.app.Stop(ctx)
 }
 
+// Logger writes to the node's log.
+func (n *Node) Logger() log.Interface { return n.logger }
+
+// ReloadTLS puts new certificates and keys in force for new connections; open
+// ones are kept. On an error the old ones stay.
+func (n *Node) ReloadTLS(s settings.TLS) error { return n.tls.Reload(s) }
+
 // Address is where callers reach the node, host:port.
 func (n *Node) Address() string { return n.listener.Address() }
 
 // URL is the base URL for callers.
-func (n *Node) URL() string { return "http://" + n.Address() }
+func (n *Node) URL() string {
+	scheme := "http://"
+	if n.settings.TLS.CallerCert != "" {
+		scheme = "https://"
+	}
+	return scheme + n.Address()
+}
 
 // AdminURL is the base URL for operators.
 func (n *Node) AdminURL() string { return "http://" + n.admin.Address() }
--- a/internal/transport/relay/relay.go
+++ b/internal/transport/relay/relay.go
@@ -73,8 +73,15 @@
 // New returns a relay in an availability zone; refresh and observer may be nil.
 func New(sender Sender, store *shardmap.Store, refresh Refresher, availabilityZone string, choose replica.Chooser, observer Observer, tracer *tracing.Tracer) *Relay {
 	return &Relay{
-		sender: sender, store: store, refresh: refresh, zone: availabilityZone, choose: choose, observer: observer, tracer: tracer,
-		queues: newQueues(defaultLeafQueue), guard: guard.New(nil),
+		sender:   sender,
+		store:    store,
+		refresh:  refresh,
+		zone:     availabilityZone,
+		choose:   choose,
+		observer: observer,
+		tracer:   tracer,
+		queues:   newQueues(defaultLeafQueue),
+		guard:    guard.New(nil),
 	}
 }
 
--- a/internal/transport/server/server.go
+++ b/internal/transport/server/server.go
@@ -3,10 +3,13 @@
 package server
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"errors"
+	"io"
 	"net/http"
+	"os"
 	"strconv"
 	"sync"
 	"sync/atomic"
@@ -18,6 +21,7 @@
 	"github.com/hickorydock/hickorydock/internal/protocol/fault"
 	"github.com/hickorydock/hickorydock/internal/protocol/note"
 	"github.com/hickorydock/hickorydock/internal/protocol/query"
+	"github.com/hickorydock/hickorydock/internal/transport/credentials"
 	"github.com/hickorydock/hickorydock/internal/transport/tracing"
 )
 
@@ -179,6 +183,9 @@
 	if !ok {
 		return query.Answer{}, notFound("service %q is not in force", name).WithField("service")
 	}
+	if err := authorise(c, service); err != nil {
+		return query.Answer{}, err
+	}
 	request, err := s.decode(c, service)
 	if err != nil {
 		return query.Answer{}, err
@@ -186,6 +193,16 @@
 	return s.queries.Query(ctx, service, request, arrived)
 }
 
+// authorise refuses callers without a token of the service.
+func authorise(c *gin.Context, service note.Service) error {
+	if credentials.Permitted(service.CallerTokens.List(), c.GetHeader("Authorization")) {
+		return nil
+	}
+	c.Header("WWW-Authenticate", "Bearer")
+	return fault.New(fault.StepAdmit, "", "service %q needs a bearer token", service.Name).
+		WithStatus(http.StatusUnauthorized, query.NotRun).WithField("Authorization")
+}
+
 // statusOf maps the outcome of an answer to an HTTP status.
 func statusOf(o query.Outcome) int {
 	if o == query.Failed {
@@ -212,23 +229,42 @@
 	decoder := json.NewDecoder(http.MaxBytesReader(c.Writer, c.Request.Body, limit))
 	decoder.DisallowUnknownFields()
 	err := decoder.Decode(v)
+	if err == nil {
+		err = endOfBody(decoder)
+	}
 	var tooLarge *http.MaxBytesError
 	if errors.As(err, &tooLarge) {
 		return badRequest("body", "body exceeds %d bytes", limit).WithStatus(http.StatusRequestEntityTooLarge, query.NotRun)
 	}
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		return badRequest("body", "body arrived too slowly").WithStatus(http.StatusRequestTimeout, query.NotRun)
+	}
 	var wrongType *json.UnmarshalTypeError
 	if errors.As(err, &wrongType) {
-		return badRequest(wrongType.Field, "%v", err)
+		return badRequest(cmp.Or(wrongType.Field, "body"), "%v", err)
 	}
 	if err != nil {
 		return badRequest(unknownField(err), "%v", err)
 	}
-	if decoder.More() {
-		return badRequest("body", "data after the JSON value")
-	}
 	return nil
 }
 
+var errTrailingData = errors.New("data after the JSON value")
+
+// endOfBody reads to the end of a body whose value was decoded.
+func endOfBody(decoder *json.Decoder) error {
+	var tooLarge *http.MaxBytesError
+	_, err := decoder.Token()
+	switch {
+	case err == io.EOF:
+		return nil
+	case errors.As(err, &tooLarge), errors.Is(err, os.ErrDeadlineExceeded):
+		return err
+	default:
+		return errTrailingData
+	}
+}
+
 func (s *Server) check(r query.Request) error {
 	if len(r.Query) == 0 {
 		return badRequest("query", "query is missing")
