--- a/internal/coordination/admission/gate.go
+++ b/internal/coordination/admission/gate.go
@@ -13,8 +13,6 @@
 )
 
 const (
-	// queuePerLimit is the length of a class's queue, in units of its limit.
-	queuePerLimit = 2
 	// minQueue is the length of a class's queue that is always allowed.
 	minQueue = 4
 	// latencyReserve is how many times the median time of work a ticket that
@@ -68,9 +66,8 @@
 
 // Gate is the state of one gate.
 type Gate struct {
-	total    *limit.Limiter
-	newClass func() *limit.Limiter
-	maxQueue int
+	Config
+
 	classes  map[string]*class
 	waiting  []*class // those with tickets in their queue
 	inFlight int
@@ -78,14 +75,24 @@
 	grants   uint64
 }
 
-// New returns a gate under the limit total. newClass makes the limit of each
-// class; nil means that classes have none. maxQueue bounds all queues together.
-func New(total *limit.Limiter, newClass func() *limit.Limiter, maxQueue int) *Gate {
-	return &Gate{total: total, newClass: newClass, maxQueue: maxQueue, classes: make(map[string]*class)}
+// Config bounds a gate.
+type Config struct {
+	// Total is the limit of all classes together.
+	Total *limit.Limiter
+	// NewClass makes the limit of each class; nil means that classes have none.
+	NewClass func() *limit.Limiter
+	// MaxQueue bounds all queues together.
+	MaxQueue int
+	// QueuePerLimit bounds the queue of each class, in units of its limit; 0
+	// leaves MaxQueue as the only bound.
+	QueuePerLimit int
 }
 
+// New returns a gate without work.
+func New(cfg Config) *Gate { return &Gate{Config: cfg, classes: make(map[string]*class)} }
+
 // SetCeiling changes the ceiling of the gate's limit.
-func (g *Gate) SetCeiling(ceiling int) { g.total.SetCeiling(ceiling) }
+func (g *Gate) SetCeiling(ceiling int) { g.Total.SetCeiling(ceiling) }
 
 // InFlight is the number of admitted units of work.
 func (g *Gate) InFlight() int { return g.inFlight }
@@ -97,17 +104,17 @@
 func (g *Gate) Limit(name string) int {
 	c := g.class(name)
 	if c.limiter == nil {
-		return g.total.Limit()
+		return g.Total.Limit()
 	}
-	return min(g.total.Limit(), c.limiter.Limit())
+	return min(g.Total.Limit(), c.limiter.Limit())
 }
 
 func (g *Gate) class(name string) *class {
 	c, ok := g.classes[name]
 	if !ok {
 		c = &class{name: name}
-		if g.newClass != nil {
-			c.limiter = g.newClass()
+		if g.NewClass != nil {
+			c.limiter = g.NewClass()
 		}
 		g.classes[name] = c
 	}
@@ -122,7 +129,7 @@
 		g.refuse(c, t, RefuseLate)
 		return nil
 	}
-	if len(c.queue) == 0 && c.hasRoom() && g.inFlight < g.total.Limit() {
+	if len(c.queue) == 0 && c.hasRoom() && g.inFlight < g.Total.Limit() {
 		g.grant(c, t)
 		return nil
 	}
@@ -143,7 +150,7 @@
 // latency is how long a unit of work of a class is expected to take.
 func (g *Gate) latency(c *class) time.Duration {
 	if c.limiter == nil {
-		return g.total.Latency()
+		return g.Total.Latency()
 	}
 	return c.limiter.Latency()
 }
@@ -165,8 +172,11 @@
 // makeRoom finds a place in the queue for t: a free one, that of a ticket of
 // lower priority of its class, or that of a class with a longer queue.
 func (g *Gate) makeRoom(c *class, t *Ticket) ([]*Ticket, bool) {
-	own := max(minQueue, queuePerLimit*g.Limit(c.name))
-	if len(c.queue) < own && g.queued < g.maxQueue {
+	own := g.MaxQueue
+	if g.QueuePerLimit > 0 {
+		own = max(minQueue, g.QueuePerLimit*g.Limit(c.name))
+	}
+	if len(c.queue) < own && g.queued < g.MaxQueue {
 		return nil, true
 	}
 	if last := len(c.queue) - 1; last >= 0 && c.queue[last].Priority < t.Priority {
@@ -255,7 +265,7 @@
 	if c.inFlight == 0 || g.inFlight == 0 {
 		return nil, fmt.Errorf("work of class %s ended that did not begin", name)
 	}
-	g.total.Observe(now, g.inFlight, s)
+	g.Total.Observe(now, g.inFlight, s)
 	if c.limiter != nil {
 		c.limiter.Observe(now, c.inFlight, s)
 	}
@@ -267,7 +277,7 @@
 // dispatch grants tickets while there is room and refuses those that are late.
 func (g *Gate) dispatch(now time.Time) []*Ticket {
 	var decided []*Ticket
-	for g.inFlight < g.total.Limit() {
+	for g.inFlight < g.Total.Limit() {
 		c := g.next()
 		if c == nil {
 			break
--- a/internal/state/leaf/leaf.go
+++ b/internal/state/leaf/leaf.go
@@ -58,6 +58,8 @@
 	Broken
 	// Cancelled means that the tier gave the subrequest up.
 	Cancelled
+	// Unsent means that the subrequest was never sent.
+	Unsent
 )
 
 // Record holds the measurements of one leaf. It is safe for concurrent use.
--- a/internal/transport/relay/relay.go
+++ b/internal/transport/relay/relay.go
@@ -345,7 +345,7 @@
 	if refused := u.enter(queue, &trial, attempt, target); refused != nil {
 		span.End(refused.reply.Err)
 		now := time.Now()
-		target.Record.End(now, 0, leafResult(u.ctx, refused.reply))
+		target.Record.End(now, 0, leaf.Unsent)
 		refused.index = attempt.Replica
 		refused.waited = now.Sub(entered)
 		u.results <- *refused
@@ -360,7 +360,7 @@
 	now := time.Now()
 	elapsed := now.Sub(begun)
 	result := leafResult(u.ctx, reply)
-	u.leave(queue, result, elapsed)
+	u.leave(queue, sampleOf(reply.Result, elapsed))
 	u.relay.guard.Leave(trial, trialEnd(reply, result))
 	target.Record.End(now, elapsed, result)
 	if result == leaf.Cancelled && reply.Sent && u.relay.observer != nil {
