--- a/internal/experiment/experiment.go
+++ b/internal/experiment/experiment.go
@@ -72,13 +72,14 @@
 		coverageExperiment,
 		cancelExperiment,
 		returnExperiment,
-		membershipExperiment,
 		ownershipExperiment,
 		sharesExperiment,
 		slopesExperiment,
 		connectionsExperiment,
 		overloadExperiment,
 		crashExperiment,
+		membershipExperiment,
+		controlSizeExperiment,
 	}
 }
 
--- a/internal/transport/relay/queue.go
+++ b/internal/transport/relay/queue.go
@@ -10,7 +10,6 @@
 	"github.com/hickorydock/hickorydock/internal/coordination/subrequest"
 	"github.com/hickorydock/hickorydock/internal/protocol/fault"
 	"github.com/hickorydock/hickorydock/internal/protocol/note"
-	"github.com/hickorydock/hickorydock/internal/state/leaf"
 	"github.com/hickorydock/hickorydock/internal/state/shardmap"
 	"github.com/hickorydock/hickorydock/internal/transport/throttle"
 	"github.com/hickorydock/hickorydock/internal/transport/upstream"
@@ -66,7 +65,7 @@
 func (q *queues) add(leafID string, ceiling int) any {
 	q.sweep(time.Now())
 	limiter := limit.New(limit.Config{Floor: 1, Ceiling: ceiling, Initial: ceiling, Tolerance: leafTolerance})
-	fresh := &leafQueue{Throttle: throttle.New(admission.New(limiter, nil, q.maxQueue))}
+	fresh := &leafQueue{Throttle: throttle.New(admission.New(admission.Config{Total: limiter, MaxQueue: q.maxQueue}))}
 	queue, _ := q.leafs.LoadOrStore(leafID, fresh)
 	return queue
 }
@@ -147,7 +146,7 @@
 		if err = u.ctx.Err(); err == nil {
 			return nil
 		}
-		u.leave(queue, leaf.Cancelled, 0)
+		u.leave(queue, limit.Sample{Verdict: limit.Ignored})
 	}
 	u.relay.guard.Leave(*trial, quarantine.Unknown)
 	if err != nil {
@@ -161,17 +160,21 @@
 }
 
 // leave ends an attempt at a leaf's queue.
-func (u *run) leave(queue *leafQueue, result leaf.Result, elapsed time.Duration) {
-	sample := limit.Sample{Elapsed: elapsed}
-	switch result {
-	case leaf.Answered:
-		sample.Verdict = limit.Completed
-	case leaf.Shed:
-		sample.Verdict = limit.Shed
-	case leaf.Broken, leaf.Cancelled:
-		sample.Verdict = limit.Ignored
-	}
+func (u *run) leave(queue *leafQueue, sample limit.Sample) {
 	if err := queue.Done(u.task.Service.Name, sample); err != nil && u.relay.observer != nil {
 		u.relay.observer.InvariantBroken("leaf_queue")
 	}
 }
+
+// sampleOf says what the end of an attempt tells about its leaf's load. Only
+// runs count: a refusal takes no time, so it would look like an idle leaf.
+func sampleOf(result subrequest.Result, elapsed time.Duration) limit.Sample {
+	switch result {
+	case subrequest.OK, subrequest.Failed:
+		return limit.Sample{Elapsed: elapsed}
+	case subrequest.NotRun:
+		return limit.Sample{Verdict: limit.Shed}
+	default:
+		return limit.Sample{Verdict: limit.Ignored}
+	}
+}
