--- a/internal/coordination/replica/replica.go
+++ b/internal/coordination/replica/replica.go
@@ -4,6 +4,7 @@
 import (
 	"time"
 
+	"github.com/hickorydock/hickorydock/internal/protocol/platform"
 	"github.com/hickorydock/hickorydock/internal/state/leaf"
 	"github.com/hickorydock/hickorydock/internal/state/shardmap"
 )
@@ -45,37 +46,37 @@
 
 // Random takes any replica; it is the baseline of measurements.
 func Random(_ time.Time, replicas []shardmap.Replica, tried Set, _ string, random uint64) int {
-	return pickWhere(replicas, tried, uint32(random), true)
+	return pick(replicas, tried, uint32(random), true).index
 }
 
 // Choose compares two random replicas outside tried and returns the index of
 // the cheaper one, or None. A much dearer one is chosen when a probe is due at
 // now; a zero now asks for no probes.
 func Choose(now time.Time, replicas []shardmap.Replica, tried Set, availabilityZone string, random uint64) int {
-	draining := false
-	first := pickWhere(replicas, tried, uint32(random), draining)
-	if first == None {
-		// Draining leafs are used only when no other is left.
-		draining = true
-		first = pickWhere(replicas, tried, uint32(random), draining)
+	// Draining leafs are used only when no other is left.
+	first := pick(replicas, tried, uint32(random), false)
+	draining := first.index == None
+	if draining {
+		first = pick(replicas, tried, uint32(random), true)
 	}
-	if first == None {
+	if first.index == None {
 		return None
 	}
-	second := pickWhere(replicas, tried.With(first), uint32(random>>32), draining)
-	if second == None {
-		return first
+	second := pick(replicas, tried.With(first.index), uint32(random>>32), draining)
+	if second.index == None {
+		return first.index
 	}
 	cheap, dear := first, second
-	cost, dearCost := Cost(replicas[first], availabilityZone), Cost(replicas[second], availabilityZone)
+	cost := zoneCost(&replicas[first.index].VM, availabilityZone, &first.stats)
+	dearCost := zoneCost(&replicas[second.index].VM, availabilityZone, &second.stats)
 	if dearCost < cost {
 		cheap, dear = second, first
 		cost, dearCost = dearCost, cost
 	}
-	if IsSetAside(dearCost, cost) && isProbeDue(now, replicas[dear]) {
-		return dear
+	if IsSetAside(dearCost, cost) && isProbeDue(now, &dear.stats) {
+		return dear.index
 	}
-	return cheap
+	return cheap.index
 }
 
 // IsSetAside reports whether a leaf of a cost gets probes only while one of the
@@ -87,43 +88,57 @@
 func IsWorthHedging(r shardmap.Replica, delay time.Duration) bool {
 	s := r.Record.Stats()
 	s.InFlight = 0
-	return !s.Draining && statsCost(s) <= setAsideFactor*float64(delay)
+	return !s.Draining && statsCost(&s) <= setAsideFactor*float64(delay)
 }
 
 // isProbeDue reports whether a leaf that is set aside gets one subrequest to
 // find out whether it recovered.
-func isProbeDue(now time.Time, r shardmap.Replica) bool {
-	s := r.Record.Stats()
+func isProbeDue(now time.Time, s *leaf.Stats) bool {
 	return s.InFlight == 0 && now.Sub(s.LastBegin) >= probeInterval
 }
 
-// pickWhere returns a random index outside tried, or None. Draining leafs count
-// only when draining is true.
-func pickWhere(replicas []shardmap.Replica, tried Set, random uint32, draining bool) int {
+// candidate is a replica with its measurements at one moment.
+type candidate struct {
+	index int
+	stats leaf.Stats
+}
+
+// pick returns a random replica outside tried; its index is None when there is
+// none. Draining leafs count only when draining is true.
+func pick(replicas []shardmap.Replica, tried Set, random uint32, draining bool) candidate {
 	n := min(len(replicas), 64)
 	if n == 0 {
-		return None
+		return candidate{index: None}
 	}
 	start := int(random % uint32(n))
 	for k := range n {
 		i := (start + k) % n
-		if !tried.Has(i) && (draining || !replicas[i].Record.Stats().Draining) {
-			return i
+		if tried.Has(i) {
+			continue
+		}
+		stats := replicas[i].Record.Stats()
+		if draining || !stats.Draining {
+			return candidate{i, stats}
 		}
 	}
-	return None
+	return candidate{index: None}
 }
 
 // Cost estimates how long a subrequest would wait on a replica, in nanoseconds.
 func Cost(r shardmap.Replica, availabilityZone string) float64 {
-	cost := statsCost(r.Record.Stats())
-	if r.VM.AvailabilityZone != availabilityZone {
+	stats := r.Record.Stats()
+	return zoneCost(&r.VM, availabilityZone, &stats)
+}
+
+func zoneCost(vm *platform.VM, availabilityZone string, stats *leaf.Stats) float64 {
+	cost := statsCost(stats)
+	if vm.AvailabilityZone != availabilityZone {
 		cost *= crossingFactor
 	}
 	return cost
 }
 
-func statsCost(s leaf.Stats) float64 {
+func statsCost(s *leaf.Stats) float64 {
 	latency := s.Latency
 	if latency == 0 {
 		latency = untestedLatency
