Give the two policies their meaning: tail leaves early, coverage keeps trying

Cause: both policies waited until the deadline for every shard and gave a shard up when the budget was empty once. Ruled out: the leafs (the surviving replica of the second shard answered throughout). Change: under tail, an answer leaves at 5 times the time of its quorum (0.8 or the minimum coverage); under coverage, a shard is tried in rounds until the deadline. Rounds and retries of replicas that keep failing pay with spare tokens only, those of the upper half of the bucket. Each refusal by a leaf halves the tokens.

--- a/internal/coordination/budget/budget.go
+++ b/internal/coordination/budget/budget.go
@@ -7,6 +7,9 @@
 // maxTokens bounds how many extra subrequests a quiet period may save up.
 const maxTokens = 100
 
+// shedFactor multiplies the tokens after each refusal.
+const shedFactor = 0.5
+
 // Budget is a token bucket that first subrequests fill. It is safe for
 // concurrent use.
 type Budget struct {
@@ -45,9 +48,23 @@
 	return true
 }
 
-// Drain empties the budget; a shedding service pays no extra subrequests.
-func (b *Budget) Drain() {
+// SpendSpare takes one token of the upper half of the bucket and reports whether
+// there was one. Rounds for shards that are lost pay this way, so that they leave
+// tokens for the hedges and retries of the others.
+func (b *Budget) SpendSpare() bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.tokens < maxTokens/2+1 {
+		return false
+	}
+	b.tokens--
+	return true
+}
+
+// Shed records that a leaf refused work for lack of capacity. Sustained shedding
+// empties the budget, since extra subrequests would add to the overload.
+func (b *Budget) Shed() {
 	b.mu.Lock()
-	b.tokens = 0
+	b.tokens *= shedFactor
 	b.mu.Unlock()
 }
--- a/internal/coordination/gather/bench_test.go
+++ b/internal/coordination/gather/bench_test.go
@@ -56,6 +56,8 @@
 
 func (*noExtra) Spend() bool { return false }
 
+func (*noExtra) SpendSpare() bool { return false }
+
 // BenchmarkGather takes 310 replies of 20 items and merges the best 20.
 func BenchmarkGather(b *testing.B) {
 	view := benchView(1)
@@ -70,7 +72,7 @@
 	for b.Loop() {
 		q := New(Config{Deadline: start.Add(time.Second)}, view)
 		for shard, items := range replies {
-			if _, err := q.Reply(1, shard, view.Snapshot, items); err != nil {
+			if _, err := q.Reply(start, 1, shard, view.Snapshot, items); err != nil {
 				b.Fatal(err)
 			}
 		}
--- a/internal/coordination/gather/gather.go
+++ b/internal/coordination/gather/gather.go
@@ -12,14 +12,25 @@
 	"github.com/hickorydock/hickorydock/internal/state/shardmap"
 )
 
-// maxAttempts bounds how often a query restarts in another snapshot.
-const maxAttempts = 4
+const (
+	// maxAttempts bounds how often a query restarts in another snapshot.
+	maxAttempts = 4
+	// tailQuorum is the lowest share of shards at which the tail policy stops
+	// waiting for the others.
+	tailQuorum = 0.8
+	// tailPatience times the time until the quorum is what the tail policy waits.
+	tailPatience = 5
+	// minPatience is the shortest wait for late shards after the quorum.
+	minPatience = 20 * time.Millisecond
+)
 
 // Config fixes the conditions of one query.
 type Config struct {
 	Policy note.Policy
 	// MinCoverage is the lowest share of shards for an answer that is not failed.
 	MinCoverage float64
+	// Begun is when the query arrived.
+	Begun time.Time
 	// Deadline is when the answer has to leave.
 	Deadline time.Time
 	// RestartReserve is the time that must be left for a restart to be worth it.
@@ -43,11 +54,14 @@
 	pending  int
 	sent     int
 	excluded []query.Snapshot
+	covered  int
+	// leaveAt is when an answer leaves although shards are late.
+	leaveAt time.Time
 }
 
 // New returns a query that reads the snapshot of view in attempt 1.
 func New(cfg Config, view *shardmap.SnapshotView) *Query {
-	q := &Query{cfg: cfg}
+	q := &Query{cfg: cfg, leaveAt: cfg.Deadline}
 	q.begin(view)
 	return q
 }
@@ -61,6 +75,8 @@
 	q.attempt++
 	q.slots = make([]slot, view.ShardCount())
 	q.pending = 0
+	q.covered = 0
+	q.leaveAt = q.cfg.Deadline
 	for shard, replicas := range view.Replicas {
 		if len(replicas) == 0 {
 			q.slots[shard] = slot{failed: true, reason: query.ReasonNoReplica}
@@ -95,8 +111,28 @@
 	SnapshotLost
 )
 
+// LeaveAt is when the answer leaves although shards are late: the deadline, or
+// earlier under the tail policy.
+func (q *Query) LeaveAt() time.Time { return q.leaveAt }
+
+// setLeaveAt gives late shards a multiple of the time that the others took, once
+// the tail policy's quorum is met.
+func (q *Query) setLeaveAt(now time.Time) {
+	if q.cfg.Policy != note.PolicyTail || q.leaveAt != q.cfg.Deadline {
+		return
+	}
+	quorum := max(tailQuorum, q.cfg.MinCoverage)
+	if float64(q.covered) < quorum*float64(len(q.slots)) {
+		return
+	}
+	patience := max((tailPatience-1)*now.Sub(q.cfg.Begun), minPatience)
+	if at := now.Add(patience); at.Before(q.cfg.Deadline) {
+		q.leaveAt = at
+	}
+}
+
 // Reply records a shard's items. Replies of older attempts are dropped.
-func (q *Query) Reply(attempt, shard int, snapshot query.Snapshot, items []query.Item) (Progress, error) {
+func (q *Query) Reply(now time.Time, attempt, shard int, snapshot query.Snapshot, items []query.Item) (Progress, error) {
 	if attempt != q.attempt {
 		return q.Progress(), nil
 	}
@@ -110,6 +146,8 @@
 	s.answered = true
 	s.items = items
 	q.pending--
+	q.covered++
+	q.setLeaveAt(now)
 	return q.Progress(), nil
 }
 
--- a/internal/coordination/gather/gather_test.go
+++ b/internal/coordination/gather/gather_test.go
@@ -9,6 +9,7 @@
 
 	"pgregory.net/rapid"
 
+	"github.com/hickorydock/hickorydock/internal/protocol/note"
 	"github.com/hickorydock/hickorydock/internal/protocol/query"
 	"github.com/hickorydock/hickorydock/internal/state/leaf"
 	"github.com/hickorydock/hickorydock/internal/state/shardmap"
@@ -59,7 +60,7 @@
 		t.Run(test.name, func(t *testing.T) {
 			q := New(Config{MinCoverage: test.min, Deadline: start.Add(time.Second)}, viewOf(1, 1, 2, 2))
 			for _, shard := range test.replies {
-				if _, err := q.Reply(1, shard, q.View().Snapshot, nil); err != nil {
+				if _, err := q.Reply(start, 1, shard, q.View().Snapshot, nil); err != nil {
 					t.Fatal(err)
 				}
 			}
@@ -113,7 +114,7 @@
 			switch rapid.IntRange(0, 2).Draw(t, "event") {
 			case 0:
 				snapshot := q.View().Snapshot
-				_, err := q.Reply(attempt, shard, snapshot, []query.Item{itemOf(snapshot, attempt, shard)})
+				_, err := q.Reply(start, attempt, shard, snapshot, []query.Item{itemOf(snapshot, attempt, shard)})
 				if err != nil {
 					t.Fatal(err)
 				}
@@ -164,15 +165,48 @@
 	}
 }
 
+func TestLeaveAt(t *testing.T) {
+	deadline := start.Add(time.Second)
+	ms := time.Millisecond
+	tests := []struct {
+		name   string
+		policy note.Policy
+		min    float64
+		took   []time.Duration // of the replies, of 10 shards
+		want   time.Duration   // after the start
+	}{
+		{"coverage waits", note.PolicyCoverage, 0, []time.Duration{ms, ms, ms, ms, ms, ms, ms, ms, ms}, time.Second},
+		{"tail below the quorum", note.PolicyTail, 0, []time.Duration{ms, ms, ms, ms, ms, ms, ms}, time.Second},
+		{"tail at the quorum", note.PolicyTail, 0, []time.Duration{ms, ms, ms, ms, ms, ms, ms, 10 * ms}, 50 * ms},
+		{"tail gives a shortest wait", note.PolicyTail, 0, []time.Duration{ms, ms, ms, ms, ms, ms, ms, ms}, 21 * ms},
+		{"the minimum coverage raises the quorum", note.PolicyTail, 1, []time.Duration{ms, ms, ms, ms, ms, ms, ms, ms, ms}, time.Second},
+		{"never after the deadline", note.PolicyTail, 0, []time.Duration{ms, ms, ms, ms, ms, ms, ms, 900 * ms}, time.Second},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			cfg := Config{Policy: test.policy, MinCoverage: test.min, Begun: start, Deadline: deadline}
+			q := New(cfg, viewOf(1, 1, 1, 1, 1, 1, 1, 1, 1, 1, 1, 1))
+			for shard, took := range test.took {
+				if _, err := q.Reply(start.Add(took), 1, shard, q.View().Snapshot, nil); err != nil {
+					t.Fatal(err)
+				}
+			}
+			if got := q.LeaveAt().Sub(start); got != test.want {
+				t.Errorf("leaves after %v, want %v", got, test.want)
+			}
+		})
+	}
+}
+
 func TestBrokenReplies(t *testing.T) {
 	q := New(Config{Deadline: start.Add(time.Second)}, viewOf(1, 1, 1, 1))
-	if _, err := q.Reply(1, 0, query.Snapshot{Generation: 1, Version: 2}, nil); err == nil {
+	if _, err := q.Reply(start, 1, 0, query.Snapshot{Generation: 1, Version: 2}, nil); err == nil {
 		t.Error("reply of another snapshot was taken")
 	}
-	if _, err := q.Reply(1, 7, q.View().Snapshot, nil); err == nil {
+	if _, err := q.Reply(start, 1, 7, q.View().Snapshot, nil); err == nil {
 		t.Error("reply of a shard outside the map was taken")
 	}
-	if _, err := q.Reply(1, 0, q.View().Snapshot, nil); err != nil {
+	if _, err := q.Reply(start, 1, 0, q.View().Snapshot, nil); err != nil {
 		t.Fatal(err)
 	}
 	if _, err := q.Fail(start, 1, 0, query.ReasonLost); err == nil {
--- a/internal/coordination/replica/replica.go
+++ b/internal/coordination/replica/replica.go
@@ -23,6 +23,8 @@
 	setAsideFactor = 2
 	// probeInterval is the time between two probes of a leaf that is set aside.
 	probeInterval = 500 * time.Millisecond
+	// failingAfter is the number of failures in a row that count as chance.
+	failingAfter = 1
 	// unansweredAllowance is the number of unanswered subrequests that count as chance.
 	unansweredAllowance = 1
 	// failurePenalty multiplies the cost for each failure since the last answer.
@@ -91,6 +93,12 @@
 	return !s.Draining && statsCost(&s) <= setAsideFactor*float64(delay)
 }
 
+// IsFailing reports whether the last subrequests of r failed or got no answer.
+func IsFailing(r shardmap.Replica) bool {
+	s := r.Record.Stats()
+	return failures(&s) > failingAfter
+}
+
 // isProbeDue reports whether a leaf that is set aside gets one subrequest to
 // find out whether it recovered.
 func isProbeDue(now time.Time, s *leaf.Stats) bool {
@@ -138,14 +146,17 @@
 	return cost
 }
 
+func failures(s *leaf.Stats) int {
+	return s.Failures + max(0, s.Unanswered-unansweredAllowance)
+}
+
 func statsCost(s *leaf.Stats) float64 {
 	latency := s.Latency
 	if latency == 0 {
 		latency = untestedLatency
 	}
 	cost := float64(latency) * float64(s.InFlight+1)
-	failures := s.Failures + max(0, s.Unanswered-unansweredAllowance)
-	for range min(failures, maxPenalizedFailures) {
+	for range min(failures(s), maxPenalizedFailures) {
 		cost *= failurePenalty
 	}
 	return cost
--- a/internal/coordination/subrequest/subrequest.go
+++ b/internal/coordination/subrequest/subrequest.go
@@ -18,6 +18,11 @@
 	recheckDivisor = 8
 	// minRecheck is the shortest time between two looks at the budget.
 	minRecheck = 500 * time.Microsecond
+	// firstRound is the wait before the replicas are tried once more; it doubles
+	// with each round.
+	firstRound = 10 * time.Millisecond
+	// longestRound bounds the wait between two rounds.
+	longestRound = 200 * time.Millisecond
 )
 
 // Result says how an attempt ended.
@@ -67,6 +72,8 @@
 // Extra pays for hedges and retries; it is met by budget.Budget.
 type Extra interface {
 	Spend() bool
+	// SpendSpare pays for an attempt of a later round.
+	SpendSpare() bool
 }
 
 // Config fixes the conditions of one subrequest.
@@ -77,6 +84,8 @@
 	Deadline time.Time
 	// HedgeDelay is the wait before a hedge; 0 disables hedging.
 	HedgeDelay time.Duration
+	// Persist keeps trying in rounds over all replicas until the deadline.
+	Persist bool
 	// Choose picks the replica of each attempt.
 	Choose replica.Chooser
 	// Random supplies randomness for the choice of replicas.
@@ -92,6 +101,8 @@
 	done    bool
 	last    Result
 	hedged  bool
+	round   time.Duration
+	roundAt time.Time
 }
 
 // New returns the machine of a subrequest whose extra attempts are paid by extra.
@@ -105,7 +116,7 @@
 	return m.next(now, First)
 }
 
-// HedgeAt is when to call HedgeDue, if hedging makes sense at all.
+// HedgeAt is when to call Due, if hedging makes sense at all.
 func (m *Machine) HedgeAt(now time.Time) (time.Time, bool) {
 	if m.cfg.HedgeDelay <= 0 || len(m.cfg.Replicas) < 2 {
 		return time.Time{}, false
@@ -114,11 +125,24 @@
 	return at, at.Before(m.cfg.Deadline)
 }
 
-// HedgeDue sends a second attempt when the first one is still pending and the
-// budget allows it. When only the budget is missing, it returns the time at
-// which to ask again: the longer an attempt is pending, the more a hedge helps.
-func (m *Machine) HedgeDue(now time.Time) (attempt Attempt, send bool, again time.Time) {
-	if m.done || m.hedged || m.pending != 1 || !m.canTryAnother() {
+// Due decides what to send at a time that HedgeAt, Due or RoundAt named: a hedge
+// beside a late attempt, or the first attempt of another round. When only the
+// budget is missing, it returns the time at which to ask again.
+func (m *Machine) Due(now time.Time) (attempt Attempt, send bool, again time.Time) {
+	switch {
+	case m.done:
+		return Attempt{}, false, time.Time{}
+	case m.pending == 0:
+		return m.roundDue(now)
+	default:
+		return m.hedgeDue(now)
+	}
+}
+
+// hedgeDue sends a second attempt when the budget allows it. One without budget
+// is put off: the longer an attempt is pending, the more a hedge helps.
+func (m *Machine) hedgeDue(now time.Time) (attempt Attempt, send bool, again time.Time) {
+	if m.hedged || m.pending != 1 || !m.canTryAnother() {
 		return Attempt{}, false, time.Time{}
 	}
 	i := m.choose(time.Time{})
@@ -133,6 +157,25 @@
 	return m.take(i, Hedge), true, time.Time{}
 }
 
+// roundDue sends the first attempt of a round when the budget allows it.
+func (m *Machine) roundDue(now time.Time) (attempt Attempt, send bool, again time.Time) {
+	if !m.spend() {
+		return Attempt{}, false, m.recheckAt(now)
+	}
+	m.tried = 0
+	m.hedged = false
+	attempt, send = m.next(now, Retry)
+	return attempt, send, time.Time{}
+}
+
+// spend pays for a retry; those of later rounds leave tokens for others.
+func (m *Machine) spend() bool {
+	if m.round > 0 {
+		return m.extra.SpendSpare()
+	}
+	return m.extra.Spend()
+}
+
 // recheckAt is when to look at the budget again, or zero when that is too late.
 func (m *Machine) recheckAt(now time.Time) time.Time {
 	at := now.Add(max(m.cfg.HedgeDelay/recheckDivisor, minRecheck))
@@ -153,6 +196,8 @@
 	Send
 	// Deliver means that the attempt's reply is the subrequest's reply.
 	Deliver
+	// Later means that Due has to be called at RoundAt.
+	Later
 	// GiveUp means that the subrequest failed with the machine's Reason.
 	GiveUp
 )
@@ -171,16 +216,51 @@
 	if m.pending > 0 {
 		return Wait, Attempt{}
 	}
-	if m.canTryAnother() && m.extra.Spend() {
-		if attempt, ok := m.next(now, Retry); ok {
-			return Send, attempt
-		}
+	if attempt, ok := m.retry(now); ok {
+		return Send, attempt
+	}
+	if m.startRound(now, result) {
+		return Later, Attempt{}
 	}
 	m.done = true
 	return GiveUp, Attempt{}
 }
 
-// Reason says why the subrequest failed; it is valid after GiveUp.
+// retry sends an attempt to another replica when the budget allows it. A replica
+// that keeps failing is worth spare tokens only.
+func (m *Machine) retry(now time.Time) (Attempt, bool) {
+	i := m.choose(now)
+	if i == replica.None || !now.Before(m.cfg.Deadline) {
+		return Attempt{}, false
+	}
+	spend := m.spend
+	if replica.IsFailing(m.cfg.Replicas[i]) {
+		spend = m.extra.SpendSpare
+	}
+	if !spend() {
+		return Attempt{}, false
+	}
+	return m.take(i, Retry), true
+}
+
+// startRound puts another round off and reports whether there will be one. No
+// round helps when the snapshot is gone.
+func (m *Machine) startRound(now time.Time, result Result) bool {
+	if !m.cfg.Persist || result == Gone {
+		return false
+	}
+	m.round = min(max(2*m.round, firstRound), longestRound)
+	m.roundAt = now.Add(m.round)
+	return m.roundAt.Before(m.cfg.Deadline)
+}
+
+// RoundAt is when to call Due; it is valid after Later.
+func (m *Machine) RoundAt() time.Time { return m.roundAt }
+
+// IsBetweenRounds reports whether all attempts ended and another round may follow.
+func (m *Machine) IsBetweenRounds() bool { return !m.done && m.pending == 0 }
+
+// Reason says why the last attempt failed; it is valid after GiveUp and Later.
 func (m *Machine) Reason() query.Reason { return reasons[m.last] }
 
 func (m *Machine) canTryAnother() bool {
--- a/internal/coordination/subrequest/subrequest_test.go
+++ b/internal/coordination/subrequest/subrequest_test.go
@@ -7,6 +7,7 @@
 
 	"pgregory.net/rapid"
 
+	"github.com/hickorydock/hickorydock/internal/coordination/budget"
 	"github.com/hickorydock/hickorydock/internal/coordination/replica"
 	"github.com/hickorydock/hickorydock/internal/protocol/query"
 	"github.com/hickorydock/hickorydock/internal/state/leaf"
@@ -27,6 +28,8 @@
 	return true
 }
 
+func (b *tokens) SpendSpare() bool { return b.Spend() }
+
 func configOf(replicas int) Config {
 	cfg := Config{Deadline: start.Add(time.Second), HedgeDelay: 10 * time.Millisecond}
 	cfg.Choose = replica.Choose
@@ -83,7 +86,7 @@
 	}
 	m = New(configOf(2), &tokens{left: 9})
 	m.Start(start)
-	if _, ok, again := m.HedgeDue(late); ok || !again.IsZero() {
+	if _, ok, again := m.Due(late); ok || !again.IsZero() {
 		t.Error("hedge sent at the deadline")
 	}
 	if decision, _ := m.Ended(late, Lost); decision != GiveUp {
@@ -91,6 +94,81 @@
 	}
 }
 
+// TestRounds covers a machine that persists: it waits longer each round, pays
+// for each and ends at the deadline.
+func TestRounds(t *testing.T) {
+	cfg := configOf(2)
+	cfg.Persist = true
+	budget := &tokens{left: 100}
+	m := New(cfg, budget)
+	now := start
+	m.Start(now)
+	rounds := 0
+	for decision, _ := m.Ended(now, Lost); decision != GiveUp; decision, _ = m.Ended(now, Lost) {
+		if decision == Send {
+			continue
+		}
+		if decision != Later || !m.RoundAt().After(now) || !m.RoundAt().Before(cfg.Deadline) {
+			t.Fatalf("decision %v, round at %v", decision, m.RoundAt().Sub(start))
+		}
+		now = m.RoundAt()
+		rounds++
+		if _, send, _ := m.Due(now); !send {
+			t.Fatal("the round was not sent")
+		}
+	}
+	if rounds < 5 || m.Reason() != query.ReasonLost {
+		t.Errorf("%d rounds, reason %s", rounds, m.Reason())
+	}
+}
+
+func TestRoundWaitsForTheBudget(t *testing.T) {
+	cfg := configOf(1)
+	cfg.Persist = true
+	budget := &tokens{}
+	m := New(cfg, budget)
+	m.Start(start)
+	if decision, _ := m.Ended(start, NotRun); decision != Later {
+		t.Fatalf("decision %v, want Later", decision)
+	}
+	_, send, again := m.Due(m.RoundAt())
+	if send || !again.After(m.RoundAt()) {
+		t.Fatalf("send %v, again at %v", send, again.Sub(start))
+	}
+	budget.left = 1
+	if _, send, _ := m.Due(again); !send {
+		t.Error("the round was not sent once the budget recovered")
+	}
+}
+
+// TestRetryOfAFailingReplica takes spare tokens only.
+func TestRetryOfAFailingReplica(t *testing.T) {
+	b := budget.New(1)
+	cfg := configOf(2)
+	for range 3 {
+		cfg.Replicas[1].Record.Begin(start)
+		cfg.Replicas[1].Record.End(start, time.Millisecond, leaf.Broken)
+	}
+	m := New(cfg, b)
+	m.Start(start)
+	if decision, _ := m.Ended(start, Lost); decision != GiveUp {
+		t.Errorf("decision %v with one token, want GiveUp", decision)
+	}
+	if !b.Spend() {
+		t.Error("the token for other shards is gone")
+	}
+}
+
+func TestNoRoundWhenTheSnapshotIsGone(t *testing.T) {
+	cfg := configOf(1)
+	cfg.Persist = true
+	m := New(cfg, &tokens{left: 9})
+	m.Start(start)
+	if decision, _ := m.Ended(start, Gone); decision != GiveUp {
+		t.Errorf("decision %v, want GiveUp", decision)
+	}
+}
+
 // TestRandomOrders checks that no replica is asked twice, that every extra
 // attempt is paid for, and that a subrequest ends exactly once.
 func TestRandomOrders(t *testing.T) {
@@ -116,7 +194,7 @@
 		record(first)
 		for pending > 0 {
 			if rapid.Bool().Draw(t, "hedge due") {
-				if a, ok, _ := m.HedgeDue(start); ok {
+				if a, ok, _ := m.Due(start); ok {
 					record(a)
 				}
 			}
--- a/internal/transport/entry/entry.go
+++ b/internal/transport/entry/entry.go
@@ -120,6 +120,7 @@
 	cfg := gather.Config{
 		Policy:         service.Policy,
 		MinCoverage:    max(service.MinCoverage, request.MinCoverage),
+		Begun:          arrived,
 		Deadline:       deadline,
 		RestartReserve: e.cfg.RestartReserve,
 	}
@@ -146,7 +147,8 @@
 }
 
 func (c *collection) run(ctx context.Context) (query.Answer, error) {
-	timer := time.NewTimer(time.Until(c.deadline))
+	leaveAt := c.query.LeaveAt()
+	timer := time.NewTimer(time.Until(leaveAt))
 	defer timer.Stop()
 	c.fanOut(ctx)
 	defer func() { c.cancel() }()
@@ -166,6 +168,10 @@
 				next = c.restart(ctx)
 			}
 			progress = next
+			if at := c.query.LeaveAt(); at != leaveAt {
+				leaveAt = at
+				timer.Reset(time.Until(leaveAt))
+			}
 		}
 	}
 	return c.answer()
@@ -219,7 +225,7 @@
 	var progress gather.Progress
 	var err error
 	if r.OK {
-		progress, err = c.query.Reply(r.Restart, r.Shard, r.Snapshot, r.Items)
+		progress, err = c.query.Reply(time.Now(), r.Restart, r.Shard, r.Snapshot, r.Items)
 	} else {
 		c.last = r.Err
 		progress, err = c.query.Fail(time.Now(), r.Restart, r.Shard, r.Reason)
--- a/internal/transport/relay/relay.go
+++ b/internal/transport/relay/relay.go
@@ -179,8 +179,10 @@
 	ctx     context.Context
 	results chan ended
 	first   tracing.Span
-	count   int
-	sent    bool
+	// timer fires when the machine has something due.
+	timer *time.Timer
+	count int
+	sent  bool
 	// started is true once an attempt may have sent a byte.
 	started     atomic.Bool
 	waited, ran time.Duration
@@ -203,6 +205,7 @@
 		AvailabilityZone: r.zone,
 		Deadline:         task.Deadline,
 		HedgeDelay:       state.hedgeDelay(),
+		Persist:          task.Service.Policy == note.PolicyCoverage,
 		Choose:           r.choose,
 		Random:           rand.Uint64,
 	}
@@ -233,19 +236,18 @@
 		return u.failed(query.ReasonDeadline, nil)
 	}
 	u.send(first)
-	var hedge <-chan time.Time
-	var timer *time.Timer
-	if at, ok := u.machine.HedgeAt(now); ok {
-		timer = time.NewTimer(at.Sub(now))
-		defer timer.Stop()
-		hedge = timer.C
+	at, ok := u.machine.HedgeAt(now)
+	if !ok {
+		at = u.task.Deadline
 	}
+	u.timer = time.NewTimer(at.Sub(now))
+	defer u.timer.Stop()
 	for {
 		select {
 		case <-u.ctx.Done():
-			return u.failed(query.ReasonDeadline, u.ctx.Err())
-		case at := <-hedge:
-			u.hedge(at, timer)
+			return u.failed(u.lateReason(), u.ctx.Err())
+		case at := <-u.timer.C:
+			u.due(at)
 		case e := <-u.results:
 			if result, over := u.settle(e); over {
 				return result
@@ -254,14 +256,14 @@
 	}
 }
 
-// hedge sends a hedge, or sets the timer when the budget may allow one later.
-func (u *run) hedge(now time.Time, timer *time.Timer) {
-	attempt, send, again := u.machine.HedgeDue(now)
+// due sends what is due, or sets the timer when the budget may allow it later.
+func (u *run) due(now time.Time) {
+	attempt, send, again := u.machine.Due(now)
 	if send {
 		u.send(attempt)
 	}
 	if !again.IsZero() {
-		timer.Reset(again.Sub(now))
+		u.timer.Reset(again.Sub(now))
 	}
 }
 
@@ -281,11 +283,21 @@
 		return u.failed(u.reason(), e.reply.Err), true
 	case subrequest.Send:
 		u.send(next)
+	case subrequest.Later:
+		u.timer.Reset(time.Until(u.machine.RoundAt()))
 	case subrequest.Wait:
 	}
 	return Result{}, false
 }
 
+// lateReason says why there is no reply at the deadline.
+func (u *run) lateReason() query.Reason {
+	if u.machine.IsBetweenRounds() {
+		return u.reason()
+	}
+	return query.ReasonDeadline
+}
+
 // reason says why no attempt has a reply.
 func (u *run) reason() query.Reason {
 	if u.quarantined {
@@ -384,6 +396,9 @@
 	if reply.Holdings != "" && target.Record.SetHoldings(reply.Holdings) && u.relay.refresh != nil {
 		u.relay.refresh.Refresh(target.VM.ID)
 	}
+	if reply.Result == subrequest.NotRun && !reply.Draining {
+		u.state.extra.Shed()
+	}
 	if reply.Result != subrequest.Gone {
 		return
 	}
