Keep draining leafs free of new work whatever source lags

Cause: the manifest, the list and the replies overwrote each other's word, so a manifest that lags or misleads brought work back to a draining leaf with every poll. Change: drain keeps the sources apart in the leaf's record; discovery and the relay report to it. The experiment drain measures it; the stand-in leaf can report a false manifest. Two tests set the evidence in the new way.

--- /dev/null
+++ b/internal/coordination/drain/drain.go
@@ -0,0 +1,64 @@
+// Package drain decides from the evidence of several sources whether a leaf is
+// leaving and gets no new work. The functions are pure; the state is kept in
+// the leaf's record.
+package drain
+
+import (
+	"time"
+
+	"github.com/hickorydock/hickorydock/internal/state/leaf"
+)
+
+const (
+	// firstHold is the time for which a reply's word is not overruled by a
+	// manifest that never agreed with it, since manifests lag and mislead.
+	firstHold = 10 * time.Second
+	// longestHold bounds the hold, which doubles when the leaf turns out to be
+	// leaving still.
+	longestHold = time.Minute
+)
+
+// OnReply takes over what a reply says to a subrequest that began at a time.
+func OnReply(d leaf.Drain, draining bool, begun, now time.Time) leaf.Drain {
+	if !draining {
+		if begun.After(d.ReplyAt) {
+			d.Reply = false
+		}
+		return d
+	}
+	if !d.Reply {
+		again := !d.ReplyAt.IsZero() && now.Sub(d.ReplyAt) < 2*d.Hold
+		if again {
+			d.Hold = min(2*d.Hold, longestHold)
+		} else {
+			d.Hold = firstHold
+		}
+	}
+	d.Reply = true
+	d.ReplyAt = now
+	return d
+}
+
+// OnManifest takes over a manifest whose fetch began at a time.
+func OnManifest(d leaf.Drain, draining bool, incarnation uint64, begun time.Time) leaf.Drain {
+	if incarnation != d.Incarnation {
+		// A new process has not said anything yet.
+		d = leaf.Drain{List: d.List, Incarnation: incarnation}
+	}
+	agreed := d.Manifest
+	d.Manifest = draining
+	if draining || !d.Reply || begun.Before(d.ReplyAt) {
+		return d
+	}
+	if agreed || begun.Sub(d.ReplyAt) >= d.Hold {
+		d.Reply = false
+	}
+	return d
+}
+
+// OnList takes over the platform's list. It holds across processes, because the
+// VM itself leaves.
+func OnList(d leaf.Drain, leaving bool) leaf.Drain {
+	d.List = leaving
+	return d
+}
--- a/internal/coordination/replica/replica_test.go
+++ b/internal/coordination/replica/replica_test.go
@@ -56,13 +56,13 @@
 
 func TestDrainingOnlyAsLastResort(t *testing.T) {
 	replicas := []shardmap.Replica{replicaOf("a", time.Millisecond, 0, 0), replicaOf("a", time.Second, 0, 0)}
-	replicas[0].Record.SetDraining(true)
+	replicas[0].Record.UpdateDrain(leaving)
 	for random := range uint64(8) {
 		if got := Choose(start, replicas, 0, "a", random); got != 1 {
 			t.Errorf("random %d: draining replica chosen", random)
 		}
 	}
-	replicas[1].Record.SetDraining(true)
+	replicas[1].Record.UpdateDrain(leaving)
 	if got := Choose(start, replicas, 0, "a", 0); got == None {
 		t.Error("no replica although all are draining")
 	}
@@ -117,3 +117,9 @@
 		Choose(start, replicas, 0, "a", random.Uint64())
 	}
 }
+
+// leaving is the evidence of a leaf whose reply says that it drains.
+func leaving(d leaf.Drain) leaf.Drain {
+	d.Reply = true
+	return d
+}
--- /dev/null
+++ b/internal/experiment/drain.go
@@ -0,0 +1,135 @@
+package experiment
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/hickorydock/hickorydock/internal/protocol/platform"
+	"github.com/hickorydock/hickorydock/internal/standin/leaf"
+)
+
+var drainExperiment = Experiment{
+	Name:    "drain",
+	Summary: "10 shards of 2 replicas under load; of three shards one replica drains: by manifest and header, with a manifest that denies it, by the platform's list; later all come back",
+	Target:  "subrequests sent to draining leafs from 3 s on: 0; queries without a complete answer: 0; all leafs work again afterwards",
+	Run:     runDrain,
+}
+
+const (
+	drainShards  = 10
+	drainRate    = 200.0
+	drainQueries = 2600 // 13 s
+	// drainBegin, drainEnd and drainBack are times from the start of the load.
+	drainBegin = 1 * time.Second
+	drainEnd   = 7 * time.Second
+	drainBack  = 9 * time.Second
+	// drainKnown is the time after which no node may send new work.
+	drainKnown = 3 * time.Second
+)
+
+// drained are the numbers of subrequests that reached the three leafs.
+type drained struct {
+	early, late, back [3]int
+}
+
+// drainLeafs are the leafs that drain: by manifest and header, by header against
+// the manifest, and by the platform's list.
+func (r *rig) drainLeafs() [3]*leaf.Leaf {
+	return [3]*leaf.Leaf{r.leafs[0][0], r.leafs[1][0], r.leafs[2][0]}
+}
+
+// setVMState tells every node what the platform's list says of one leaf.
+func (r *rig) setVMState(id string, state platform.VMState) {
+	r.vms = slices.Clone(r.vms)
+	for i := range r.vms {
+		if r.vms[i].ID == id {
+			r.vms[i].State = state
+		}
+	}
+	for _, n := range r.nodes {
+		n.Discovery().SetVMs(r.vms)
+	}
+}
+
+// reached counts what was sent to each leaf so far, run or refused.
+func reached(leafs [3]*leaf.Leaf) (counts [3]int) {
+	for i, l := range leafs {
+		counts[i] = l.RunCount() + l.ShedCount()
+	}
+	return counts
+}
+
+func since(before, after [3]int) (counts [3]int) {
+	for i := range counts {
+		counts[i] = after[i] - before[i]
+	}
+	return counts
+}
+
+// drainAndReturn drains the three leafs, counts what reaches them and takes them back.
+func (r *rig) drainAndReturn(ctx context.Context, begun time.Time) drained {
+	leafs := r.drainLeafs()
+	var d drained
+	sleepUntil(ctx, begun.Add(drainBegin))
+	atBegin := reached(leafs)
+	leafs[0].SetDraining(true)
+	leafs[1].SetManifestDraining(false)
+	leafs[1].SetDraining(true)
+	r.setVMState(leafs[2].ID(), platform.VMLeaving)
+
+	sleepUntil(ctx, begun.Add(drainBegin+drainKnown))
+	atKnown := reached(leafs)
+	sleepUntil(ctx, begun.Add(drainEnd))
+	atEnd := reached(leafs)
+	leafs[0].SetDraining(false)
+	leafs[1].SetDraining(false)
+	r.setVMState(leafs[2].ID(), platform.VMLive)
+
+	sleepUntil(ctx, begun.Add(drainBack))
+	d.early, d.late = since(atBegin, atKnown), since(atKnown, atEnd)
+	d.back = since(atEnd, reached(leafs))
+	return d
+}
+
+func runDrain(ctx context.Context, seed uint64) (Result, error) {
+	options := tailRig(seed, 0.05, leaf.ServiceTime{Median: 5 * time.Millisecond, Sigma: 0.3})
+	options.shards = drainShards
+	options.nodes = 3
+	r, err := newRig(ctx, options)
+	if err != nil {
+		return Result{}, err
+	}
+	defer r.close()
+	if err := r.awaitComplete(ctx); err != nil {
+		return Result{}, err
+	}
+	c := newCaller()
+	defer c.close()
+	t := newTally(false)
+	var d drained
+	var operator sync.WaitGroup
+	begun := time.Now()
+	operator.Go(func() { d = r.drainAndReturn(ctx, begun) })
+	r.drive(ctx, c, t, drainRate, drainQueries)
+	operator.Wait()
+	late := d.late[0] + d.late[1] + d.late[2]
+	// The leaf whose manifest denied the drain is believed only later.
+	back := min(d.back[0], d.back[2])
+	return Result{
+		Policy: append(t.figures(),
+			Figure{"sent_within_3s_manifest", float64(d.early[0])},
+			Figure{"sent_within_3s_denied", float64(d.early[1])},
+			Figure{"sent_within_3s_list", float64(d.early[2])},
+			Figure{"sent_after_return_manifest", float64(d.back[0])},
+			Figure{"sent_after_return_denied", float64(d.back[1])},
+			Figure{"sent_after_return_list", float64(d.back[2])},
+		),
+		Checks: []Check{
+			AtMost("sent_after_3s", float64(late), 0),
+			AtMost("not_complete", float64(t.total()-t.complete), 0),
+			AtLeast("sent_after_return", float64(back), 1),
+		},
+	}, ctx.Err()
+}
--- a/internal/experiment/experiment.go
+++ b/internal/experiment/experiment.go
@@ -79,6 +79,7 @@
 		overloadExperiment,
 		crashExperiment,
 		membershipExperiment,
+		drainExperiment,
 		controlSizeExperiment,
 	}
 }
--- a/internal/standin/leaf/leaf.go
+++ b/internal/standin/leaf/leaf.go
@@ -97,6 +97,7 @@
 	holdingsChanges  int
 	manifestHoldings []upstream.Holding // nil: tell the truth
 	manifestLoad     *float64           // nil: tell the truth
+	manifestDraining *bool              // nil: tell the truth
 	draining         bool
 	slowFactor       float64
 	lostReplyShare   float64
@@ -196,6 +197,13 @@
 	}
 }
 
+// SetManifestDraining makes GET /manifest report draining whatever is true.
+func (l *Leaf) SetManifestDraining(draining bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.manifestDraining = &draining
+}
+
 // SetDraining starts or ends draining.
 func (l *Leaf) SetDraining(draining bool) {
 	l.mu.Lock()
@@ -253,6 +261,9 @@
 	if reported && l.manifestLoad != nil {
 		m.Load = *l.manifestLoad
 	}
+	if reported && l.manifestDraining != nil {
+		m.Draining = *l.manifestDraining
+	}
 	return m
 }
 
--- a/internal/state/leaf/leaf.go
+++ b/internal/state/leaf/leaf.go
@@ -38,10 +38,26 @@
 	LastBegin time.Time
 	// LastReply is the time of the last reply; zero before the first.
 	LastReply time.Time
-	// Draining is true when a reply said that the leaf is leaving.
+	// Draining is true when the leaf is leaving.
 	Draining bool
 }
 
+// Drain is the evidence that a leaf is leaving; coordination/drain decides on it.
+type Drain struct {
+	// List, Manifest and Reply say whether the platform's list, the leaf's
+	// manifest and its replies call it leaving.
+	List, Manifest, Reply bool
+	// ReplyAt is the time of the last reply that did.
+	ReplyAt time.Time
+	// Hold is the time after ReplyAt for which a manifest does not overrule it.
+	Hold time.Duration
+	// Incarnation is that of the last manifest.
+	Incarnation uint64
+}
+
+// IsDraining reports whether any source calls the leaf leaving.
+func (d Drain) IsDraining() bool { return d.List || d.Manifest || d.Reply }
+
 // Result says how a subrequest on a leaf ended.
 type Result int
 
@@ -66,6 +82,7 @@
 type Record struct {
 	mu       sync.Mutex
 	stats    Stats
+	drain    Drain
 	holdings string
 }
 
@@ -128,10 +145,12 @@
 	r.stats.Latency += time.Duration(weight * float64(elapsed-r.stats.Latency))
 }
 
-// SetDraining records whether the leaf said that it is leaving.
-func (r *Record) SetDraining(draining bool) {
+// UpdateDrain replaces the evidence that the leaf is leaving by what change
+// makes of it.
+func (r *Record) UpdateDrain(change func(Drain) Drain) {
 	r.mu.Lock()
-	r.stats.Draining = draining
+	r.drain = change(r.drain)
+	r.stats.Draining = r.drain.IsDraining()
 	r.mu.Unlock()
 }
 
--- a/internal/transport/discovery/discovery.go
+++ b/internal/transport/discovery/discovery.go
@@ -10,6 +10,7 @@
 	"sync"
 	"time"
 
+	"github.com/hickorydock/hickorydock/internal/coordination/drain"
 	"github.com/hickorydock/hickorydock/internal/protocol/platform"
 	contract "github.com/hickorydock/hickorydock/internal/protocol/upstream"
 	"github.com/hickorydock/hickorydock/internal/state/leaf"
@@ -81,7 +82,9 @@
 	if ok && old.vm.Address != vm.Address {
 		d.store.Remove(old.vm.Group, vm.ID)
 	}
-	d.table.Record(vm.ID).SetDraining(vm.State == platform.VMLeaving)
+	d.table.Record(vm.ID).UpdateDrain(func(old leaf.Drain) leaf.Drain {
+		return drain.OnList(old, vm.State == platform.VMLeaving)
+	})
 	ctx, cancel := context.WithCancel(d.base)
 	p := poll{vm, cancel, make(chan struct{}, 1)}
 	d.polled[vm.ID] = p
@@ -123,13 +126,15 @@
 }
 
 func (d *Discovery) fetch(ctx context.Context, vm platform.VM) {
+	begun := time.Now()
 	manifest, err := d.source.Manifest(ctx, vm)
 	if err != nil || ctx.Err() != nil {
 		return
 	}
 	d.store.SetManifest(vm, manifest, time.Now())
-	leaving := manifest.Draining || vm.State == platform.VMLeaving
-	d.table.Record(vm.ID).SetDraining(leaving)
+	d.table.Record(vm.ID).UpdateDrain(func(old leaf.Drain) leaf.Drain {
+		return drain.OnManifest(old, manifest.Draining, manifest.Incarnation, begun)
+	})
 }
 
 // VMs lists the leafs that are polled, in no order.
--- a/internal/transport/relay/relay.go
+++ b/internal/transport/relay/relay.go
@@ -13,6 +13,7 @@
 	"go.opentelemetry.io/otel/attribute"
 
 	"github.com/hickorydock/hickorydock/internal/coordination/budget"
+	"github.com/hickorydock/hickorydock/internal/coordination/drain"
 	"github.com/hickorydock/hickorydock/internal/coordination/latency"
 	"github.com/hickorydock/hickorydock/internal/coordination/quarantine"
 	"github.com/hickorydock/hickorydock/internal/coordination/replica"
@@ -371,15 +372,17 @@
 		// window would hold too few of the slow attempts that hedges replace.
 		u.state.window.Observe(now, now.Sub(entered))
 	}
-	u.learn(now, target, reply)
+	u.learn(begun, now, target, reply)
 	u.results <- ended{index: attempt.Replica, reply: reply, waited: begun.Sub(entered), ran: elapsed}
 }
 
 // learn takes over what a reply says about its leaf.
-func (u *run) learn(now time.Time, target shardmap.Replica, reply upstream.Reply) {
+func (u *run) learn(begun, now time.Time, target shardmap.Replica, reply upstream.Reply) {
 	answered := reply.Result == subrequest.OK || reply.Result == subrequest.NotRun
 	if answered {
-		target.Record.SetDraining(reply.Draining)
+		target.Record.UpdateDrain(func(d leaf.Drain) leaf.Drain {
+			return drain.OnReply(d, reply.Draining, begun, now)
+		})
 	}
 	if reply.Holdings != "" && target.Record.SetHoldings(reply.Holdings) && u.relay.refresh != nil {
 		u.relay.refresh.Refresh(target.VM.ID)
--- a/internal/transport/status/status_test.go
+++ b/internal/transport/status/status_test.go
@@ -53,7 +53,7 @@
 		want   string
 	}{
 		{"like the others", func(*leaf.Record, time.Time) {}, ""},
-		{"leaving", func(r *leaf.Record, _ time.Time) { r.SetDraining(true) }, "leaving"},
+		{"leaving", func(r *leaf.Record, _ time.Time) { r.UpdateDrain(leaving) }, "leaving"},
 		{"failing", func(r *leaf.Record, now time.Time) { run(r, now, 0, leaf.Broken, 3) }, "failing"},
 		{"slow", func(r *leaf.Record, now time.Time) { run(r, now, time.Second, leaf.Answered, 50) }, "slow or busy"},
 		{"busy", func(r *leaf.Record, now time.Time) {
@@ -82,7 +82,7 @@
 }
 
 func TestPageShowsTheNode(t *testing.T) {
-	w := render(sources(func(r *leaf.Record, _ time.Time) { r.SetDraining(true) }))
+	w := render(sources(func(r *leaf.Record, _ time.Time) { r.UpdateDrain(leaving) }))
 	for _, want := range []string{"&lt;node&gt;", "revision 41 in force", "ready", "desk", "98.50 %", "41.2", "leaf-3", "leaving", `name="viewport"`} {
 		if !strings.Contains(w.Body.String(), want) {
 			t.Errorf("the page lacks %q:\n%s", want, w.Body)
@@ -102,3 +102,9 @@
 		}
 	}
 }
+
+// leaving is the evidence of a leaf whose reply says that it drains.
+func leaving(d leaf.Drain) leaf.Drain {
+	d.Reply = true
+	return d
+}
