Add the operations page with tables generated from the code

Cause: operators need settings, metrics, alerts and symptoms in one place. Change: docs/OPERATIONS.md; a test holds its tables of settings and metrics equal to the code, another that each command line in the docs and in the help names a subcommand and flags that exist. Conclusion: both pass; the second failed at first on prose and now reads code blocks only.

--- /dev/null
+++ b/cmd/hickorydock/docs_test.go
@@ -0,0 +1,177 @@
+package main
+
+import (
+	"flag"
+	"fmt"
+	"io/fs"
+	"os"
+	"path/filepath"
+	"regexp"
+	"slices"
+	"strings"
+	"testing"
+
+	"github.com/integrii/flaggy"
+
+	"github.com/hickorydock/hickorydock/internal/node"
+	"github.com/hickorydock/hickorydock/internal/protocol/settings"
+	client "github.com/hickorydock/hickorydock/internal/transport/platform"
+)
+
+var update = flag.Bool("update", false, "rewrite the generated tables of the docs")
+
+const (
+	repository     = "../.."
+	operationsPage = repository + "/docs/OPERATIONS.md"
+)
+
+// TestGeneratedTables holds that the tables of docs/OPERATIONS.md are those of
+// the code. go test ./cmd/hickorydock -update rewrites them.
+func TestGeneratedTables(t *testing.T) {
+	page, err := os.ReadFile(operationsPage)
+	if err != nil {
+		t.Fatal(err)
+	}
+	want := replaceTable(t, string(page), "settings", settingsTable())
+	want = replaceTable(t, want, "metrics", metricsTable(t))
+	if string(page) == want {
+		return
+	}
+	if !*update {
+		t.Fatal("docs/OPERATIONS.md differs from the code; run go test ./cmd/hickorydock -update")
+	}
+	if err := os.WriteFile(operationsPage, []byte(want), 0o644); err != nil {
+		t.Fatal(err)
+	}
+}
+
+// replaceTable puts a table between the two marks of its name.
+func replaceTable(t *testing.T, page, name, table string) string {
+	t.Helper()
+	begin, end := "<!-- begin "+name+" -->\n", "<!-- end "+name+" -->\n"
+	before, rest, found := strings.Cut(page, begin)
+	_, after, closed := strings.Cut(rest, end)
+	if !found || !closed {
+		t.Fatalf("docs/OPERATIONS.md has no place for the table of %s", name)
+	}
+	return before + begin + table + end + after
+}
+
+func settingsTable() string {
+	var out strings.Builder
+	out.WriteString("| setting | type | default | bounds | variable | meaning |\n|---|---|---|---|---|---|\n")
+	for _, f := range settings.Describe() {
+		fmt.Fprintf(&out, "| `%s` | %s | %s | %s | %s | %s |\n", f.Path, f.Type, code(f.Default), f.Bounds, code(f.Env), f.Doc)
+	}
+	return out.String()
+}
+
+func metricsTable(t *testing.T) string {
+	t.Helper()
+	s := settings.Default()
+	s.Node.ID, s.Node.AvailabilityZone = "n1", "a"
+	platform := client.New(client.Config{BaseURL: s.Platform.URL})
+	n, err := node.New(node.Config{Settings: s, Control: node.PlatformControl(platform)})
+	if err != nil {
+		t.Fatal(err)
+	}
+	var out strings.Builder
+	out.WriteString("| metric | labels | meaning |\n|---|---|---|\n")
+	for _, d := range n.Metrics().Describe() {
+		fmt.Fprintf(&out, "| `%s` | %s | %s |\n", d.Name, strings.Join(d.Labels, ", "), d.Help)
+	}
+	return out.String()
+}
+
+func code(text string) string {
+	if text == "" {
+		return ""
+	}
+	return "`" + text + "`"
+}
+
+// commandLine is an invocation within a code block.
+var commandLine = regexp.MustCompile(`^(?:\$ )?(?:go run \./cmd/hickorydock|hickorydock) (.+)$`)
+
+// commandLines finds the invocations in the code blocks of a page, indented or
+// fenced.
+func commandLines(page string) []string {
+	var found []string
+	fenced := false
+	for line := range strings.Lines(page) {
+		text := strings.TrimSpace(line)
+		if strings.HasPrefix(text, "```") {
+			fenced = !fenced
+		}
+		match := commandLine.FindStringSubmatch(text)
+		if match != nil && (fenced || strings.HasPrefix(line, "    ")) {
+			found = append(found, match[1])
+		}
+	}
+	return found
+}
+
+// TestCommandsInTheDocsExist holds that each command line in the docs and in
+// the examples of the help names a subcommand and flags that exist.
+func TestCommandsInTheDocsExist(t *testing.T) {
+	seen := 0
+	for _, file := range pages(t) {
+		text, err := os.ReadFile(file)
+		if err != nil {
+			t.Fatal(err)
+		}
+		for _, line := range commandLines(string(text)) {
+			seen++
+			checkCommandLine(t, file, line)
+		}
+	}
+	for _, c := range commands {
+		for line := range strings.Lines(c.examples) {
+			if rest, ok := strings.CutPrefix(strings.TrimSpace(line), "hickorydock "); ok {
+				seen++
+				checkCommandLine(t, c.name+" --help", rest)
+			}
+		}
+	}
+	if seen < len(commands) {
+		t.Errorf("only %d command lines found", seen)
+	}
+}
+
+func pages(t *testing.T) []string {
+	t.Helper()
+	list := []string{repository + "/README.md"}
+	err := filepath.WalkDir(repository+"/docs", func(path string, _ fs.DirEntry, err error) error {
+		if strings.HasSuffix(path, ".md") {
+			list = append(list, path)
+		}
+		return err
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return list
+}
+
+func checkCommandLine(t *testing.T, where, line string) {
+	t.Helper()
+	words := strings.Fields(line)
+	if words[0] == "completion" || strings.HasPrefix(words[0], "-") {
+		return
+	}
+	at := slices.IndexFunc(commands, func(c command) bool { return c.name == words[0] })
+	if at < 0 {
+		t.Errorf("%s: hickorydock %s: no such subcommand", where, line)
+		return
+	}
+	flags := flaggy.NewSubcommand(words[0])
+	commands[at].bind(flags)
+	for _, word := range words[1:] {
+		name, isFlag := strings.CutPrefix(word, "--")
+		name, _, _ = strings.Cut(strings.TrimRight(name, "`.,"), "=")
+		known := name == "help" || slices.ContainsFunc(flags.Flags, func(f *flaggy.Flag) bool { return f.LongName == name })
+		if isFlag && !known {
+			t.Errorf("%s: hickorydock %s: no flag --%s", where, line, name)
+		}
+	}
+}
--- a/internal/transport/metrics/metrics.go
+++ b/internal/transport/metrics/metrics.go
@@ -48,7 +48,7 @@
 
 // Metrics holds the collectors of one process.
 type Metrics struct {
-	registry      *prometheus.Registry
+	registry      *registry
 	queries       *prometheus.HistogramVec
 	coverage      *prometheus.HistogramVec
 	inFlight      prometheus.Gauge
@@ -75,7 +75,7 @@
 // runtime and of the process.
 func New() *Metrics {
 	m := &Metrics{
-		registry:      prometheus.NewRegistry(),
+		registry:      &registry{Registry: prometheus.NewRegistry()},
 		queries:       histogram("query_duration_seconds", "Time from a request's header to its answer, by service and outcome.", latencyBuckets, "service", "outcome"),
 		coverage:      histogram("query_coverage_ratio", "Share of shards that an answer covers, by service.", coverageBuckets, "service"),
 		inFlight:      gauge("queries_in_flight", "Queries that the node works on."),
