--- a/internal/transport/entry/admission.go
+++ b/internal/transport/entry/admission.go
@@ -18,6 +18,8 @@
 	// initialQueries is the limit of queries in flight of a service before
 	// anything is known of it.
 	initialQueries = 32
+	// queuePerLimit is the length of a service's queue, in units of its limit.
+	queuePerLimit = 2
 	// queryWaitTolerance is how many times the time at leafs the time in leaf
 	// queues may reach before a service's limit falls.
 	queryWaitTolerance = 2.0
@@ -33,7 +35,7 @@
 	perService := func() *limit.Limiter {
 		return limit.New(limit.Config{Floor: 1, Ceiling: cfg.MaxQueries, Initial: min(initialQueries, cfg.MaxQueries), WaitTolerance: queryWaitTolerance})
 	}
-	return throttle.New(admission.New(total, perService, cfg.MaxQueue))
+	return throttle.New(admission.New(admission.Config{Total: total, NewClass: perService, MaxQueue: cfg.MaxQueue, QueuePerLimit: queuePerLimit}))
 }
 
 // admit waits for the admission of a query. The error tells the caller that
