Measure platform calls and connections to leafs

Cause: both metrics existed without a caller. The group label is gone, since a connection is not bound to a group where it is opened.

--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -48,12 +48,16 @@
 
 // PlatformControl keeps a node in line with a platform and lets it run commands.
 func PlatformControl(c platform.Client) fx.Option {
-	return fx.Options(fx.Provide(func() platform.Client { return c }), control.Module, command.Module)
+	connect := func(m *metrics.Metrics) platform.Client { return client.Metered(c, m.PlatformCall) }
+	return fx.Options(fx.Provide(connect), control.Module, command.Module)
 }
 
 // SettingsPlatform keeps a node in line with the platform that its settings name.
 func SettingsPlatform() fx.Option {
-	return fx.Options(fx.Provide(NewPlatformClient), control.Module, command.Module)
+	connect := func(s settings.Settings, tls *credentials.Credentials, m *metrics.Metrics) platform.Client {
+		return client.Metered(NewPlatformClient(s, tls), m.PlatformCall)
+	}
+	return fx.Options(fx.Provide(connect), control.Module, command.Module)
 }
 
 // NewPlatformClient reaches the platform that the settings name, over TLS when
--- a/internal/transport/metrics/metrics.go
+++ b/internal/transport/metrics/metrics.go
@@ -59,7 +59,8 @@
 	revision      prometheus.Gauge
 	oldRevisions  prometheus.Counter
 	platformCalls *prometheus.HistogramVec
-	connections   *prometheus.GaugeVec
+	connections   prometheus.Gauge
+	opened        prometheus.Counter
 	quarantine    prometheus.Gauge
 	peers         prometheus.Gauge
 }
@@ -86,14 +87,15 @@
 		revision:      gauge("catalogue_revision", "Revision of the catalogue in force on this node."),
 		oldRevisions:  counter("catalogue_old_revisions_total", "Catalogues not taken because their revision was not newer.").WithLabelValues(),
 		platformCalls: histogram("platform_call_duration_seconds", "Time of calls of the platform's object API, by method and result.", prometheus.DefBuckets, "method", "result"),
-		connections:   gaugeVec("leaf_connections", "Open connections to upstreams, by upstream group.", "group"),
+		connections:   gauge("leaf_connections", "Open connections to leafs."),
+		opened:        counter("leaf_connections_opened_total", "Connections to leafs that were opened.").WithLabelValues(),
 		quarantine:    gauge("quarantine_entries", "Requests in quarantine."),
 		peers:         gauge("peers", "Nodes that this node has a stream to."),
 	}
 	m.registry.MustRegister(
 		collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}),
 		m.queries, m.coverage, m.inFlight, m.subrequests, m.cancelled, m.refusals, m.invariants,
-		m.revision, m.oldRevisions, m.platformCalls, m.connections, m.quarantine, m.peers,
+		m.revision, m.oldRevisions, m.platformCalls, m.connections, m.opened, m.quarantine, m.peers,
 	)
 	return m
 }
@@ -110,10 +112,6 @@
 	return prometheus.NewGauge(prometheus.GaugeOpts{Namespace: namespace, Name: name, Help: help})
 }
 
-func gaugeVec(name, help string, labels ...string) *prometheus.GaugeVec {
-	return prometheus.NewGaugeVec(prometheus.GaugeOpts{Namespace: namespace, Name: name, Help: help}, labels)
-}
-
 // Handler serves the registry in the Prometheus text format.
 func (m *Metrics) Handler() http.Handler {
 	return promhttp.HandlerFor(m.registry, promhttp.HandlerOpts{Registry: m.registry})
@@ -194,11 +192,14 @@
 	}
 }
 
-// LeafConnections records the open connections to the leafs of an upstream group.
-func (m *Metrics) LeafConnections(group string, open int) {
-	if m != nil {
-		m.connections.WithLabelValues(group).Set(float64(open))
+// LeafConnected counts a connection to a leaf as open until closed runs.
+func (m *Metrics) LeafConnected() (closed func()) {
+	if m == nil {
+		return func() {}
 	}
+	m.opened.Inc()
+	m.connections.Inc()
+	return m.connections.Dec
 }
 
 // QuarantineSize records the number of requests in quarantine.
