Tell each call of an experiment its own due time

Cause: calls shared the variable of the arrival time, so that most counted their latency from the due time of the next call. The race detector showed it under a script of the demo. Change: each call keeps its own time; a test under virtual time holds it. Conclusion: latencies measured by experiments before this change are too low by up to one interval between calls and have to be measured again.

--- a/internal/experiment/drive.go
+++ b/internal/experiment/drive.go
@@ -38,9 +38,10 @@
 	random := rand.New(rand.NewPCG(seed, 1))
 	var running sync.WaitGroup
 	defer running.Wait()
-	at := time.Now()
+	next := time.Now()
 	for i := range count {
-		at = at.Add(time.Duration(random.ExpFloat64() / rate * float64(time.Second)))
+		next = next.Add(time.Duration(random.ExpFloat64() / rate * float64(time.Second)))
+		at := next // of this call; next moves on while the call runs
 		if !sleepUntil(ctx, at) {
 			return
 		}
