Test serve and demo with scripts

Cause: both ran by hand only. Change: a script starts a platform stand-in and a node, applies a note, queries and stops the node; another runs the demo's queries.

--- a/cmd/hickorydock/caller_test.go
+++ b/cmd/hickorydock/caller_test.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"encoding/json"
+	"net"
 	"net/http/httptest"
+	"regexp"
 	"testing"
 	"time"
 
@@ -18,7 +20,8 @@
 )
 
 // TestCallerScripts runs the cases in testdata/caller against a caller interface
-// with canned answers, whose base URL is in $URL.
+// with canned answers, whose base URL is in $URL. $PLATFORM, $CALLERS, $ADMIN and
+// $PEERS are free addresses.
 func TestCallerScripts(t *testing.T) {
 	testscript.Run(t, testscript.Params{
 		Dir:           "testdata/caller",
@@ -28,11 +31,50 @@
 			node := httptest.NewServer(server.New(cfg, cannedServices{}, cannedQueries{}, nil, tracing.Off()))
 			env.Defer(node.Close)
 			env.Setenv("URL", node.URL)
+			for _, name := range []string{"PLATFORM", "CALLERS", "ADMIN", "PEERS"} {
+				address, err := freeAddress()
+				if err != nil {
+					return err
+				}
+				env.Setenv(name, address)
+			}
 			return nil
 		},
+		Cmds: map[string]func(*testscript.TestScript, bool, []string){"waitfor": waitFor},
 	})
 }
 
+// waitTries bounds the repeats of waitFor, waitPause apart.
+const (
+	waitTries = 600
+	waitPause = 50 * time.Millisecond
+)
+
+// waitFor is the script command "waitfor PATTERN COMMAND...": it repeats a
+// command until its output matches.
+func waitFor(ts *testscript.TestScript, neg bool, args []string) {
+	if neg || len(args) < 2 {
+		ts.Fatalf("usage: waitfor PATTERN COMMAND...")
+	}
+	pattern, err := regexp.Compile(args[0])
+	ts.Check(err)
+	for range waitTries {
+		if ts.Exec(args[1], args[2:]...) == nil && pattern.MatchString(ts.ReadFile("stdout")) {
+			return
+		}
+		time.Sleep(waitPause)
+	}
+	ts.Fatalf("no output of %v matched %q", args[1:], args[0])
+}
+
+func freeAddress() (string, error) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return "", err
+	}
+	return l.Addr().String(), l.Close()
+}
+
 // cannedServices has the services whole, half, mixed, broken and closed.
 type cannedServices struct{}
 
