--- a/internal/transport/upstream/client.go
+++ b/internal/transport/upstream/client.go
@@ -187,7 +187,7 @@
 		Draining: response.Header.Get(contract.HeaderDraining) == "1",
 		Holdings: holdingsTag(response.Header),
 	}
-	body, err := readBounded(response.Body, c.cfg.MaxReplyBytes)
+	body, err := readBody(response, c.cfg.MaxReplyBytes)
 	if err != nil {
 		reply.Result = subrequest.Lost
 		reply.Err = fault.Wrap(err, fault.StepReply, vm.ID, "read body")
@@ -249,9 +249,13 @@
 	return &m
 }
 
-// readBounded reads at most limit bytes and fails when there are more.
-func readBounded(r io.Reader, limit int64) ([]byte, error) {
-	body, err := io.ReadAll(io.LimitReader(r, limit+1))
+// readBody reads at most limit bytes and fails when there are more.
+func readBody(response *http.Response, limit int64) ([]byte, error) {
+	if response.StatusCode == http.StatusSwitchingProtocols {
+		// Its body is the bare connection, which the request's context does not bound.
+		return nil, errors.New("leaf switched protocols")
+	}
+	body, err := io.ReadAll(io.LimitReader(response.Body, limit+1))
 	if err != nil {
 		return nil, err
 	}
@@ -274,7 +278,7 @@
 		return contract.Manifest{}, fault.Wrap(err, fault.StepConnect, vm.ID, "fetch manifest")
 	}
 	defer response.Body.Close()
-	body, err := readBounded(response.Body, c.cfg.MaxReplyBytes)
+	body, err := readBody(response, c.cfg.MaxReplyBytes)
 	if err != nil {
 		return contract.Manifest{}, fault.Wrap(err, fault.StepReply, vm.ID, "read manifest")
 	}
