--- a/internal/state/shardmap/store.go
+++ b/internal/state/shardmap/store.go
@@ -144,13 +144,6 @@
 		leafs = append(leafs, l)
 	}
 	slices.SortFunc(leafs, func(a, b *leafState) int { return cmp.Compare(a.vm.ID, b.vm.ID) })
-	views := make(map[string]*View)
-	for _, l := range leafs {
-		for _, h := range l.manifest.Holdings {
-			if _, ok := views[h.Service]; !ok {
-				views[h.Service] = buildView(h.Service, leafs)
-			}
-		}
-	}
+	views := buildViews(leafs)
 	g.views.Store(&views)
 }
--- a/internal/state/shardmap/view.go
+++ b/internal/state/shardmap/view.go
@@ -35,23 +35,36 @@
 
 // holder is one leaf's holding of one snapshot.
 type holder struct {
-	replica Replica
-	shards  []int
-	count   int
+	leaf   *leafState
+	shards []int
+	count  int
 }
 
-// buildView groups the holdings of a service by snapshot.
-func buildView(service string, leafs []*leafState) *View {
-	holders := make(map[query.Snapshot][]holder)
+// buildViews groups the holdings of all services by service and snapshot, in the
+// order of leafs.
+func buildViews(leafs []*leafState) map[string]*View {
+	holders := make(map[string]map[query.Snapshot][]holder)
 	for _, l := range leafs {
 		for _, h := range l.manifest.Holdings {
-			if h.Service != service || l.denies(service, h.Snapshot) {
-				continue
+			snapshots, ok := holders[h.Service]
+			if !ok {
+				snapshots = make(map[query.Snapshot][]holder)
+				holders[h.Service] = snapshots
+			}
+			if !l.denies(h.Service, h.Snapshot) {
+				snapshots[h.Snapshot] = append(snapshots[h.Snapshot], holder{l, h.Shards, h.ShardCount})
 			}
-			replica := Replica{VM: l.vm, Record: l.record}
-			holders[h.Snapshot] = append(holders[h.Snapshot], holder{replica, h.Shards, h.ShardCount})
 		}
 	}
+	views := make(map[string]*View, len(holders))
+	for service, snapshots := range holders {
+		views[service] = buildView(snapshots)
+	}
+	return views
+}
+
+// buildView lists the snapshots of one service, newest first.
+func buildView(holders map[query.Snapshot][]holder) *View {
 	view := &View{}
 	for snapshot, list := range holders {
 		view.Snapshots = append(view.Snapshots, buildSnapshot(snapshot, list))
@@ -69,16 +82,15 @@
 // state another count are left out, since their shards cut the index differently.
 func buildSnapshot(snapshot query.Snapshot, list []holder) *SnapshotView {
 	count := commonCount(list)
-	v := &SnapshotView{Snapshot: snapshot, Replicas: make([][]Replica, count)}
+	v := &SnapshotView{Snapshot: snapshot, Replicas: emptyReplicas(list, count)}
 	for _, h := range list {
 		if h.count != count {
 			continue
 		}
 		for _, shard := range h.shards {
-			if shard < 0 || shard >= count {
-				continue
+			if shard >= 0 && shard < count {
+				v.Replicas[shard] = append(v.Replicas[shard], Replica{VM: h.leaf.vm, Record: h.leaf.record})
 			}
-			v.Replicas[shard] = append(v.Replicas[shard], h.replica)
 		}
 	}
 	for _, replicas := range v.Replicas {
@@ -89,6 +101,32 @@
 	return v
 }
 
+// emptyReplicas returns an empty list for each shard with room for its replicas,
+// all in one allocation. Shards without replicas have a nil list.
+func emptyReplicas(list []holder, count int) [][]Replica {
+	room := make([]int, count)
+	total := 0
+	for _, h := range list {
+		if h.count != count {
+			continue
+		}
+		for _, shard := range h.shards {
+			if shard >= 0 && shard < count {
+				room[shard]++
+				total++
+			}
+		}
+	}
+	all := make([]Replica, total)
+	out := make([][]Replica, count)
+	for shard, n := range room {
+		if n > 0 {
+			out[shard], all = all[:0:n], all[n:]
+		}
+	}
+	return out
+}
+
 // maxShards bounds the shard count that a manifest may state.
 const maxShards = 65536
 
