--- a/internal/experiment/capacitymodel.go
+++ b/internal/experiment/capacitymodel.go
@@ -1,6 +1,10 @@
 package experiment
 
-import "fmt"
+import (
+	"fmt"
+
+	"github.com/hickorydock/hickorydock/internal/coordination/reconcile"
+)
 
 // designSize is the size that the page on capacity works out.
 type designSize struct {
@@ -21,7 +25,7 @@
 	nodes: 610, leafs: 2900, zones: 6, regions: 2,
 	queries: 110_000, fanOut: 310,
 	changes: 750, replaced: 1200, failed: 14,
-	services: 400, relaysPerQuery: 57.3, groupShards: 290, owners: 4, pollsPerSecond: 2,
+	services: controlServices, relaysPerQuery: 57.3, groupShards: 290, owners: 4, pollsPerSecond: 1 / controlPollEvery.Seconds(),
 }
 
 const (
@@ -153,3 +157,8 @@
 func (c *capacity) gathered(waitMillis float64) float64 {
 	return c.leafSubrequests() / c.size.owners * waitMillis / 1000
 }
+
+// reportInterval is the time between two status reports of a node, in seconds.
+func (c *capacity) reportInterval() float64 {
+	return reconcile.ReportInterval(c.size.nodes).Seconds()
+}
