--- a/internal/experiment/experiment.go
+++ b/internal/experiment/experiment.go
@@ -71,10 +71,14 @@
 		versionsExperiment,
 		coverageExperiment,
 		cancelExperiment,
+		returnExperiment,
 		ownershipExperiment,
 		sharesExperiment,
 		slopesExperiment,
 		connectionsExperiment,
+		overloadExperiment,
+		crashExperiment,
+		membershipExperiment,
 		controlSizeExperiment,
 	}
 }
