Bound the connections that a node opens ahead

Cause: a single node would open a leaf's whole cap ahead of need. Change: at most 16 connections for a node in the direct way.

--- a/internal/coordination/share/share.go
+++ b/internal/coordination/share/share.go
@@ -29,6 +29,8 @@
 	// SmallestDirect is the fewest connections for each node that make the
 	// direct way useful: one in use and one free for a hedge or a retry.
 	SmallestDirect = 2
+	// MostDirect bounds the connections of one node, which are all opened ahead.
+	MostDirect = 16
 	// RelayConnections is the number of connections that a relay aims at.
 	RelayConnections = 5
 	// FewestRelays leaves a leaf reachable after the loss of one relay.
@@ -84,7 +86,7 @@
 }
 
 func direct(usable, live int) Share {
-	return Share{Mode: Direct, Holders: live, Each: usable / live}
+	return Share{Mode: Direct, Holders: live, Each: min(usable/live, MostDirect)}
 }
 
 func divide(usable, live int) Share {
--- a/internal/transport/upstream/pool.go
+++ b/internal/transport/upstream/pool.go
@@ -223,7 +223,8 @@
 
 // warm fetches the manifest on a new connection.
 func (p *pool) warm(ctx context.Context, s *slot) error {
-	request, err := http.NewRequestWithContext(ctx, http.MethodGet, p.url(), nil)
+	url := "http://" + p.address + contract.PathManifest
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
 	if err != nil {
 		return err
 	}
@@ -239,13 +240,6 @@
 // warmBytes bounds what is read of the first exchange.
 const warmBytes = 4 << 20
 
-func (p *pool) url() string {
-	if p.base.TLSClientConfig != nil {
-		return "https://" + p.address + contract.PathManifest
-	}
-	return "http://" + p.address + contract.PathManifest
-}
-
 // take waits for a free connection.
 func (p *pool) take(ctx context.Context) (*slot, error) {
 	p.mu.Lock()
