--- a/internal/experiment/connections.go
+++ b/internal/experiment/connections.go
@@ -70,7 +70,6 @@
 	random  *rand.Rand
 	nodes   []*shareNode
 	notices []notice
-	settled time.Time // when the first nodes know each other
 }
 
 func newChurn(seed uint64, window bool) (*churn, error) {
