--- a/internal/coordination/quarantine/quarantine.go
+++ b/internal/coordination/quarantine/quarantine.go
@@ -5,7 +5,7 @@
 //
 // A fingerprint is unproven until a leaf answered it. A charged one is a
 // suspect: it runs on one leaf at a time and never beside another suspect, so
-// that the next loss has one explanation. Losses of maxLeafs leafs convict it.
+// that the next loss has one explanation. Losses in maxCrashes crashes convict it.
 package quarantine
 
 import (
@@ -15,8 +15,8 @@
 )
 
 const (
-	// maxLeafs is the number of lost leafs that convicts a fingerprint.
-	maxLeafs = 2
+	// maxCrashes is the number of crashes of leafs that convicts a fingerprint.
+	maxCrashes = 2
 	// reportDelay is how long a fresh suspect waits for what peers know.
 	reportDelay = 30 * time.Millisecond
 	// sameCrash is the time between two losses of one leaf that count as one.
@@ -31,8 +31,10 @@
 	provenTTL = time.Minute
 	// maxProven bounds the fingerprints remembered as proven in one period.
 	maxProven = 1 << 16
+	// trialTTL is how long a peer's trial is believed to last without its end.
+	trialTTL = 2 * time.Second
 	// downTTL is how long a lost leaf explains the losses of attempts begun after.
-	downTTL = 10 * time.Second
+	downTTL = 5 * time.Second
 	// maxDown bounds the remembered lost leafs.
 	maxDown = 1 << 12
 	// maxSuspects bounds the fingerprints with charges.
@@ -51,9 +53,24 @@
 	return Fingerprint(d.Sum64())
 }
 
-// Report is what one node tells the others: a fingerprint was charged with the
-// loss of a leaf.
+// Kind says what a report is about.
+type Kind int
+
+// Kinds of reports.
+const (
+	// Charged means that the fingerprint was charged with the loss of the leaf.
+	Charged Kind = iota
+	// Tried means that a suspect is about to run on the leaf.
+	Tried
+	// Ended means that the run of a suspect on the leaf is over.
+	Ended
+	// Cleared means that the leaf outlived a run of a suspect.
+	Cleared
+)
+
+// Report is what one node tells the others about a suspect.
 type Report struct {
+	Kind        Kind
 	Fingerprint Fingerprint
 	Leaf        string
 }
@@ -105,29 +122,30 @@
 // Ledger is the state of the quarantine on one node.
 type Ledger struct {
 	running  map[Fingerprint]map[Attempt]struct{}
+	copied   map[Fingerprint]struct{} // running ones of which a copy was held
 	suspects map[Fingerprint]*suspect
 	proven   map[Fingerprint]struct{} // of the current period
 	older    map[Fingerprint]struct{} // of the period before
 	turned   time.Time                // when the current period began
 	down     map[string]time.Time     // first loss of leafs that have not answered since
+	trials   map[string]trial         // of peers, by leaf
 }
 
-// suspect is a fingerprint with charges.
-type suspect struct {
-	charges     map[string]time.Time // by leaf
-	last        time.Time            // of the last charge
-	convicted   time.Time            // zero: not convicted
-	until       time.Time            // end of the conviction
-	convictions int
+// trial is the run of a suspect by a peer.
+type trial struct {
+	fingerprint Fingerprint
+	until       time.Time
 }
 
 // New returns an empty ledger.
 func New() *Ledger {
 	return &Ledger{
 		running:  make(map[Fingerprint]map[Attempt]struct{}),
+		copied:   make(map[Fingerprint]struct{}),
 		suspects: make(map[Fingerprint]*suspect),
 		proven:   make(map[Fingerprint]struct{}),
 		down:     make(map[string]time.Time),
+		trials:   make(map[string]trial),
 	}
 }
 
@@ -144,20 +162,6 @@
 	return 0, false
 }
 
-// release ends a conviction. One charge stays, so that the next loss convicts
-// again.
-func (s *suspect) release(now time.Time) {
-	s.convicted = time.Time{}
-	latest := ""
-	for leaf, at := range s.charges {
-		if latest == "" || at.After(s.charges[latest]) || at.Equal(s.charges[latest]) && leaf < latest {
-			latest = leaf
-		}
-	}
-	s.charges = map[string]time.Time{latest: now}
-	s.last = now
-}
-
 // Size is the number of fingerprints in quarantine at now.
 func (l *Ledger) Size(now time.Time) int {
 	n := 0
@@ -169,17 +173,18 @@
 	return n
 }
 
-// Begin decides over an attempt.
-func (l *Ledger) Begin(now time.Time, a Attempt) Verdict {
+// Begin decides over an attempt and returns the reports for peers, which have
+// to be told before the attempt is sent.
+func (l *Ledger) Begin(now time.Time, a Attempt) (Verdict, []Report) {
 	if _, refused := l.Refused(now, a.Fingerprint); refused {
-		return Refuse
+		return Refuse, nil
 	}
 	s := l.suspect(now, a.Fingerprint)
 	if s == nil && l.isProven(now, a.Fingerprint) {
-		return Allow // proven attempts are not followed
+		return Allow, nil // proven attempts are not followed
 	}
 	if !l.mayRun(now, a, s) {
-		return Hold
+		return Hold, nil
 	}
 	attempts := l.running[a.Fingerprint]
 	if attempts == nil {
@@ -187,25 +192,35 @@
 		l.running[a.Fingerprint] = attempts
 	}
 	attempts[a] = struct{}{}
-	return Allow
+	if s == nil {
+		return Allow, nil
+	}
+	return Allow, []Report{{Kind: Tried, Fingerprint: a.Fingerprint, Leaf: a.Leaf}}
 }
 
 // mayRun applies the rule for unproven fingerprints and suspects.
 func (l *Ledger) mayRun(now time.Time, a Attempt, s *suspect) bool {
 	attempts := l.running[a.Fingerprint]
 	if s != nil {
-		return len(attempts) == 0 && now.Sub(s.last) >= reportDelay && !l.hasSuspect(now, a.Leaf)
+		return len(attempts) == 0 && now.Sub(s.last) >= reportDelay && !l.hasSuspect(now, a.Leaf) && !l.hasTrial(now, a)
 	}
-	same := 0
+	same, beside := 0, 0
 	for other := range attempts {
-		if a.Canary || other.Shard == a.Shard {
+		if other.Shard == a.Shard {
 			same++
+		} else {
+			beside++
 		}
 	}
 	if a.Hedge {
-		return same <= 1
+		// The callers of copies are many; one leaf each is what they may cost.
+		_, copied := l.copied[a.Fingerprint]
+		return same <= 1 && !copied
+	}
+	if same > 0 {
+		l.copied[a.Fingerprint] = struct{}{}
 	}
-	return same == 0
+	return same == 0 && !(a.Canary && beside > 0)
 }
 
 // hasSuspect reports whether a suspect runs on a leaf.
@@ -218,42 +233,49 @@
 	return false
 }
 
-func (l *Ledger) runsOn(f Fingerprint, leaf string) bool {
-	for a := range l.running[f] {
-		if a.Leaf == leaf {
+// hasTrial reports whether a peer tries a suspect on the leaf, or this one anywhere.
+func (l *Ledger) hasTrial(now time.Time, a Attempt) bool {
+	for leaf, t := range l.trials {
+		if now.After(t.until) {
+			delete(l.trials, leaf)
+			continue
+		}
+		if leaf == a.Leaf || t.fingerprint == a.Fingerprint {
 			return true
 		}
 	}
 	return false
 }
 
-// suspect returns the charges of a fingerprint, or nil when there are none or
-// they are too old.
-func (l *Ledger) suspect(now time.Time, f Fingerprint) *suspect {
-	s, ok := l.suspects[f]
-	if !ok {
-		return nil
-	}
-	if s.convicted.IsZero() && now.Sub(s.last) > chargeTTL {
-		delete(l.suspects, f)
-		return nil
+func (l *Ledger) runsOn(f Fingerprint, leaf string) bool {
+	for a := range l.running[f] {
+		if a.Leaf == leaf {
+			return true
+		}
 	}
-	return s
+	return false
 }
 
 // End takes the end of an allowed attempt and returns the reports for peers.
 func (l *Ledger) End(now time.Time, a Attempt, end End) []Report {
-	var reports []Report
+	tried := l.suspect(now, a.Fingerprint) != nil
+	kind := Ended
 	switch end {
 	case Answered:
+		kind = Cleared
 		l.prove(now, a.Fingerprint)
 		delete(l.down, a.Leaf)
 	case Lost:
-		reports = l.lose(now, a)
+		if l.lose(now, a) {
+			kind = Charged
+		}
 	case Unknown:
 	}
 	l.leave(a)
-	return reports
+	if !tried && kind != Charged {
+		return nil
+	}
+	return []Report{{Kind: kind, Fingerprint: a.Fingerprint, Leaf: a.Leaf}}
 }
 
 func (l *Ledger) leave(a Attempt) {
@@ -261,153 +283,26 @@
 	delete(attempts, a)
 	if len(attempts) == 0 {
 		delete(l.running, a.Fingerprint)
+		delete(l.copied, a.Fingerprint)
 	}
 }
 
-// prove clears a fingerprint that a leaf outlived.
-func (l *Ledger) prove(now time.Time, f Fingerprint) {
-	if s := l.suspects[f]; s != nil && s.convicted.IsZero() {
-		delete(l.suspects, f)
-	}
-	if l.isProven(now, f) {
-		return
-	}
-	if len(l.proven) >= maxProven || now.Sub(l.turned) > provenTTL {
-		l.older = l.proven
-		l.proven = make(map[Fingerprint]struct{})
-		l.turned = now
-	}
-	l.proven[f] = struct{}{}
-}
-
-func (l *Ledger) isProven(now time.Time, f Fingerprint) bool {
-	if now.Sub(l.turned) > 2*provenTTL {
-		return false
-	}
-	if _, ok := l.proven[f]; ok {
-		return true
-	}
-	_, ok := l.older[f]
-	return ok
-}
-
-// lose charges a fingerprint with the loss of a leaf, unless the leaf was lost
-// before the attempt began or another fingerprint explains the loss.
-func (l *Ledger) lose(now time.Time, a Attempt) []Report {
-	wasDown := l.isDown(now, a)
-	l.markDown(now, a.Leaf)
-	if wasDown || l.isProven(now, a.Fingerprint) || l.isExplained(now, a) {
-		return nil
-	}
-	if !l.charge(now, a.Fingerprint, a.Leaf) {
-		return nil
-	}
-	return []Report{{Fingerprint: a.Fingerprint, Leaf: a.Leaf}}
-}
-
-// isDown reports whether the leaf was lost before the attempt began.
-func (l *Ledger) isDown(now time.Time, a Attempt) bool {
-	since, ok := l.down[a.Leaf]
-	return ok && now.Sub(since) < downTTL && a.Begun.After(since)
-}
-
-func (l *Ledger) markDown(now time.Time, leaf string) {
-	since, ok := l.down[leaf]
-	if ok && now.Sub(since) < downTTL {
-		return
-	}
-	if len(l.down) >= maxDown {
-		clear(l.down)
-	}
-	l.down[leaf] = now
-}
-
-// isExplained reports whether another fingerprint with an earlier charge for
-// another leaf ran on the lost leaf, and this one has none.
-func (l *Ledger) isExplained(now time.Time, a Attempt) bool {
-	if s := l.suspect(now, a.Fingerprint); s != nil && s.hasOther(a.Leaf) {
-		return false
-	}
-	for f := range l.suspects {
-		s := l.suspect(now, f)
-		if f == a.Fingerprint || s == nil || !s.hasOther(a.Leaf) {
-			continue
-		}
-		at, charged := s.charges[a.Leaf]
-		if l.runsOn(f, a.Leaf) || charged && now.Sub(at) < sameCrash {
-			return true
-		}
-	}
-	return false
-}
-
-// hasOther reports whether there is a charge for another leaf.
-func (s *suspect) hasOther(leaf string) bool {
-	_, own := s.charges[leaf]
-	return len(s.charges) > 1 || len(s.charges) == 1 && !own
-}
-
-// charge adds a charge and reports whether it was new.
-func (l *Ledger) charge(now time.Time, f Fingerprint, leaf string) bool {
-	s := l.suspect(now, f)
-	if s == nil {
-		if len(l.suspects) >= maxSuspects {
-			l.forgetOldest()
-		}
-		s = &suspect{charges: make(map[string]time.Time)}
-		l.suspects[f] = s
-	}
-	if at, ok := s.charges[leaf]; ok && now.Sub(at) < sameCrash {
-		return false
-	}
-	s.charges[leaf] = now
-	s.last = now
-	if len(s.charges) >= maxLeafs && s.convicted.IsZero() {
-		l.convict(now, s)
-	}
-	return true
-}
-
-// convict quarantines a fingerprint and drops the charges of others for the
-// leafs whose loss it explains.
-func (l *Ledger) convict(now time.Time, s *suspect) {
-	ttl := min(convictionTTL<<min(s.convictions, 8), maxConvictionTTL)
-	s.convictions++
-	s.convicted = now
-	s.until = now.Add(ttl)
-	for f, other := range l.suspects {
-		if other == s || !other.convicted.IsZero() {
-			continue
-		}
-		for leaf, at := range s.charges {
-			if theirs, ok := other.charges[leaf]; ok && theirs.Sub(at).Abs() < sameCrash {
-				delete(other.charges, leaf)
-			}
-		}
-		if len(other.charges) == 0 {
-			delete(l.suspects, f)
-		}
-	}
-}
-
-func (l *Ledger) forgetOldest() {
-	var oldest Fingerprint
-	var at time.Time
-	for f, s := range l.suspects {
-		if at.IsZero() || s.last.Before(at) {
-			oldest = f
-			at = s.last
-		}
-	}
-	delete(l.suspects, oldest)
-}
-
 // Hear takes a report of another node.
 func (l *Ledger) Hear(now time.Time, r Report) {
-	if l.isProven(now, r.Fingerprint) {
-		return
+	if t, ok := l.trials[r.Leaf]; ok && t.fingerprint == r.Fingerprint {
+		delete(l.trials, r.Leaf)
+	}
+	switch r.Kind {
+	case Charged:
+		if !l.isProven(now, r.Fingerprint) {
+			l.charge(now, r.Fingerprint, r.Leaf)
+		}
+	case Tried:
+		l.trials[r.Leaf] = trial{r.Fingerprint, now.Add(trialTTL)}
+	case Cleared:
+		l.prove(now, r.Fingerprint)
+	case Ended:
 	}
-	l.charge(now, r.Fingerprint, r.Leaf)
 }
 
 // ReportDelay is the longest time after which a held attempt is worth asking
--- a/internal/transport/guard/guard.go
+++ b/internal/transport/guard/guard.go
@@ -49,7 +49,8 @@
 // Allow. A hedge does not wait: Hold means that it must not be sent.
 func (g *Guard) Enter(ctx context.Context, a *quarantine.Attempt) (quarantine.Verdict, error) {
 	for {
-		verdict, changed := g.enter(a)
+		verdict, reports, changed := g.enter(a)
+		g.tell(reports)
 		if verdict != quarantine.Hold || a.Hedge {
 			return verdict, nil
 		}
@@ -67,21 +68,21 @@
 }
 
 // enter asks the ledger; with Hold it returns the channel of the next event.
-func (g *Guard) enter(a *quarantine.Attempt) (quarantine.Verdict, chan struct{}) {
+func (g *Guard) enter(a *quarantine.Attempt) (quarantine.Verdict, []quarantine.Report, chan struct{}) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	now := time.Now()
 	a.Begun = now
-	verdict := g.ledger.Begin(now, *a)
+	verdict, reports := g.ledger.Begin(now, *a)
 	if verdict != quarantine.Hold {
-		return verdict, nil
+		return verdict, reports, nil
 	}
 	changed, ok := g.waiting[a.Fingerprint]
 	if !ok {
 		changed = make(chan struct{})
 		g.waiting[a.Fingerprint] = changed
 	}
-	return verdict, changed
+	return verdict, nil, changed
 }
 
 // Leave ends an attempt that Enter allowed.
@@ -89,11 +90,21 @@
 	g.mu.Lock()
 	reports := g.ledger.End(time.Now(), a, end)
 	g.wake(a.Fingerprint)
-	peers := g.peers
 	if len(reports) > 0 {
 		g.resize()
 	}
 	g.mu.Unlock()
+	g.tell(reports)
+}
+
+// tell passes reports to peers, without the lock, since they may answer.
+func (g *Guard) tell(reports []quarantine.Report) {
+	if len(reports) == 0 {
+		return
+	}
+	g.mu.Lock()
+	peers := g.peers
+	g.mu.Unlock()
 	if peers == nil {
 		return
 	}
