--- a/internal/experiment/experiment.go
+++ b/internal/experiment/experiment.go
@@ -78,6 +78,8 @@
 		connectionsExperiment,
 		overloadExperiment,
 		crashExperiment,
+		membershipExperiment,
+		controlSizeExperiment,
 	}
 }
 
--- a/internal/transport/relay/relay.go
+++ b/internal/transport/relay/relay.go
@@ -40,8 +40,11 @@
 
 // Observer receives counts of what the relay does; it is met by the metrics.
 type Observer interface {
-	// Subrequest counts an attempt by kind.
-	Subrequest(service string, kind subrequest.Kind)
+	// Subrequest counts an attempt by kind; restarted is true when its query
+	// began again in another snapshot.
+	Subrequest(service string, kind subrequest.Kind, restarted bool)
+	// Cancelled counts an attempt that was given up after it was sent.
+	Cancelled(service string)
 	// InvariantBroken counts a broken invariant.
 	InvariantBroken(name string)
 }
@@ -349,7 +352,7 @@
 		return
 	}
 	if u.relay.observer != nil {
-		u.relay.observer.Subrequest(u.task.Service.Name, attempt.Kind)
+		u.relay.observer.Subrequest(u.task.Service.Name, attempt.Kind, u.task.Restart > 1)
 	}
 	begun := time.Now()
 	reply := u.relay.sender.Run(ctx, target.VM, sub, u.task.Deadline.Sub(begun), u.task.Body)
@@ -360,6 +363,9 @@
 	u.leave(queue, sampleOf(reply.Result, elapsed))
 	u.relay.guard.Leave(trial, trialEnd(reply, result))
 	target.Record.End(now, elapsed, result)
+	if result == leaf.Cancelled && reply.Sent && u.relay.observer != nil {
+		u.relay.observer.Cancelled(u.task.Service.Name)
+	}
 	if reply.Result == subrequest.OK || isOvertaken(u.ctx, attempt.Kind) {
 		// An overtaken first attempt counts with the time it had taken, or the
 		// window would hold too few of the slow attempts that hedges replace.
@@ -394,8 +400,10 @@
 
 func leafResult(ctx context.Context, reply upstream.Reply) leaf.Result {
 	switch reply.Result {
-	case subrequest.OK, subrequest.Gone, subrequest.Failed:
+	case subrequest.OK:
 		return leaf.Answered
+	case subrequest.Gone:
+		return leaf.Gone
 	case subrequest.NotRun:
 		return leaf.Shed
 	default:
