--- a/internal/experiment/experiment.go
+++ b/internal/experiment/experiment.go
@@ -78,6 +78,7 @@
 		connectionsExperiment,
 		overloadExperiment,
 		crashExperiment,
+		zoneLossExperiment,
 		membershipExperiment,
 		controlSizeExperiment,
 	}
