Carry offers, forwarded commands, reports and planned stops between nodes

Cause: nothing served traffic between nodes: a node that started during an outage of the platform had nobody to ask, tickets were redeemable at their issuer only, quarantine reports stayed on one node. Change: drpc service Control beside Peer; internal/transport/peering listens on the peer address (mutual TLS when set), knows the nodes from the platform's list and the bootstrap peers, keeps at most 2 idle connections and 16 calls a node, and counts connected nodes. The incarnation of a node is made once and shared by tickets and hellos. A stop tells the peers first.

--- a/internal/node/control/control.go
+++ b/internal/node/control/control.go
@@ -17,19 +17,12 @@
 	"github.com/hickorydock/hickorydock/internal/protocol/note"
 	"github.com/hickorydock/hickorydock/internal/protocol/platform"
 	"github.com/hickorydock/hickorydock/internal/state/catalogue"
+	"github.com/hickorydock/hickorydock/internal/transport/peering"
 )
 
 // Offer is what one node can tell another that starts while the platform is
 // down.
-type Offer struct {
-	// Catalogue is the one in force; HasCatalogue is false when none is known.
-	Catalogue    note.Catalogue
-	HasCatalogue bool
-	// VMs is the platform's list as of VMsVersion; HasVMs is false when none is known.
-	VMs        []platform.VM
-	VMsVersion uint64
-	HasVMs     bool
-}
+type Offer = peering.Offer
 
 // Peers asks other nodes for what they have in force.
 type Peers interface {
--- a/internal/node/control/module.go
+++ b/internal/node/control/module.go
@@ -12,6 +12,7 @@
 	"github.com/hickorydock/hickorydock/internal/transport/command"
 	"github.com/hickorydock/hickorydock/internal/transport/discovery"
 	"github.com/hickorydock/hickorydock/internal/transport/metrics"
+	"github.com/hickorydock/hickorydock/internal/transport/peering"
 	"github.com/hickorydock/hickorydock/internal/transport/server"
 )
 
@@ -32,7 +33,8 @@
 	Budget    *command.Budget `optional:"true"`
 	Logger    log.Interface
 	Metrics   *metrics.Metrics
-	Peers     Peers `optional:"true"`
+	Peers     Peers            `optional:"true"`
+	Network   *peering.Network `optional:"true"`
 	Lifecycle fx.Lifecycle
 }
 
@@ -62,6 +64,9 @@
 	if p.Budget != nil {
 		p.Budget.SetVMs(vms)
 	}
+	if p.Network != nil {
+		p.Network.SetVMs(vms)
+	}
 }
 
 func services(store *catalogue.Store) server.Services { return store }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -26,6 +26,7 @@
 	"github.com/hickorydock/hickorydock/internal/transport/guard"
 	"github.com/hickorydock/hickorydock/internal/transport/logging"
 	"github.com/hickorydock/hickorydock/internal/transport/metrics"
+	"github.com/hickorydock/hickorydock/internal/transport/peering"
 	client "github.com/hickorydock/hickorydock/internal/transport/platform"
 	"github.com/hickorydock/hickorydock/internal/transport/relay"
 	"github.com/hickorydock/hickorydock/internal/transport/server"
@@ -48,12 +49,12 @@
 
 // PlatformControl keeps a node in line with a platform and lets it run commands.
 func PlatformControl(c platform.Client) fx.Option {
-	return fx.Options(fx.Provide(func() platform.Client { return c }), control.Module, command.Module)
+	return fx.Options(fx.Provide(func() platform.Client { return c }), control.Module, command.Module, peers)
 }
 
 // SettingsPlatform keeps a node in line with the platform that its settings name.
 func SettingsPlatform() fx.Option {
-	return fx.Options(fx.Provide(NewPlatformClient), control.Module, command.Module)
+	return fx.Options(fx.Provide(NewPlatformClient), control.Module, command.Module, peers)
 }
 
 // NewPlatformClient reaches the platform that the settings name, over TLS when
@@ -73,12 +74,14 @@
 	settings  settings.Settings
 	admin     *admin.Listener
 	listener  *server.Listener
+	server    *server.Server
 	entry     *entry.Entry
 	metrics   *metrics.Metrics
 	discovery *discovery.Discovery
 	tls       *credentials.Credentials
 	logger    log.Interface
 	guard     *guard.Guard
+	network   *peering.Network // nil without peers
 }
 
 // New assembles a node; nothing listens before Start.
@@ -108,7 +111,8 @@
 		entry.Module,
 		server.Module,
 		status.Module,
-		fx.Populate(&n.admin, &n.listener, &n.entry, &n.metrics, &n.discovery, &n.tls, &n.logger, &n.guard),
+		fx.Populate(&n.admin, &n.listener, &n.server, &n.entry, &n.metrics, &n.discovery, &n.tls, &n.logger, &n.guard),
+		fx.Invoke(func(in optionalNetwork) { n.network = in.Network }),
 	)
 	if err := n.app.Err(); err != nil {
 		return nil, fmt.Errorf("assemble node: %w", err)
@@ -176,6 +180,17 @@
 // Discovery is the node's discovery of leafs.
 func (n *Node) Discovery() *discovery.Discovery { return n.discovery }
 
+// PeerAddress is where other nodes reach the node, host:port; empty without peers.
+func (n *Node) PeerAddress() string {
+	if n.network == nil {
+		return ""
+	}
+	return n.network.Address()
+}
+
+// Ready says why the node must not be given work, or returns nil.
+func (n *Node) Ready() error { return n.server.Ready() }
+
 // Violations counts the invariants broken on this node.
 func (n *Node) Violations() int64 { return n.entry.Violations() }
 
--- a/internal/transport/command/module.go
+++ b/internal/transport/command/module.go
@@ -22,7 +22,7 @@
 
 // Module provides the runner and mounts its routes. It needs a platform.Client
 // and server.Services; without Peers, tickets of other nodes cannot be asked about.
-var Module = fx.Module("command", fx.Provide(provide, provideBudget, provideDispatcher), fx.Invoke(mount))
+var Module = fx.Module("command", fx.Provide(provide, provideIncarnation, provideBudget, provideDispatcher), fx.Invoke(mount))
 
 // incarnationBits keeps incarnation numbers exact in every JSON decoder.
 const incarnationBits = 53
@@ -58,6 +58,10 @@
 	return c
 }
 
+func provideIncarnation(s settings.Settings) (command.Incarnation, error) {
+	return NewIncarnation(s.Node.ID)
+}
+
 func provideBudget(s settings.Settings) *Budget {
 	c := SettingsOf(s)
 	return NewBudget(c.FleetWrites, c.NodeWrites)
@@ -71,6 +75,7 @@
 type inputs struct {
 	fx.In
 	Settings   settings.Settings
+	Self       command.Incarnation
 	Platform   platform.Client
 	Dispatcher Dispatcher
 	Peers      Peers `optional:"true"`
@@ -82,16 +87,12 @@
 }
 
 func provide(in inputs) (*Runner, error) {
-	self, err := NewIncarnation(in.Settings.Node.ID)
-	if err != nil {
-		return nil, err
-	}
 	secret, err := NewSecret()
 	if err != nil {
 		return nil, err
 	}
 	runner, err := New(Options{
-		Self:       self,
+		Self:       in.Self,
 		Settings:   SettingsOf(in.Settings),
 		Platform:   in.Platform,
 		Dispatcher: in.Dispatcher,
--- a/internal/transport/peer/client.go
+++ b/internal/transport/peer/client.go
@@ -52,7 +52,7 @@
 	streamCtx, cancel := context.WithCancel(context.Background())
 	c := &Client{
 		cfg:    cfg,
-		conn:   drpcconn.NewWithOptions(raw, drpcconn.Options{Manager: cfg.managerOptions()}),
+		conn:   drpcconn.NewWithOptions(raw, drpcconn.Options{Manager: cfg.ManagerOptions()}),
 		cancel: cancel,
 		wake:   make(chan struct{}, 1),
 		lost:   make(chan struct{}),
@@ -80,14 +80,14 @@
 		return err
 	}
 	c.stream = stream
-	if err := stream.Send(&contract.Request{Hello: c.cfg.hello()}); err != nil {
+	if err := stream.Send(&contract.Request{Hello: c.cfg.Hello()}); err != nil {
 		return err
 	}
 	reply, err := stream.Recv()
 	if err != nil {
 		return err
 	}
-	if c.version, err = c.cfg.agree(reply.Hello); err != nil {
+	if c.version, err = c.cfg.Agree(reply.Hello); err != nil {
 		return err
 	}
 	c.hello = reply.Hello
--- a/internal/transport/peer/config.go
+++ b/internal/transport/peer/config.go
@@ -69,13 +69,15 @@
 // messageSlack is room for the fields of a message around its results.
 const messageSlack = 1 << 10
 
-func (c Config) managerOptions() drpcmanager.Options {
+// ManagerOptions bounds the messages that drpc reads.
+func (c Config) ManagerOptions() drpcmanager.Options {
 	return drpcmanager.Options{
 		Reader: drpcwire.ReaderOptions{MaximumBufferSize: c.MaxMessageBytes + messageSlack},
 	}
 }
 
-func (c Config) hello() *contract.Hello {
+// Hello is what the side says of itself in its first message.
+func (c Config) Hello() *contract.Hello {
 	return &contract.Hello{
 		Version:         c.Version,
 		LowestVersion:   c.LowestVersion,
@@ -86,8 +88,9 @@
 	}
 }
 
-// agree returns the newest version that both sides speak.
-func (c Config) agree(h *contract.Hello) (uint32, error) {
+// Agree returns the newest version that both sides speak, or fails with
+// ErrProtocol or ErrVersion.
+func (c Config) Agree(h *contract.Hello) (uint32, error) {
 	if h == nil {
 		return 0, fault.Wrap(ErrProtocol, fault.StepPeer, "", "first message without hello")
 	}
--- a/internal/transport/peer/server.go
+++ b/internal/transport/peer/server.go
@@ -40,7 +40,7 @@
 	if err := contract.DRPCRegisterPeer(mux, s); err != nil {
 		return nil, err
 	}
-	s.drpc = drpcserver.NewWithOptions(mux, drpcserver.Options{Manager: cfg.managerOptions()})
+	s.drpc = drpcserver.NewWithOptions(mux, drpcserver.Options{Manager: cfg.ManagerOptions()})
 	return s, nil
 }
 
@@ -88,15 +88,15 @@
 	if err != nil {
 		return err
 	}
-	if _, err := s.cfg.agree(first.Hello); err != nil {
+	if _, err := s.cfg.Agree(first.Hello); err != nil {
 		// The sender learns the versions from the hello and judges for itself.
-		_ = raw.Send(&contract.Reply{Hello: s.cfg.hello()})
+		_ = raw.Send(&contract.Reply{Hello: s.cfg.Hello()})
 		return err
 	}
 	x := newStream(s, raw, min(s.cfg.MaxMessageBytes, int(first.Hello.MaxMessageBytes)))
 	draining := s.add(x)
 	defer s.remove(x)
-	if err := raw.Send(&contract.Reply{Hello: s.cfg.hello(), Draining: draining}); err != nil {
+	if err := raw.Send(&contract.Reply{Hello: s.cfg.Hello(), Draining: draining}); err != nil {
 		return err
 	}
 	return x.run()
--- /dev/null
+++ b/internal/transport/peering/peering_test.go
@@ -0,0 +1,367 @@
+package peering
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+	"storj.io/drpc"
+	"storj.io/drpc/drpcconn"
+
+	"github.com/hickorydock/hickorydock/internal/coordination/quarantine"
+	"github.com/hickorydock/hickorydock/internal/protocol/command"
+	"github.com/hickorydock/hickorydock/internal/protocol/fault"
+	"github.com/hickorydock/hickorydock/internal/protocol/note"
+	contract "github.com/hickorydock/hickorydock/internal/protocol/peer"
+	"github.com/hickorydock/hickorydock/internal/protocol/query"
+	"github.com/hickorydock/hickorydock/internal/transport/peer"
+)
+
+// done answers a forwarded command with its own query as the item.
+func done(_ context.Context, f command.Forward) (command.Result, error) {
+	answer, err := command.NewAnswer("r", command.Target{}, query.Snapshot{}, []query.Item{query.Item(f.Request.Query)})
+	return command.Result{Outcome: query.Done, Answer: &answer}, err
+}
+
+func forwarded(size int) command.Forward {
+	text, _ := json.Marshal(strings.Repeat("x", size)) // a string always encodes
+	return command.Forward{Ticket: "t", Service: "s", Request: command.Request{Query: text}}
+}
+
+// TestForward holds the ends of a forwarded command, and that none of them
+// harms the next call.
+func TestForward(t *testing.T) {
+	tests := []struct {
+		name    string
+		node    string
+		size    int
+		forward func(context.Context, command.Forward) (command.Result, error)
+		change  func(*Network, *Config)
+		// wantTime is how long the call takes at most.
+		wantTime time.Duration
+		want     error // nil: done
+		omitted  bool
+	}{
+		{name: "answered", node: "b", size: 10, forward: done},
+		{name: "node not known", node: "x", want: errAny},
+		{name: "nobody listens", node: "gone", want: errAny},
+		{name: "no answer", node: "silent", wantTime: 3 * time.Second, want: context.DeadlineExceeded},
+		{name: "not taken", node: "b", want: errAny},
+		{name: "refused", node: "b", want: errAny, forward: func(context.Context, command.Forward) (command.Result, error) {
+			return command.Result{}, errors.New("no such service")
+		}},
+		{name: "handler fails badly", node: "b", want: errAny, forward: func(context.Context, command.Forward) (command.Result, error) {
+			panic("broken")
+		}},
+		{name: "command too large", node: "b", size: 70 << 10, forward: done, want: peer.ErrTooLarge},
+		{name: "answer too large", node: "b", size: 10, omitted: true, forward: func(ctx context.Context, _ command.Forward) (command.Result, error) {
+			return done(ctx, forwarded(70<<10))
+		}},
+		{name: "other version", node: "b", forward: done, want: errAny, change: func(n *Network, _ *Config) {
+			n.wire.Version, n.wire.LowestVersion = peer.Version+1, peer.Version+1
+		}},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			run(t, func(f *fabric) {
+				t := f.t
+				f.silent["silent"] = true
+				heard := make(chan quarantine.Report, 1)
+				a := f.start("a", Handlers{}, nil)
+				b := f.start("b", Handlers{Forward: test.forward, Hear: func(r quarantine.Report) { heard <- r }}, test.change)
+				a.SetVMs(vms("a", "b", "gone", "silent"))
+				ctx, cancel := context.WithTimeout(t.Context(), 3*time.Second)
+				defer cancel()
+				begun := time.Now()
+				result, err := a.Forward(ctx, test.node, forwarded(test.size))
+				if took := time.Since(begun); took > test.wantTime {
+					t.Errorf("took %s", took)
+				}
+				checkForward(t, result, err, test.want, test.omitted)
+				if test.change == nil {
+					a.Tell(quarantine.Report{Fingerprint: 1, Leaf: "l"})
+					if got := <-heard; got.Leaf != "l" || got.Fingerprint != 1 {
+						t.Errorf("next call brought %+v", got)
+					}
+				}
+				f.close(a, b)
+			})
+		})
+	}
+}
+
+// errAny stands for an error of no known kind.
+var errAny = errors.New("any")
+
+func checkForward(t *testing.T, result command.Result, err, want error, omitted bool) {
+	t.Helper()
+	if want == nil {
+		if err != nil || result.Outcome != query.Done || result.Answer == nil || result.Answer.ItemsOmitted != omitted || result.Answer.ItemsHash == "" {
+			t.Errorf("result %+v, %v", result, err)
+		}
+		return
+	}
+	var e *fault.Error
+	if !errors.As(err, &e) || e.Step != fault.StepPeer || e.Peer == "" {
+		t.Fatalf("error %v, want one with step and peer", err)
+	}
+	if want != errAny && !errors.Is(err, want) {
+		t.Errorf("error %v, want %v", err, want)
+	}
+}
+
+// TestOffers holds that answers arrive beside peers that refuse, are silent or
+// answer nonsense, within the time of one call.
+func TestOffers(t *testing.T) {
+	run(t, func(f *fabric) {
+		t := f.t
+		f.silent["silent"] = true
+		offered := Offer{
+			HasCatalogue: true, Catalogue: note.Catalogue{Revision: 7, Services: []note.Service{{Name: "s"}}},
+			HasVMs: true, VMs: vms("b", "c"), VMsVersion: 9,
+		}
+		large := offered
+		large.Catalogue.Services = []note.Service{{Name: strings.Repeat("x", 70<<10)}}
+		a := f.start("a", Handlers{}, func(n *Network, _ *Config) {
+			n.roster.bootstrap = []string{"a", "gone", "silent", "b"}
+		})
+		b := f.start("b", Handlers{Offer: func() Offer { return offered }}, nil)
+		c := f.start("c", Handlers{Offer: func() Offer { return Offer{} }}, nil)
+		d := f.start("d", Handlers{Offer: func() Offer { return large }}, nil)
+		a.SetVMs(vms("a", "b", "c", "d"))
+		begun := time.Now()
+		offers := a.Offers(t.Context())
+		if took := time.Since(begun); took > offersTimeout {
+			t.Errorf("took %s", took)
+		}
+		found := 0
+		for _, o := range offers {
+			if o.HasCatalogue && o.Catalogue.Revision == 7 && o.Catalogue.Services[0].Name == "s" && o.HasVMs && len(o.VMs) == 2 && o.VMsVersion == 9 {
+				found++
+			}
+		}
+		if len(offers) != 2 || found != 1 {
+			t.Errorf("%d offers, %d whole: %+v", len(offers), found, offers)
+		}
+		f.close(a, b, c, d)
+	})
+}
+
+// TestConnectionsAreKept holds that calls one after another use one connection,
+// that a restarted peer gets a new one, and what the metric says.
+func TestConnectionsAreKept(t *testing.T) {
+	run(t, func(f *fabric) {
+		t := f.t
+		a := f.start("a", Handlers{}, nil)
+		b := f.start("b", Handlers{Forward: done}, nil)
+		a.SetVMs(vms("a", "b"))
+		call := func(want int) {
+			t.Helper()
+			if _, err := a.Forward(t.Context(), "b", forwarded(1)); err != nil {
+				t.Fatal(err)
+			}
+			if got := f.dialled("b"); got != want {
+				t.Errorf("%d connections opened, want %d", got, want)
+			}
+			if connected := a.cfg.Metrics.(*gauge).last(); connected != 1 {
+				t.Errorf("connected to %d nodes", connected)
+			}
+		}
+		for range 5 {
+			call(1)
+		}
+		f.close(b)
+		synctest.Wait()
+		if connected := a.cfg.Metrics.(*gauge).last(); connected != 0 {
+			t.Errorf("connected to %d nodes after the peer ended", connected)
+		}
+		b = f.start("b", Handlers{Forward: done}, nil)
+		call(2)
+		f.close(a, b)
+	})
+}
+
+// TestCallsToOneNodeAreBounded holds the bound, and that a peer whose calls are
+// all taken does not hold up calls to another one.
+func TestCallsToOneNodeAreBounded(t *testing.T) {
+	run(t, func(f *fabric) {
+		t := f.t
+		a := f.start("a", Handlers{}, nil)
+		slow := f.start("slow", Handlers{Forward: func(ctx context.Context, _ command.Forward) (command.Result, error) {
+			<-ctx.Done()
+			return command.Result{}, ctx.Err()
+		}}, nil)
+		b := f.start("b", Handlers{Forward: done}, nil)
+		a.SetVMs(vms("a", "b", "slow"))
+		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+		defer cancel()
+		ended := make(chan error)
+		for range 2 * callsPerNode {
+			go func() {
+				_, err := a.Forward(ctx, "slow", forwarded(1))
+				ended <- err
+			}()
+		}
+		synctest.Wait()
+		if got := f.dialled("slow"); got != callsPerNode {
+			t.Errorf("%d connections, want %d", got, callsPerNode)
+		}
+		if _, err := a.Forward(ctx, "b", forwarded(1)); err != nil {
+			t.Error(err)
+		}
+		for range 2 * callsPerNode {
+			if err := <-ended; err == nil {
+				t.Error("answered without answer")
+			}
+		}
+		f.close(a, b, slow)
+	})
+}
+
+// TestLeaving holds that a node that leaves is told of nothing more and that its
+// next incarnation is.
+func TestLeaving(t *testing.T) {
+	run(t, func(f *fabric) {
+		t := f.t
+		heard := make(chan quarantine.Report, 4)
+		hears := Handlers{Hear: func(r quarantine.Report) { heard <- r }, Offer: func() Offer { return Offer{} }}
+		a := f.start("a", hears, nil)
+		b := f.start("b", hears, nil)
+		for _, n := range []*Network{a, b} {
+			n.SetVMs(vms("a", "b", "gone"))
+		}
+		b.Leave(t.Context())
+		a.Tell(quarantine.Report{Fingerprint: 1, Leaf: "l"})
+		synctest.Wait()
+		if len(heard) != 0 || len(a.Offers(t.Context())) != 0 {
+			t.Error("a node that leaves was called")
+		}
+		f.close(b)
+		b = f.start("b", hears, func(n *Network, _ *Config) { n.wire.Incarnation = 2 })
+		b.SetVMs(vms("a", "b"))
+		if len(b.Offers(t.Context())) != 1 {
+			t.Error("the next incarnation got no offer")
+		}
+		a.Tell(quarantine.Report{Fingerprint: 2, Leaf: "l"})
+		if got := <-heard; got.Fingerprint != 2 {
+			t.Errorf("heard %+v", got)
+		}
+		f.close(a, b)
+	})
+}
+
+// TestCloseLetsCallsEnd holds that a call being served is answered by a network
+// that closes, and that it is cut off at the limit.
+func TestCloseLetsCallsEnd(t *testing.T) {
+	for _, limit := range []time.Duration{time.Second, 10 * time.Second} {
+		t.Run(limit.String(), func(t *testing.T) {
+			run(t, func(f *fabric) {
+				t := f.t
+				a := f.start("a", Handlers{}, nil)
+				b := f.start("b", Handlers{Forward: func(ctx context.Context, c command.Forward) (command.Result, error) {
+					select {
+					case <-time.After(3 * time.Second):
+						return done(ctx, c)
+					case <-ctx.Done():
+						return command.Result{}, ctx.Err()
+					}
+				}}, nil)
+				a.SetVMs(vms("a", "b"))
+				ended := make(chan error)
+				go func() {
+					_, err := a.Forward(t.Context(), "b", forwarded(1))
+					ended <- err
+				}()
+				synctest.Wait()
+				ctx, cancel := context.WithTimeout(t.Context(), limit)
+				defer cancel()
+				closed := make(chan error, 1)
+				go func() { closed <- b.Close(ctx) }()
+				answered := <-ended == nil
+				if whole := <-closed == nil; whole != answered || whole != (limit > 3*time.Second) {
+					t.Errorf("closed whole %v, answered %v", whole, answered)
+				}
+				f.close(a)
+			})
+		})
+	}
+}
+
+// TestBadMessagesCostTheirConnection holds that bytes of no meaning, a message
+// over the limit and a call of no known name end at most their own connection.
+func TestBadMessagesCostTheirConnection(t *testing.T) {
+	tests := []struct {
+		name string
+		send func(ctx context.Context, f *fabric) error
+	}{
+		{"nonsense", func(ctx context.Context, f *fabric) error {
+			raw, err := f.dial(ctx, "pipe", "b")
+			if err != nil {
+				return err
+			}
+			defer raw.Close()
+			if _, err := raw.Write([]byte("GET / HTTP/1.1\r\n\r\n")); err != nil {
+				return err
+			}
+			_ = raw.SetReadDeadline(time.Now().Add(time.Minute))
+			_, err = raw.Read(make([]byte, 1))
+			return err
+		}},
+		{"oversized", func(ctx context.Context, f *fabric) error {
+			return invoke(ctx, f, "/hickorydock.peer.v1.Control/Forward", &contract.ForwardRequest{Command: make([]byte, 1<<20)})
+		}},
+		{"unknown call", func(ctx context.Context, f *fabric) error {
+			return invoke(ctx, f, "/hickorydock.peer.v1.Control/Nothing", &contract.OffersRequest{})
+		}},
+		{"no hello", func(ctx context.Context, f *fabric) error {
+			return invoke(ctx, f, "/hickorydock.peer.v1.Control/Offers", &contract.OffersRequest{})
+		}},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			run(t, func(f *fabric) {
+				t := f.t
+				a := f.start("a", Handlers{}, nil)
+				b := f.start("b", Handlers{Forward: done, Offer: func() Offer { return Offer{} }}, nil)
+				a.SetVMs(vms("a", "b"))
+				if _, err := a.Forward(t.Context(), "b", forwarded(1)); err != nil {
+					t.Fatal(err)
+				}
+				ctx, cancel := context.WithTimeout(t.Context(), 2*time.Minute)
+				defer cancel()
+				if err := test.send(ctx, f); err == nil || ctx.Err() != nil {
+					t.Errorf("end of the bad message: %v", err)
+				}
+				if _, err := a.Forward(t.Context(), "b", forwarded(1)); err != nil || f.dialled("b") != 2 {
+					t.Errorf("next call: %v, %d connections", err, f.dialled("b"))
+				}
+				f.close(a, b)
+			})
+		})
+	}
+}
+
+// encoding writes and reads messages as the generated code does.
+type encoding struct{}
+
+func (encoding) Marshal(m drpc.Message) ([]byte, error) { return proto.Marshal(m.(proto.Message)) }
+func (encoding) Unmarshal(b []byte, m drpc.Message) error {
+	return proto.Unmarshal(b, m.(proto.Message))
+}
+
+// invoke makes a call by its name on a connection of its own, without the
+// sender's bounds.
+func invoke(ctx context.Context, f *fabric, name string, request drpc.Message) error {
+	raw, err := f.dial(ctx, "pipe", "b")
+	if err != nil {
+		return err
+	}
+	conn := drpcconn.New(raw)
+	defer conn.Close()
+	return conn.Invoke(ctx, name, encoding{}, request, &contract.ForwardReply{})
+}
