Test two nodes over loopback: start in an outage, tickets, reports, stops

Cause: the traffic between nodes was tested between networks only. Change: nodes with and without mutual TLS start from a peer while the platform hangs; one with a certificate of another authority, or none, does not. A ticket redeemed through another node runs once at its issuer; a quarantine report reaches the other node; a stop tells the peers while a command still runs. The leaf of these tests takes its service time as an argument.

--- a/internal/node/command_test.go
+++ b/internal/node/command_test.go
@@ -26,11 +26,11 @@
 }
 
 // startLeaf serves a leaf of complaints and lists it in the platform.
-func startLeaf(t *testing.T, p *standin.Platform) *leaf.Leaf {
+func startLeaf(t *testing.T, p *standin.Platform, took time.Duration) *leaf.Leaf {
 	t.Helper()
 	l := leaf.New(leaf.Options{
 		ID:          "leaf-1",
-		ServiceTime: leaf.ServiceTime{Median: 200 * time.Millisecond},
+		ServiceTime: leaf.ServiceTime{Median: took},
 		Holdings: []upstream.Holding{{
 			Service: complaints.Name, Snapshot: query.Snapshot{Generation: 1, Version: 1}, ShardCount: 1, Shards: []int{0},
 		}},
@@ -99,7 +99,7 @@
 	if err := p.Set(platform.KindCatalogue, platform.CatalogueName, note.Catalogue{Revision: 1, Services: []note.Service{complaints}}); err != nil {
 		t.Fatal(err)
 	}
-	l := startLeaf(t, p)
+	l := startLeaf(t, p, 200*time.Millisecond)
 	one := startNode(t, p, "node-1")
 	answers := make(chan command.Answer)
 	go func() { answers <- complain(t, one, "complaint-1") }()
--- /dev/null
+++ b/internal/node/peers_test.go
@@ -0,0 +1,232 @@
+package node
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/hickorydock/hickorydock/internal/coordination/quarantine"
+	"github.com/hickorydock/hickorydock/internal/protocol/command"
+	"github.com/hickorydock/hickorydock/internal/protocol/note"
+	"github.com/hickorydock/hickorydock/internal/protocol/platform"
+	"github.com/hickorydock/hickorydock/internal/protocol/query"
+	"github.com/hickorydock/hickorydock/internal/protocol/settings"
+	standin "github.com/hickorydock/hickorydock/internal/standin/platform"
+	"github.com/hickorydock/hickorydock/internal/transport/certtest"
+)
+
+// joined starts a node with changed settings and lists it in the platform.
+func joined(t *testing.T, p *standin.Platform, id string, logs io.Writer, change func(*settings.Settings)) *Node {
+	t.Helper()
+	s := settings.Default()
+	s.Node = settings.Node{
+		ID: id, AvailabilityZone: "az-1", CallerAddress: "127.0.0.1:0", AdminAddress: "127.0.0.1:0", PeerAddress: "127.0.0.1:0",
+	}
+	s.Query.ManifestIntervalMS = 50
+	s.Platform.TimeoutMS = 200
+	change(&s)
+	n, err := New(Config{Settings: s, Logs: logs, Control: PlatformControl(p.Client())})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := n.Start(t.Context()); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() {
+		if err := n.Stop(context.Background()); err != nil {
+			t.Error(err)
+		}
+	})
+	vm := platform.VM{ID: id, Group: platform.NodeGroup, Address: n.Address(), PeerAddress: n.PeerAddress(), State: platform.VMLive}
+	if err := p.Set(platform.KindVM, id, vm); err != nil {
+		t.Fatal(err)
+	}
+	return n
+}
+
+// eventually waits until a condition holds; the test's own limit bounds it.
+func eventually(condition func() bool) {
+	for !condition() {
+		time.Sleep(5 * time.Millisecond)
+	}
+}
+
+func withComplaints(t *testing.T) *standin.Platform {
+	t.Helper()
+	p := standin.New(standin.Options{})
+	if err := p.Set(platform.KindCatalogue, platform.CatalogueName, note.Catalogue{Revision: 1, Services: []note.Service{complaints}}); err != nil {
+		t.Fatal(err)
+	}
+	return p
+}
+
+// mutualTLS returns a change of settings that gives a node a certificate.
+func mutualTLS(t *testing.T, ca *certtest.Authority) func(*settings.Settings) {
+	return func(s *settings.Settings) {
+		s.TLS.NodeCert, s.TLS.NodeKey = ca.Issue(t, "node.test", time.Now().Add(time.Hour))
+		s.TLS.NodeCA, s.TLS.NodeName = ca.PEM, "node.test"
+	}
+}
+
+// lines counts log lines with a text.
+type lines struct {
+	text string
+	mu   sync.Mutex
+	seen int
+}
+
+// Write takes one line.
+func (l *lines) Write(line []byte) (int, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if strings.Contains(string(line), l.text) {
+		l.seen++
+	}
+	return len(line), nil
+}
+
+func (l *lines) count() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.seen
+}
+
+func plain(*settings.Settings) {}
+
+// TestStartDuringOutage holds that a node that starts while the platform is down
+// becomes ready from a peer of its settings, with and without mutual TLS, and
+// that a node without a certificate of the same authority does not.
+func TestStartDuringOutage(t *testing.T) {
+	ours, theirs := certtest.NewAuthority(t), certtest.NewAuthority(t)
+	tests := []struct {
+		name          string
+		first, second func(*settings.Settings)
+		ready         bool
+	}{
+		{"without TLS", plain, plain, true},
+		{"mutual TLS", mutualTLS(t, ours), mutualTLS(t, ours), true},
+		{"other authority", mutualTLS(t, ours), mutualTLS(t, theirs), false},
+		{"no certificate", mutualTLS(t, ours), plain, false},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			p := withComplaints(t)
+			startLeaf(t, p, 20*time.Millisecond)
+			one := joined(t, p, "node-1", io.Discard, test.first)
+			eventually(func() bool { return one.Ready() == nil })
+			p.SetFaults(standin.Faults{Outage: standin.OutageHang})
+			refused := &lines{text: "no offer"}
+			two := joined(t, p, "node-2", refused, func(s *settings.Settings) {
+				test.second(s)
+				s.Log.Level = "debug"
+				s.Node.BootstrapPeers = []string{one.PeerAddress()}
+			})
+			t.Cleanup(func() { p.SetFaults(standin.Faults{}) }) // before the nodes stop
+			if test.ready {
+				eventually(func() bool { return two.Ready() == nil && asksComplaints(t, two) == query.Done })
+				return
+			}
+			eventually(func() bool { return refused.count() > 1 })
+			if two.Ready() == nil {
+				t.Error("ready from a peer without a common authority")
+			}
+		})
+	}
+}
+
+// asksComplaints returns the outcome of a query.
+func asksComplaints(t *testing.T, n *Node) query.Outcome {
+	t.Helper()
+	response, err := http.Post(n.URL()+"/v1/services/complaints/query", "application/json", strings.NewReader(`{"query":1}`))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer response.Body.Close()
+	var answer query.Answer
+	if err := json.NewDecoder(response.Body).Decode(&answer); err != nil {
+		t.Fatal(err)
+	}
+	return answer.Outcome
+}
+
+// ticketOf asks a node for a ticket for complaints.
+func ticketOf(t *testing.T, n *Node) string {
+	t.Helper()
+	response, err := http.Post(n.URL()+"/v1/tickets", "application/json", strings.NewReader(`{"service":"complaints"}`))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer response.Body.Close()
+	var reply command.TicketReply
+	if err := json.NewDecoder(response.Body).Decode(&reply); err != nil || reply.Ticket == "" {
+		t.Fatalf("ticket %+v, %v", reply, err)
+	}
+	return reply.Ticket
+}
+
+// TestPeers holds what two nodes do for each other: a ticket redeemed through
+// another node is answered by its issuer and runs once, and a quarantine report
+// reaches the other node.
+func TestPeers(t *testing.T) {
+	p := withComplaints(t)
+	l := startLeaf(t, p, 20*time.Millisecond)
+	one := joined(t, p, "node-1", io.Discard, plain)
+	two := joined(t, p, "node-2", io.Discard, plain)
+	eventually(func() bool { return asksComplaints(t, one) == query.Done && asksComplaints(t, two) == query.Done })
+	before := l.RunCount()
+	ticket := ticketOf(t, one)
+	eventually(func() bool {
+		_, err := two.network.Forward(t.Context(), "node-1", command.Forward{})
+		return knowsNode(err)
+	})
+	through := complain(t, two, ticket)
+	direct := complain(t, one, ticket)
+	if through.Outcome != query.Done || direct.Outcome != query.Done || direct.RequestID != through.RequestID || l.RunCount() != before+1 {
+		t.Errorf("through the other node %+v, at the issuer %+v, %d runs", through, direct, l.RunCount()-before)
+	}
+	suspect := quarantine.Of(complaints.Name, []byte("1"))
+	for _, lost := range []string{"leaf-1", "leaf-2"} {
+		two.network.Tell(quarantine.Report{Fingerprint: suspect, Leaf: lost})
+	}
+	eventually(func() bool { _, refused := one.Guard().Refused(suspect); return refused })
+}
+
+// TestStopTellsPeersFirst holds that peers know of a planned stop while the node
+// still finishes a command, and that the command is answered.
+func TestStopTellsPeersFirst(t *testing.T) {
+	p := withComplaints(t)
+	l := startLeaf(t, p, time.Second)
+	told := &lines{text: "peer is leaving"}
+	joined(t, p, "node-1", told, plain)
+	two := startNode(t, p, "node-2")
+	eventually(func() bool {
+		_, err := two.network.Forward(t.Context(), "node-1", command.Forward{})
+		return knowsNode(err) && asksComplaints(t, two) == query.Done
+	})
+	answered := make(chan command.Answer)
+	go func() { answered <- complain(t, two, "complaint-1") }()
+	eventually(func() bool { return l.Running() > 0 })
+	stopped := make(chan error)
+	go func() { stopped <- two.Stop(context.Background()) }()
+	eventually(func() bool { return told.count() > 0 || l.Running() == 0 })
+	if l.Running() == 0 {
+		t.Error("peer not told while the command ran")
+	}
+	if answer := <-answered; answer.Outcome != query.Done {
+		t.Errorf("answer %+v", answer)
+	}
+	if err := <-stopped; err != nil || told.count() != 1 {
+		t.Errorf("stop: %v, told %d times", err, told.count())
+	}
+}
+
+// knowsNode reports whether a call reached the other node, which refuses a
+// command of no service.
+func knowsNode(err error) bool {
+	return err != nil && strings.Contains(err.Error(), "is not in force")
+}
