Hedge a late hedge once, and steady the latency average

Change: a second hedge follows after another hedge delay, to the first replica when every one was asked; a frequent sample weighs 0.02 instead of 0.1; another availability zone must be 1.1 times better instead of 1.25.

--- a/internal/coordination/replica/replica.go
+++ b/internal/coordination/replica/replica.go
@@ -17,7 +17,7 @@
 	untestedLatency = time.Millisecond
 	// crossingFactor is how much worse a leaf of the own availability zone must
 	// be before another availability zone is preferred.
-	crossingFactor = 1.25
+	crossingFactor = 1.1
 	// setAsideFactor is how much dearer than its alternative a leaf is when it is
 	// used for probes only.
 	setAsideFactor = 2
--- a/internal/coordination/subrequest/subrequest.go
+++ b/internal/coordination/subrequest/subrequest.go
@@ -12,6 +12,9 @@
 	"github.com/hickorydock/hickorydock/internal/state/shardmap"
 )
 
+// MaxHedges is the number of hedges of one round.
+const MaxHedges = 2
+
 const (
 	// recheckDivisor is the part of the hedge delay after which a hedge that
 	// found no budget asks again.
@@ -97,10 +100,11 @@
 	cfg     Config
 	extra   Extra
 	tried   replica.Set
+	newest  int // replica of the newest attempt
 	pending int
 	done    bool
 	last    Result
-	hedged  bool
+	hedges  int
 	round   time.Duration
 	roundAt time.Time
 }
@@ -122,7 +126,10 @@
 		return time.Time{}, false
 	}
 	at := now.Add(m.cfg.HedgeDelay)
-	return at, at.Before(m.cfg.Deadline)
+	if !at.Before(m.cfg.Deadline) {
+		return time.Time{}, false
+	}
+	return at, true
 }
 
 // Due decides what to send at a time that HedgeAt, Due or RoundAt named: a hedge
@@ -139,22 +146,29 @@
 	}
 }
 
-// hedgeDue sends a second attempt when the budget allows it. One without budget
-// is put off: the longer an attempt is pending, the more a hedge helps.
+// hedgeDue sends a hedge when the budget allows it. One without budget is put
+// off: the longer an attempt is pending, the more a hedge helps. When every
+// replica was asked, the second hedge goes to one that was asked before the last,
+// since a straggler says little about the next run of the same leaf.
 func (m *Machine) hedgeDue(now time.Time) (attempt Attempt, send bool, again time.Time) {
-	if m.hedged || m.pending != 1 || !m.canTryAnother() {
+	if m.hedges >= MaxHedges || len(m.cfg.Replicas) < 2 {
 		return Attempt{}, false, time.Time{}
 	}
-	i := m.choose(time.Time{})
+	avoid := m.tried
+	if !m.canTryAnother() {
+		avoid = replica.Set(0).With(m.newest)
+	}
+	i := m.choose(time.Time{}, avoid)
 	if i == replica.None || !now.Before(m.cfg.Deadline) || !replica.IsWorthHedging(m.cfg.Replicas[i], m.cfg.HedgeDelay) {
-		m.hedged = true
+		m.hedges = MaxHedges
 		return Attempt{}, false, time.Time{}
 	}
 	if !m.extra.Spend() {
 		return Attempt{}, false, m.recheckAt(now)
 	}
-	m.hedged = true
-	return m.take(i, Hedge), true, time.Time{}
+	m.hedges++
+	again, _ = m.HedgeAt(now)
+	return m.take(i, Hedge), true, again
 }
 
 // roundDue sends the first attempt of a round when the budget allows it.
@@ -163,7 +177,7 @@
 		return Attempt{}, false, m.recheckAt(now)
 	}
 	m.tried = 0
-	m.hedged = false
+	m.hedges = 0
 	attempt, send = m.next(now, Retry)
 	return attempt, send, time.Time{}
 }
@@ -229,7 +243,7 @@
 // retry sends an attempt to another replica when the budget allows it. A replica
 // that keeps failing is worth spare tokens only.
 func (m *Machine) retry(now time.Time) (Attempt, bool) {
-	i := m.choose(now)
+	i := m.choose(now, m.tried)
 	if i == replica.None || !now.Before(m.cfg.Deadline) {
 		return Attempt{}, false
 	}
@@ -271,20 +285,21 @@
 	if !now.Before(m.cfg.Deadline) {
 		return Attempt{}, false
 	}
-	i := m.choose(now)
+	i := m.choose(now, m.tried)
 	if i == replica.None {
 		return Attempt{}, false
 	}
 	return m.take(i, kind), true
 }
 
-// choose picks a replica that was not tried; a zero now asks for no probes.
-func (m *Machine) choose(now time.Time) int {
-	return m.cfg.Choose(now, m.cfg.Replicas, m.tried, m.cfg.AvailabilityZone, m.cfg.Random())
+// choose picks a replica outside avoid; a zero now asks for no probes.
+func (m *Machine) choose(now time.Time, avoid replica.Set) int {
+	return m.cfg.Choose(now, m.cfg.Replicas, avoid, m.cfg.AvailabilityZone, m.cfg.Random())
 }
 
 func (m *Machine) take(i int, kind Kind) Attempt {
 	m.tried = m.tried.With(i)
+	m.newest = i
 	m.pending++
 	return Attempt{Kind: kind, Replica: i}
 }
--- a/internal/state/leaf/leaf.go
+++ b/internal/state/leaf/leaf.go
@@ -16,7 +16,7 @@
 const (
 	// minWeight is the weight of a new sample in the moving average of latency
 	// when samples are frequent.
-	minWeight = 0.1
+	minWeight = 0.02
 	// silentAfter is the time without a reply after which a leaf counts as silent.
 	silentAfter = 100 * time.Millisecond
 	// memory is the age at which a sample has lost most of its weight.
--- a/internal/transport/relay/relay.go
+++ b/internal/transport/relay/relay.go
@@ -190,8 +190,8 @@
 	quarantined bool
 }
 
-// maxReplicas bounds the attempts of one subrequest and so the channel that
-// their goroutines report to without blocking.
+// maxReplicas bounds the attempts of one round, besides hedges, and so the channel
+// that their goroutines report to without blocking.
 const maxReplicas = 64
 
 // Run asks the replicas of one shard until one answers, the deadline passes or
@@ -216,7 +216,7 @@
 		task:    task,
 		machine: subrequest.New(cfg, state.extra),
 		ctx:     ctx,
-		results: make(chan ended, min(len(task.Replicas), maxReplicas)),
+		results: make(chan ended, min(len(task.Replicas), maxReplicas)+subrequest.MaxHedges),
 	}
 	return u.loop()
 }
