Measure racing operators with lost replies

Cause: the target for configuration is 2 s on every node with nothing lost. Change: the experiment config.

--- /dev/null
+++ b/internal/experiment/config.go
@@ -0,0 +1,234 @@
+package experiment
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+	"github.com/apex/log"
+
+	"github.com/hickorydock/hickorydock/internal/coordination/reconcile"
+	"github.com/hickorydock/hickorydock/internal/node/control"
+	"github.com/hickorydock/hickorydock/internal/protocol/note"
+	"github.com/hickorydock/hickorydock/internal/protocol/platform"
+	standin "github.com/hickorydock/hickorydock/internal/standin/platform"
+	"github.com/hickorydock/hickorydock/internal/state/catalogue"
+	"github.com/hickorydock/hickorydock/internal/transport/logging"
+	"github.com/hickorydock/hickorydock/internal/transport/operator"
+	client "github.com/hickorydock/hickorydock/internal/transport/platform"
+)
+
+var configExperiment = Experiment{
+	Name:    "config",
+	Summary: "two operators race with 100 notes in all, 7 control loops follow over HTTP; baseline without, policy with 10 % of writes without a reply",
+	Target:  "in force on every node p99 at most 2 s after the decision; reverts 0; notes lost, doubled or of unknown outcome 0",
+	Run:     runConfig,
+}
+
+const (
+	configNodes       = 7
+	configNotes       = 50 // for each of two operators
+	configPause       = 60 * time.Millisecond
+	configLostReplies = 0.1
+	// configSettle is the time that the last note has to reach all nodes.
+	configSettle = 3 * time.Second
+)
+
+// configNode records what comes into force on one node.
+type configNode struct {
+	store *catalogue.Store
+
+	mu      sync.Mutex
+	seen    map[uint64]time.Time
+	highest uint64
+	reverts int
+}
+
+func (n *configNode) RevisionInForce(revision uint64) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if revision < n.highest {
+		n.reverts++
+	}
+	n.highest = max(n.highest, revision)
+	n.seen[revision] = time.Now()
+}
+
+func (n *configNode) OldRevisionRefused() {}
+
+// configRun is one run of the experiment.
+type configRun struct {
+	inForce                               *hdrhistogram.Histogram // microseconds
+	reverts, lost, doubled, unknown, late int
+	conflicts                             int
+}
+
+func (c *configRun) figures() []Figure {
+	return []Figure{
+		{"in_force_p50_ms", float64(c.inForce.ValueAtQuantile(50)) / 1000},
+		{"in_force_p99_ms", float64(c.inForce.ValueAtQuantile(99)) / 1000},
+		{"in_force_max_ms", float64(c.inForce.Max()) / 1000},
+		{"conflicts", float64(c.conflicts)},
+		{"reverts", float64(c.reverts)},
+		{"notes_lost", float64(c.lost)},
+		{"notes_doubled", float64(c.doubled)},
+		{"outcome_unknown", float64(c.unknown)},
+		{"nodes_behind_at_end", float64(c.late)},
+	}
+}
+
+// operate applies a note every configPause from begun on, each written anew after
+// a conflict. Operators with the same begun race for every revision.
+func (c *configRun) operate(ctx context.Context, api platform.Client, name string, begun time.Time, mu *sync.Mutex) {
+	for i := range configNotes {
+		sleepUntil(ctx, begun.Add(time.Duration(i)*configPause))
+		id := fmt.Sprintf("%s-%d", name, i)
+		for ctx.Err() == nil {
+			err := applyNext(ctx, api, id)
+			var conflict *reconcile.Conflict
+			if err == nil {
+				break
+			}
+			mu.Lock()
+			if errors.As(err, &conflict) {
+				c.conflicts++
+			} else {
+				c.unknown++
+			}
+			mu.Unlock()
+		}
+	}
+}
+
+// applyNext writes a note against the revision in force, which adds or changes
+// the one service that both operators work on.
+func applyNext(ctx context.Context, api platform.Client, id string) error {
+	stored, err := operator.Read(ctx, api)
+	if err != nil {
+		return err
+	}
+	service := experimentService(0)
+	service.LeafSlots = 1 + int(stored.Catalogue.Revision%50)
+	n := note.Note{ID: id, Author: "operator", Base: stored.Catalogue.Revision}
+	if _, found := stored.Catalogue.Find(service.Name); found {
+		n.Changed = []note.Service{service.Normalize()}
+	} else {
+		n.Added = []note.Service{service.Normalize()}
+	}
+	_, err = operator.Apply(ctx, api, n, operator.Options{Attempts: 50, Pause: 20 * time.Millisecond})
+	return err
+}
+
+// judge compares the stored history with what the nodes saw.
+func (c *configRun) judge(history []note.Applied, nodes []*configNode) error {
+	times := map[string]int{}
+	for _, applied := range history {
+		times[applied.ID]++
+		for _, n := range nodes {
+			at, seen := n.seen[applied.Revision]
+			if !seen {
+				continue // a later revision came first
+			}
+			if err := c.inForce.RecordValue(max(0, at.Sub(applied.At).Microseconds())); err != nil {
+				return err
+			}
+		}
+	}
+	c.lost = 2*configNotes - len(times)
+	for _, count := range times {
+		c.doubled += count - 1
+	}
+	for _, n := range nodes {
+		c.reverts += n.reverts
+		if n.store.Revision() != history[len(history)-1].Revision {
+			c.late++
+		}
+	}
+	return nil
+}
+
+func runConfigOnce(ctx context.Context, seed uint64, lostReplies float64) (*configRun, error) {
+	p := standin.New(standin.Options{Seed: seed, Faults: standin.Faults{LostReplies: lostReplies}})
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, err
+	}
+	server := &http.Server{Handler: p}
+	go func() { _ = server.Serve(listener) }()
+	defer func() { _ = server.Close() }()
+	api := client.New(client.Config{BaseURL: "http://" + listener.Addr().String(), HTTPClient: &http.Client{Transport: &http.Transport{}}})
+
+	nodes, stop := startConfigNodes(ctx, api)
+	c := &configRun{inForce: hdrhistogram.New(1, int64(time.Minute/time.Microsecond), histogramDigits)}
+	var operators sync.WaitGroup
+	var mu sync.Mutex
+	begun := time.Now()
+	for _, name := range []string{"a", "b"} {
+		operators.Go(func() { c.operate(ctx, api, name, begun, &mu) })
+	}
+	operators.Wait()
+	stored, err := operator.Read(ctx, api)
+	if err == nil {
+		settle, cancel := context.WithTimeout(ctx, configSettle)
+		for _, n := range nodes {
+			// A node that does not get there is counted as behind.
+			_, _ = n.store.Wait(settle, stored.Catalogue.Revision)
+		}
+		cancel()
+	}
+	stop()
+	if err != nil {
+		return nil, err
+	}
+	return c, c.judge(stored.Catalogue.History, nodes)
+}
+
+// startConfigNodes starts control loops; stop ends them and waits.
+func startConfigNodes(ctx context.Context, api platform.Client) (nodes []*configNode, stop func()) {
+	ctx, cancel := context.WithCancel(ctx)
+	var running sync.WaitGroup
+	for i := range configNodes {
+		n := &configNode{store: catalogue.New(), seen: make(map[uint64]time.Time)}
+		nodes = append(nodes, n)
+		loop := control.New(control.Config{
+			Node:    fmt.Sprintf("node-%d", i),
+			Client:  api,
+			Store:   n.store,
+			Log:     logging.New(io.Discard, log.ErrorLevel),
+			Metrics: n,
+		})
+		running.Go(func() { loop.Run(ctx) })
+	}
+	return nodes, func() {
+		cancel()
+		running.Wait()
+	}
+}
+
+func runConfig(ctx context.Context, seed uint64) (Result, error) {
+	baseline, err := runConfigOnce(ctx, seed, 0)
+	if err != nil {
+		return Result{}, err
+	}
+	policy, err := runConfigOnce(ctx, seed, configLostReplies)
+	if err != nil {
+		return Result{}, err
+	}
+	wrong := policy.lost + policy.doubled + policy.unknown
+	return Result{
+		Baseline: baseline.figures(),
+		Policy:   policy.figures(),
+		Checks: []Check{
+			AtMost("in_force_p99_ms", float64(policy.inForce.ValueAtQuantile(99))/1000, 2000),
+			AtMost("reverts", float64(policy.reverts), 0),
+			AtMost("notes_lost_doubled_unknown", float64(wrong), 0),
+			AtMost("nodes_behind_at_end", float64(policy.late), 0),
+		},
+	}, ctx.Err()
+}
--- a/internal/experiment/experiment.go
+++ b/internal/experiment/experiment.go
@@ -80,6 +80,7 @@
 		crashExperiment,
 		membershipExperiment,
 		drainExperiment,
+		configExperiment,
 		controlSizeExperiment,
 	}
 }
