--- a/internal/coordination/reconcile/pace.go
+++ b/internal/coordination/reconcile/pace.go
@@ -1,6 +1,10 @@
 package reconcile
 
-import "time"
+import (
+	"time"
+
+	"github.com/hickorydock/hickorydock/internal/protocol/platform"
+)
 
 const (
 	// reportIntervalFloor is the time between two reports in a small fleet.
@@ -9,8 +13,30 @@
 	reportsPerSecond = 5
 	// changeReportsPerSecond bounds the reports of the whole fleet after a change.
 	changeReportsPerSecond = 300
+	// goneLife is the time for which the status of a node that is gone is kept.
+	goneLife = time.Hour
+)
+
+const (
+	// SweepInterval is the mean time between two sweeps of statuses in a fleet.
+	SweepInterval = 10 * time.Minute
+	// SweepMost bounds the statuses removed in one sweep.
+	SweepMost = 100
 )
 
+// SweepShare is the probability with which a node sweeps after a report, so
+// that the fleet of nodes that report at an interval sweeps once in
+// SweepInterval.
+func SweepShare(nodes int, interval time.Duration) float64 {
+	return interval.Seconds() / (float64(nodes) * SweepInterval.Seconds())
+}
+
+// IsLongGone reports whether a status may be removed: its node said that it
+// stopped, or has not reported, for more than an hour.
+func IsLongGone(status platform.NodeStatus, now time.Time) bool {
+	return !status.IsFresh(now) && now.Sub(status.At) > goneLife
+}
+
 // ReportInterval is the time between two regular reports of a node. It grows
 // with the fleet, so that the fleet's rate of writes does not.
 func ReportInterval(nodes int) time.Duration {
--- a/internal/node/control/control_test.go
+++ b/internal/node/control/control_test.go
@@ -323,3 +323,35 @@
 		}
 	})
 }
+
+// TestGoneNodesAreSwept holds that the statuses of nodes that stopped or fell
+// silent go away after an hour, and those of running nodes stay.
+func TestGoneNodesAreSwept(t *testing.T) {
+	runBench(t, standin.Options{}, func(b *bench) {
+		status := func(node string, freshFor float64) {
+			s := platform.NodeStatus{Node: node, At: time.Now(), FreshFor: freshFor}
+			if err := b.p.Set(platform.KindNode, node, s); err != nil {
+				t.Fatal(err)
+			}
+		}
+		status("stopped", 0)
+		status("silent", 10)
+		status("slow", 3600)
+		running := b.start("running", nil)
+		remaining := func() int {
+			listing, err := b.p.Client().List(b.ctx, platform.KindNode)
+			if err != nil {
+				t.Fatal(err)
+			}
+			return len(listing.Objects)
+		}
+		settle(50 * time.Minute)
+		if got := remaining(); got != 4 {
+			t.Errorf("%d statuses after 50 min", got)
+		}
+		settle(20 * time.Minute)
+		if removed, err := running.sweep(b.ctx); err != nil || remaining() != 2 {
+			t.Errorf("%d removed, %v, %d remain", removed, err, remaining())
+		}
+	})
+}
--- a/internal/node/control/report.go
+++ b/internal/node/control/report.go
@@ -44,6 +44,7 @@
 			continue
 		}
 		sleep(ctx, reportGap)
+		c.sweepOnce(ctx, nodes, interval)
 		jitter := 0.5 + 0.5*rand.Float64()
 		next, cancel := context.WithTimeout(ctx, time.Duration(jitter*float64(interval)))
 		_, _ = c.cfg.Store.Wait(next, revision+1)
--- /dev/null
+++ b/internal/node/control/sweep.go
@@ -0,0 +1,58 @@
+package control
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"math/rand/v2"
+	"time"
+
+	"github.com/hickorydock/hickorydock/internal/coordination/reconcile"
+	"github.com/hickorydock/hickorydock/internal/protocol/platform"
+)
+
+// sweepOnce removes the status objects of nodes that are gone for long, so that
+// replaced nodes do not fill the platform's store. It runs with the probability
+// that makes about one node of the fleet do so in each reconcile.SweepInterval.
+func (c *Control) sweepOnce(ctx context.Context, nodes int, interval time.Duration) {
+	if rand.Float64() >= reconcile.SweepShare(nodes, interval) {
+		return
+	}
+	removed, err := c.sweep(ctx)
+	fields := c.cfg.Log.WithField("removed", removed)
+	if err != nil {
+		fields.WithError(err).Warn("status objects of gone nodes not all removed")
+		return
+	}
+	if removed > 0 {
+		fields.Info("status objects of gone nodes removed")
+	}
+}
+
+// sweep deletes under the version that it read: a node that reports meanwhile
+// keeps its object.
+func (c *Control) sweep(ctx context.Context) (removed int, err error) {
+	listing, err := c.cfg.Client.List(ctx, platform.KindNode)
+	if err != nil {
+		return 0, err
+	}
+	now := time.Now()
+	for _, object := range listing.Objects {
+		if removed == reconcile.SweepMost {
+			break
+		}
+		var status platform.NodeStatus
+		if json.Unmarshal(object.Value, &status) != nil || !reconcile.IsLongGone(status, now) {
+			continue
+		}
+		err := c.cfg.Client.Delete(ctx, platform.KindNode, object.Name, object.Version)
+		if errors.Is(err, platform.ErrConflict) || errors.Is(err, platform.ErrNotFound) {
+			continue
+		}
+		if err != nil {
+			return removed, err
+		}
+		removed++
+	}
+	return removed, nil
+}
