Measure an outage of the platform with a replaced node and a note

Cause: queries, the catalogue and a starting node must not depend on the platform being up. Change: the experiment store-outage, with a refusing and a hanging platform.

--- a/internal/experiment/config.go
+++ b/internal/experiment/config.go
@@ -17,6 +17,7 @@
 	"github.com/hickorydock/hickorydock/internal/node/control"
 	"github.com/hickorydock/hickorydock/internal/protocol/note"
 	"github.com/hickorydock/hickorydock/internal/protocol/platform"
+	"github.com/hickorydock/hickorydock/internal/protocol/settings"
 	standin "github.com/hickorydock/hickorydock/internal/standin/platform"
 	"github.com/hickorydock/hickorydock/internal/state/catalogue"
 	"github.com/hickorydock/hickorydock/internal/transport/logging"
@@ -155,15 +156,11 @@
 
 func runConfigOnce(ctx context.Context, seed uint64, lostReplies float64) (*configRun, error) {
 	p := standin.New(standin.Options{Seed: seed, Faults: standin.Faults{LostReplies: lostReplies}})
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	api, closePlatform, err := servePlatform(p)
 	if err != nil {
 		return nil, err
 	}
-	server := &http.Server{Handler: p}
-	go func() { _ = server.Serve(listener) }()
-	defer func() { _ = server.Close() }()
-	api := client.New(client.Config{BaseURL: "http://" + listener.Addr().String(), HTTPClient: &http.Client{Transport: &http.Transport{}}})
-
+	defer closePlatform()
 	nodes, stop := startConfigNodes(ctx, api)
 	c := &configRun{inForce: hdrhistogram.New(1, int64(time.Minute/time.Microsecond), histogramDigits)}
 	var operators sync.WaitGroup
@@ -189,6 +186,26 @@
 	return c, c.judge(stored.Catalogue.History, nodes)
 }
 
+// servePlatform puts a stand-in on loopback and returns a client for it.
+func servePlatform(p *standin.Platform) (api platform.Client, stop func(), err error) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, nil, err
+	}
+	server := &http.Server{Handler: p}
+	go func() { _ = server.Serve(listener) }()
+	connections := &http.Transport{MaxIdleConnsPerHost: 64}
+	api = client.New(client.Config{
+		BaseURL:    "http://" + listener.Addr().String(),
+		HTTPClient: &http.Client{Transport: connections},
+		Timeout:    settings.Default().Platform.Timeout(),
+	})
+	return api, func() {
+		connections.CloseIdleConnections()
+		_ = server.Close()
+	}, nil
+}
+
 // startConfigNodes starts control loops; stop ends them and waits.
 func startConfigNodes(ctx context.Context, api platform.Client) (nodes []*configNode, stop func()) {
 	ctx, cancel := context.WithCancel(ctx)
--- a/internal/experiment/experiment.go
+++ b/internal/experiment/experiment.go
@@ -82,6 +82,7 @@
 		membershipExperiment,
 		drainExperiment,
 		configExperiment,
+		storeOutageExperiment,
 		controlSizeExperiment,
 	}
 }
--- /dev/null
+++ b/internal/experiment/storeoutage.go
@@ -0,0 +1,309 @@
+package experiment
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"time"
+
+	"github.com/hickorydock/hickorydock/internal/coordination/reconcile"
+	"github.com/hickorydock/hickorydock/internal/node"
+	"github.com/hickorydock/hickorydock/internal/protocol/note"
+	"github.com/hickorydock/hickorydock/internal/protocol/platform"
+	"github.com/hickorydock/hickorydock/internal/protocol/settings"
+	"github.com/hickorydock/hickorydock/internal/standin/leaf"
+	standin "github.com/hickorydock/hickorydock/internal/standin/platform"
+	"github.com/hickorydock/hickorydock/internal/transport/operator"
+)
+
+var storeOutageExperiment = Experiment{
+	Name:    "store-outage",
+	Summary: "platform down for 10 s, refusing in one fleet and hanging in another, while a node is replaced and an operator applies a note under load",
+	Target:  "query errors 0; reverts 0; replaced node ready from peers in at most 3 s; the apply reports what the history shows; the note in force everywhere afterwards",
+	Run:     runStoreOutage,
+}
+
+const (
+	storeOutageShards  = 6
+	storeOutageRate    = 60.0
+	storeOutageQueries = 1000 // about 17 s
+	storeOutageBegin   = 1 * time.Second
+	storeOutageLength  = 10 * time.Second
+	// storeOutageApply is the time after its begin at which the operator applies.
+	storeOutageApply = 5 * time.Second
+	// storeOutageSettle is the time that the fleet has to catch up afterwards.
+	storeOutageSettle = 6 * time.Second
+	revisionPoll      = 100 * time.Millisecond
+)
+
+// storeOutage is one fleet and what became of it.
+type storeOutage struct {
+	*rig
+	platform *standin.Platform
+	api      platform.Client
+	kind     standin.Outage
+
+	mu      sync.Mutex
+	serving []*node.Node // takes callers
+
+	tally    *tally
+	reverts  int
+	ready    time.Duration
+	applyErr error
+	stopErr  error // of the planned stop during the outage
+	// untrue is true when the apply's word differs from the history.
+	untrue bool
+	behind int
+}
+
+func newStoreOutage(ctx context.Context, seed uint64, kind standin.Outage) (*storeOutage, func(), error) {
+	p := standin.New(standin.Options{Seed: seed})
+	api, stop, err := servePlatform(p)
+	if err != nil {
+		return nil, nil, err
+	}
+	options := tailRig(seed, 0.05, leaf.ServiceTime{Median: 5 * time.Millisecond, Sigma: 0.3})
+	options.shards = storeOutageShards
+	options.control = node.PlatformControl(api)
+	s := &storeOutage{rig: &rig{options: options}, platform: p, api: api, kind: kind, tally: newTally(false)}
+	s.options.adjust = func(cfg *settings.Settings) {
+		for _, n := range s.nodes {
+			cfg.Node.BootstrapPeers = append(cfg.Node.BootstrapPeers, n.PeerAddress())
+		}
+	}
+	end := func() {
+		p.SetFaults(standin.Faults{}) // nodes stop without waiting for a call
+		s.close()
+		stop()
+	}
+	return s, end, s.prepare(ctx)
+}
+
+// prepare starts leafs and three nodes and puts the service in force.
+func (s *storeOutage) prepare(ctx context.Context) error {
+	catalogue := note.Catalogue{Revision: 1, Services: []note.Service{s.options.service.Normalize()}}
+	if err := s.platform.Set(platform.KindCatalogue, platform.CatalogueName, catalogue); err != nil {
+		return err
+	}
+	for shard := range s.options.shards {
+		var replicas []*leaf.Leaf
+		for replica := range s.options.replicas {
+			l, err := s.startLeaf(shard, replica)
+			if err != nil {
+				return err
+			}
+			replicas = append(replicas, l)
+		}
+		s.leafs = append(s.leafs, replicas)
+	}
+	for _, vm := range s.vms {
+		if err := s.platform.Set(platform.KindVM, vm.ID, vm); err != nil {
+			return err
+		}
+	}
+	for i := range 3 {
+		if err := s.join(ctx, i); err != nil {
+			return err
+		}
+	}
+	s.serving = append(s.serving, s.nodes...)
+	return s.awaitComplete(ctx)
+}
+
+// join starts a node and lists it in the platform.
+func (s *storeOutage) join(ctx context.Context, i int) error {
+	if err := s.startNode(ctx, i); err != nil {
+		return err
+	}
+	n := s.nodes[len(s.nodes)-1]
+	id := fmt.Sprintf("node-%d", i)
+	return s.platform.Set(platform.KindVM, id, platform.VM{
+		ID: id, Group: platform.NodeGroup, Address: n.Address(), PeerAddress: n.PeerAddress(), State: platform.VMLive,
+	})
+}
+
+// target picks a node for a request, as a balancer that leaves out nodes that
+// are not ready.
+func (s *storeOutage) target(i int) *node.Node {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.serving[i%len(s.serving)]
+}
+
+// run plays the outage under load.
+func (s *storeOutage) run(ctx context.Context) error {
+	c := newCaller()
+	defer c.close()
+	var others sync.WaitGroup
+	var err error
+	watching, stop := context.WithCancel(ctx)
+	others.Go(func() { s.watchRevisions(watching) })
+	others.Go(func() {
+		defer stop()
+		err = s.play(ctx)
+	})
+	poisson(ctx, s.options.seed, storeOutageRate, storeOutageQueries, func(i int, at time.Time) {
+		s.tally.add(c.ask(ctx, s.target(i).URL(), s.options.service.Name, i, at))
+	})
+	others.Wait()
+	return err
+}
+
+func (s *storeOutage) play(ctx context.Context) error {
+	sleepUntil(ctx, time.Now().Add(storeOutageBegin))
+	begun := time.Now()
+	s.platform.SetFaults(standin.Faults{Outage: s.kind})
+	heal := time.AfterFunc(storeOutageLength, func() { s.platform.SetFaults(standin.Faults{}) })
+	defer heal.Stop()
+	var applied sync.WaitGroup
+	applied.Go(func() {
+		sleepUntil(ctx, begun.Add(storeOutageApply))
+		s.applyErr = s.apply(ctx, "during")
+	})
+	if err := s.replaceNode(ctx); err != nil {
+		return err
+	}
+	applied.Wait()
+	sleepUntil(ctx, begun.Add(storeOutageLength))
+	stored, err := operator.Read(ctx, s.api)
+	if err != nil {
+		return err
+	}
+	_, found := reconcile.FindNote(stored.Catalogue, "during")
+	s.untrue = found != (s.applyErr == nil)
+	if err := s.apply(ctx, "after"); err != nil {
+		return err
+	}
+	sleepUntil(ctx, time.Now().Add(storeOutageSettle))
+	stored, err = operator.Read(ctx, s.api)
+	if err != nil {
+		return err
+	}
+	for _, n := range s.serving {
+		if revisionOf(n) != stored.Catalogue.Revision {
+			s.behind++
+		}
+	}
+	return nil
+}
+
+// apply changes the service by a note against the revision that node 0 has in
+// force, as an operator who knows it from before the outage.
+func (s *storeOutage) apply(ctx context.Context, id string) error {
+	service := s.options.service.Normalize()
+	service.LongestWaitMS++
+	n := note.Note{ID: id, Author: "operator", Base: revisionOf(s.nodes[0]), Changed: []note.Service{service}}
+	if id == "after" {
+		stored, err := operator.Read(ctx, s.api)
+		if err != nil {
+			return err
+		}
+		n.Base = stored.Catalogue.Revision
+	}
+	_, err := operator.Apply(ctx, s.api, n, operator.Options{})
+	return err
+}
+
+// replaceNode stops the last node and starts another one in its place.
+func (s *storeOutage) replaceNode(ctx context.Context) error {
+	s.mu.Lock()
+	s.serving = s.serving[:2]
+	s.mu.Unlock()
+	s.stopErr = s.nodes[2].Stop(ctx)
+	s.nodes = s.nodes[:2]
+	begun := time.Now()
+	if err := s.startNode(ctx, 3); err != nil {
+		return err
+	}
+	n := s.nodes[2]
+	for n.Ready() != nil && sleepUntil(ctx, time.Now().Add(settlePause)) {
+		continue
+	}
+	s.ready = time.Since(begun)
+	s.mu.Lock()
+	s.serving = append(s.serving, n)
+	s.mu.Unlock()
+	return ctx.Err()
+}
+
+// watchRevisions counts steps back of the revision in force on the first two nodes.
+func (s *storeOutage) watchRevisions(ctx context.Context) {
+	var highest [2]uint64
+	for sleepUntil(ctx, time.Now().Add(revisionPoll)) {
+		for i := range highest {
+			revision := revisionOf(s.nodes[i])
+			if revision < highest[i] {
+				s.reverts++
+			}
+			highest[i] = max(highest[i], revision)
+		}
+	}
+}
+
+// revisionOf reads the revision in force from a node's metrics.
+func revisionOf(n *node.Node) uint64 {
+	families, err := n.Metrics().Gatherer().Gather()
+	if err != nil {
+		return 0
+	}
+	for _, family := range families {
+		if family.GetName() == "hickorydock_catalogue_revision" {
+			return uint64(family.GetMetric()[0].GetGauge().GetValue())
+		}
+	}
+	return 0
+}
+
+func (s *storeOutage) figures(prefix string) []Figure {
+	var figures []Figure
+	list := append(s.tally.figures(),
+		Figure{"reverts", float64(s.reverts)}, Figure{"ready_s", s.ready.Seconds()},
+		Figure{"apply_untrue", truth(s.untrue)}, Figure{"apply_failed", truth(s.applyErr != nil)}, Figure{"nodes_behind", float64(s.behind)},
+		Figure{"stop_failed", truth(s.stopErr != nil)})
+	for _, f := range list {
+		figures = append(figures, Figure{prefix + f.Name, f.Value})
+	}
+	return figures
+}
+
+func truth(b bool) float64 {
+	if b {
+		return 1
+	}
+	return 0
+}
+
+func runStoreOutage(ctx context.Context, seed uint64) (Result, error) {
+	var result Result
+	kinds := []standin.Outage{standin.OutageRefuse, standin.OutageHang}
+	fleets, errs := make([]*storeOutage, len(kinds)), make([]error, len(kinds))
+	var running sync.WaitGroup
+	for i, kind := range kinds {
+		fleet, end, err := newStoreOutage(ctx, seed, kind)
+		if end != nil {
+			defer end()
+		}
+		if err != nil {
+			return result, err
+		}
+		fleets[i] = fleet
+		running.Go(func() { errs[i] = fleet.run(ctx) })
+	}
+	running.Wait()
+	for i, fleet := range fleets {
+		if errs[i] != nil {
+			return result, errs[i]
+		}
+		prefix := string(kinds[i]) + "_"
+		result.Policy = append(result.Policy, fleet.figures(prefix)...)
+		result.Checks = append(result.Checks,
+			AtMost(prefix+"query_errors", float64(fleet.tally.total()-fleet.tally.complete), 0),
+			AtMost(prefix+"reverts", float64(fleet.reverts), 0),
+			AtMost(prefix+"ready_s", fleet.ready.Seconds(), 3),
+			AtMost(prefix+"apply_untrue", truth(fleet.untrue), 0),
+			AtMost(prefix+"stop_failed", truth(fleet.stopErr != nil), 0),
+			AtMost(prefix+"nodes_behind", float64(fleet.behind), 0),
+		)
+	}
+	return result, ctx.Err()
+}
