--- a/internal/experiment/experiment.go
+++ b/internal/experiment/experiment.go
@@ -81,6 +81,8 @@
 		zoneLossExperiment,
 		membershipExperiment,
 		drainExperiment,
+		configExperiment,
+		storeOutageExperiment,
 		controlSizeExperiment,
 	}
 }
