--- a/cmd/hickorydock/docs_test.go
+++ b/cmd/hickorydock/docs_test.go
@@ -138,6 +138,31 @@
 	}
 }
 
+// sourcePath is a path of the source tree in a page; diagrams leave out internal/.
+var sourcePath = regexp.MustCompile(`\b(?:internal/)?(?:protocol|state|coordination|transport|standin|node)/[a-z]+\b|\binternal/[a-z]+\b`)
+
+// TestPathsInTheDocsExist holds that packages and pages named in the docs exist.
+func TestPathsInTheDocsExist(t *testing.T) {
+	link := regexp.MustCompile(`\]\(([^):#]+)\)`)
+	for _, file := range pages(t) {
+		text, err := os.ReadFile(file)
+		if err != nil {
+			t.Fatal(err)
+		}
+		for _, path := range sourcePath.FindAllString(string(text), -1) {
+			path = repository + "/internal/" + strings.TrimPrefix(path, "internal/")
+			if _, err := os.Stat(path); err != nil {
+				t.Errorf("%s names %s, which does not exist", file, path)
+			}
+		}
+		for _, match := range link.FindAllStringSubmatch(string(text), -1) {
+			if _, err := os.Stat(filepath.Join(filepath.Dir(file), match[1])); err != nil {
+				t.Errorf("%s links to %s, which does not exist", file, match[1])
+			}
+		}
+	}
+}
+
 func pages(t *testing.T) []string {
 	t.Helper()
 	list := []string{repository + "/README.md"}
