--- a/internal/experiment/experiment.go
+++ b/internal/experiment/experiment.go
@@ -78,7 +78,9 @@
 		connectionsExperiment,
 		overloadExperiment,
 		crashExperiment,
+		zoneLossExperiment,
 		membershipExperiment,
+		drainExperiment,
 		controlSizeExperiment,
 	}
 }
