Carry the request id in failures

Cause: a failed request could not be found in logs and at leafs. Change: errors of a planned query carry its request id into the problem document and the log line.

--- a/internal/protocol/fault/fault.go
+++ b/internal/protocol/fault/fault.go
@@ -38,6 +38,9 @@
 	Step Step
 	// Peer is the address or name of the other side; empty when there is none.
 	Peer string
+	// RequestID is the id under which leafs and logs know the request; empty
+	// when it failed before it had one.
+	RequestID string
 	// Field names the faulty field of the input, when there is one.
 	Field string
 	// Status is the HTTP status for the caller; 0 means 500.
@@ -86,6 +89,12 @@
 	return e
 }
 
+// WithRequestID sets the request id and returns e.
+func (e *Error) WithRequestID(id string) *Error {
+	e.RequestID = id
+	return e
+}
+
 // WithRetryAfter sets the advice for the caller and returns e.
 func (e *Error) WithRetryAfter(d time.Duration) *Error {
 	e.RetryAfter = d
--- a/internal/protocol/fault/problem.go
+++ b/internal/protocol/fault/problem.go
@@ -19,13 +19,15 @@
 	Peer    string        `json:"peer,omitempty"`
 	Field   string        `json:"field,omitempty"`
 	Outcome query.Outcome `json:"outcome"`
+	// RequestID is that of the logs and of the leafs, where there is one.
+	RequestID string `json:"request_id,omitempty"`
 }
 
 // Problem describes e to a caller.
 func (e *Error) Problem() Problem {
 	p := Problem{
 		Type: "about:blank", Status: e.Status, Detail: e.Detail(),
-		Step: e.Step, Peer: e.Peer, Field: e.Field, Outcome: e.Outcome,
+		Step: e.Step, Peer: e.Peer, Field: e.Field, Outcome: e.Outcome, RequestID: e.RequestID,
 	}
 	if p.Status == 0 {
 		p.Status = http.StatusInternalServerError
@@ -39,5 +41,5 @@
 
 // Error is the error that the document describes.
 func (p Problem) Error() *Error {
-	return New(p.Step, p.Peer, "%s", p.Detail).WithStatus(p.Status, p.Outcome).WithField(p.Field)
+	return New(p.Step, p.Peer, "%s", p.Detail).WithStatus(p.Status, p.Outcome).WithField(p.Field).WithRequestID(p.RequestID)
 }
--- a/internal/transport/entry/entry.go
+++ b/internal/transport/entry/entry.go
@@ -135,7 +135,10 @@
 	}
 	answer, err = c.run(ctx)
 	met = c.load
-	return answer, err
+	if err != nil {
+		return answer, fault.From(err).WithRequestID(c.id)
+	}
+	return answer, nil
 }
 
 func wait(service note.Service, request query.Request) time.Duration {
--- a/internal/transport/server/module.go
+++ b/internal/transport/server/module.go
@@ -49,7 +49,7 @@
 	e := fault.From(err)
 	m.metrics.Refused(refusal(e))
 	m.logger.WithFields(log.Fields{
-		"service": service, "step": string(e.Step), "peer": e.Peer, "outcome": string(e.Outcome), "error": e.Detail(),
+		"request_id": e.RequestID, "service": service, "step": string(e.Step), "peer": e.Peer, "outcome": string(e.Outcome), "error": e.Detail(),
 	}).Warn("request failed")
 }
 
