--- a/cmd/hickorydock/load.go
+++ b/cmd/hickorydock/load.go
@@ -9,6 +9,7 @@
 	"os"
 	"time"
 
+	"github.com/google/uuid"
 	"github.com/integrii/flaggy"
 	"github.com/mattn/go-isatty"
 
@@ -25,6 +26,7 @@
 Examples:
   hickorydock load --service licence-desk --rate 200 --for 10s
   hickorydock load --service a --service b --query '{"q":1}' --query '{"q":2}' --rate 50 --for 1m --json
+  hickorydock load --service complaints --commands 0.2 --rate 20 --for 30s
   hickorydock load --service licence-desk --rate 500 --for 30s --html report.html`,
 	bind: bindLoad,
 }
@@ -40,6 +42,7 @@
 	inFlight    int
 	deadlineMS  int64
 	minCoverage float64
+	commands    float64
 	standIn     bool
 	json        bool
 	html        string
@@ -63,6 +66,7 @@
 	flags.Int(&opts.inFlight, "", "in-flight", "Most queries in flight; what is due above it counts as unsent.")
 	flags.Int64(&opts.deadlineMS, "d", "deadline-ms", "Deadline of each query in milliseconds; 0 takes the service's.")
 	flags.Float64(&opts.minCoverage, "m", "min-coverage", "Lowest share of shards for an answer, 0 to 1.")
+	flags.Float64(&opts.commands, "", "commands", "Share of commands, 0 to 1; some are sent twice and must not run twice.")
 	flags.Bool(&opts.standIn, "", "stand-in", "The leafs are stand-ins: check each item's snapshot and shard.")
 	flags.Bool(&opts.json, "", "json", "Print the report as one JSON object.")
 	flags.String(&opts.html, "", "html", "Write the report to this file as a page.")
@@ -104,6 +108,7 @@
 	cfg := load.Config{
 		Services: o.services, Rate: o.rate, For: o.length, Seed: o.seed, InFlight: o.inFlight,
 		DeadlineMS: o.deadlineMS, MinCoverage: o.minCoverage, StandIn: o.standIn,
+		CommandShare: o.commands, KeyPrefix: "load-" + uuid.NewString(),
 	}
 	for _, q := range queries {
 		cfg.Queries = append(cfg.Queries, json.RawMessage(q))
--- a/internal/load/check.go
+++ b/internal/load/check.go
@@ -20,17 +20,30 @@
 	ViolationSnapshot Violation = "item_of_another_snapshot"
 	// ViolationShard: an item is of a shard that the answer does not cover.
 	ViolationShard Violation = "item_of_an_uncovered_shard"
+	// ViolationRepeat: a command that was sent again may have run again.
+	ViolationRepeat Violation = "repeat_not_recorded"
 	// ViolationItem: an item is not of the expected form.
 	ViolationItem Violation = "item_unreadable"
 )
 
+// shardRule says which shards the items of an answer may be of.
+type shardRule int
+
+const (
+	// coveredShards: the items of a query are of shards that it covers.
+	coveredShards shardRule = iota
+	// oneShard: the items of a command are of the one shard that ran it; its
+	// coverage counts that shard and not those of the service.
+	oneShard
+)
+
 // check returns the promises that an answer breaks, each at most once.
-func check(a *query.Answer, standIn bool) map[Violation]string {
+func check(a *query.Answer, rule shardRule, standIn bool) map[Violation]string {
 	broken := map[Violation]string{}
 	missing := checkCoverage(a, broken)
 	checkOutcome(a, broken)
 	if standIn {
-		checkItems(a, missing, broken)
+		checkItems(a, rule, missing, broken)
 	}
 	return broken
 }
@@ -74,7 +87,8 @@
 	Version    *uint64 `json:"version"`
 }
 
-func checkItems(a *query.Answer, missing map[int]bool, broken map[Violation]string) {
+func checkItems(a *query.Answer, rule shardRule, missing map[int]bool, broken map[Violation]string) {
+	only := -1 // the shard of the first item
 	for _, raw := range a.Items {
 		var item standInItem
 		if err := json.Unmarshal(raw, &item); err != nil || item.Shard == nil || item.Generation == nil || item.Version == nil {
@@ -85,7 +99,14 @@
 		if from != a.Snapshot {
 			broken[ViolationSnapshot] = fmt.Sprintf("request %s of snapshot %s: item of %s", a.RequestID, a.Snapshot, from)
 		}
-		if missing[*item.Shard] || *item.Shard < 0 || *item.Shard >= a.Coverage.Total {
+		if only < 0 {
+			only = *item.Shard
+		}
+		fits := !missing[*item.Shard] && *item.Shard >= 0 && *item.Shard < a.Coverage.Total
+		if rule == oneShard {
+			fits = *item.Shard == only
+		}
+		if !fits {
 			broken[ViolationShard] = fmt.Sprintf("request %s: item of shard %d", a.RequestID, *item.Shard)
 		}
 	}
--- a/internal/load/load.go
+++ b/internal/load/load.go
@@ -1,4 +1,4 @@
-// Package load sends queries to a hickorydock URL at the times of a Poisson
+// Package load sends queries and commands to a hickorydock URL at the times of a Poisson
 // process and checks the answers while it runs. The load is open loop: a slow
 // answer does not delay the queries after it, and the latency of a query counts
 // from the time at which it was due, so that coordinated omission does not hide
@@ -10,10 +10,12 @@
 	"encoding/json"
 	"errors"
 	"math/rand/v2"
+	"strconv"
 	"sync"
 	"sync/atomic"
 	"time"
 
+	"github.com/hickorydock/hickorydock/internal/protocol/command"
 	"github.com/hickorydock/hickorydock/internal/protocol/query"
 )
 
@@ -42,6 +44,11 @@
 	InFlight    int
 	DeadlineMS  int64
 	MinCoverage float64
+	// CommandShare is the share of commands, in [0, 1]; the rest are queries.
+	CommandShare float64
+	// KeyPrefix begins the idempotency key of each command; it must be new for
+	// each run.
+	KeyPrefix string
 	// StandIn checks items too: they must be those of the stand-in leafs.
 	StandIn bool
 }
@@ -64,12 +71,15 @@
 	check(c.InFlight > 0 && c.InFlight <= MaxInFlight, "queries in flight must be 1 to 100000")
 	check(c.DeadlineMS >= 0, "the deadline must not be negative")
 	check(c.MinCoverage >= 0 && c.MinCoverage <= 1, "the minimum coverage must be in 0 to 1")
+	check(c.CommandShare >= 0 && c.CommandShare <= 1, "the share of commands must be in 0 to 1")
+	check(c.CommandShare == 0 || command.CheckKey(c.KeyPrefix) == nil, "the key prefix of commands must be a key")
 	return errors.Join(faults...)
 }
 
-// Target answers queries; it is met by client.Client.
+// Target answers queries and commands; it is met by client.Client.
 type Target interface {
 	Query(ctx context.Context, service string, request query.Request) (query.Answer, error)
+	Command(ctx context.Context, service, key string, request command.Request) (command.Answer, error)
 }
 
 // Runner sends the load of one configuration. Progress may be called while Run
@@ -79,6 +89,7 @@
 	target   Target
 	tally    *tally
 	inFlight atomic.Int64
+	commands int // planned so far
 }
 
 // New returns a runner for a valid configuration.
@@ -89,13 +100,29 @@
 	return &Runner{cfg: cfg, target: target, tally: newTally()}, nil
 }
 
-// planned is one query before it is sent.
+// planned is one query or command before it is sent.
 type planned struct {
 	due     time.Time
 	service string
 	body    json.RawMessage
+	// key is the idempotency key of a command; empty for a query.
+	key string
+	// shardKey chooses the shard of a command.
+	shardKey string
+	// repeat sends the command a second time after its answer.
+	repeat bool
 }
 
+func (p planned) rule() shardRule {
+	if p.key != "" {
+		return oneShard
+	}
+	return coveredShards
+}
+
+// repeatShare is the share of commands that are sent twice.
+const repeatShare = 0.25
+
 // Run sends the load, waits for every answer and reports. When ctx ends, the
 // report covers what was sent until then.
 func (r *Runner) Run(ctx context.Context) Report {
@@ -108,11 +135,7 @@
 		if due.Sub(start) >= r.cfg.For {
 			break
 		}
-		p := planned{
-			due:     due,
-			service: r.cfg.Services[random.IntN(len(r.cfg.Services))],
-			body:    r.cfg.Queries[random.IntN(len(r.cfg.Queries))],
-		}
+		p := r.plan(random, due)
 		if !sleepUntil(ctx, due) {
 			break
 		}
@@ -130,6 +153,22 @@
 	return r.tally.report(r.cfg, time.Since(start))
 }
 
+// plan draws one query or command.
+func (r *Runner) plan(random *rand.Rand, due time.Time) planned {
+	p := planned{
+		due:     due,
+		service: r.cfg.Services[random.IntN(len(r.cfg.Services))],
+		body:    r.cfg.Queries[random.IntN(len(r.cfg.Queries))],
+	}
+	if r.cfg.CommandShare > 0 && random.Float64() < r.cfg.CommandShare {
+		r.commands++
+		p.key = r.cfg.KeyPrefix + "-" + strconv.Itoa(r.commands)
+		p.shardKey = strconv.Itoa(random.Int())
+		p.repeat = random.Float64() < repeatShare
+	}
+	return p
+}
+
 func sleepUntil(ctx context.Context, due time.Time) bool {
 	wait := time.Until(due)
 	if wait <= 0 {
@@ -146,22 +185,51 @@
 }
 
 func (r *Runner) send(ctx context.Context, p planned) {
-	request := query.Request{Query: p.body, DeadlineMS: r.cfg.DeadlineMS, MinCoverage: r.cfg.MinCoverage}
 	bounded, cancel := context.WithTimeout(ctx, answerTimeout)
 	defer cancel()
 	sent := time.Now()
-	answer, err := r.target.Query(bounded, p.service, request)
+	answer, err := r.first(bounded, p)
 	end := time.Now()
 	if ctx.Err() != nil && err != nil {
 		return // cut off by the end of the run, not by the target
 	}
 	s := sample{service: p.service, latency: end.Sub(p.due), wait: sent.Sub(p.due), answer: answer, err: err}
 	if err == nil {
-		s.violations = check(&answer, r.cfg.StandIn)
+		s.violations = check(&answer, p.rule(), r.cfg.StandIn)
+	}
+	if err == nil && p.repeat {
+		r.checkRepeat(bounded, p, answer, s.violations)
 	}
 	r.tally.add(s)
 }
 
+// first sends a query, or a command for the first time.
+func (r *Runner) first(ctx context.Context, p planned) (query.Answer, error) {
+	if p.key == "" {
+		request := query.Request{Query: p.body, DeadlineMS: r.cfg.DeadlineMS, MinCoverage: r.cfg.MinCoverage}
+		return r.target.Query(ctx, p.service, request)
+	}
+	answer, err := r.command(ctx, p)
+	return answer.Answer, err
+}
+
+func (r *Runner) command(ctx context.Context, p planned) (command.Answer, error) {
+	request := command.Request{Query: p.body, ShardKey: p.shardKey, DeadlineMS: r.cfg.DeadlineMS}
+	return r.target.Command(ctx, p.service, p.key, request)
+}
+
+// checkRepeat sends a command that was done a second time. It must not run
+// again: the answer is the recorded one, or an error that leaves it open.
+func (r *Runner) checkRepeat(ctx context.Context, p planned, first query.Answer, broken map[Violation]string) {
+	second, err := r.command(ctx, p)
+	if err != nil {
+		return
+	}
+	if !second.Recorded || second.RequestID != first.RequestID {
+		broken[ViolationRepeat] = "request " + first.RequestID + ": repeat answered by " + second.RequestID
+	}
+}
+
 // Progress is the state of a run.
 type Progress struct {
 	Answered   int64
--- a/internal/load/load_test.go
+++ b/internal/load/load_test.go
@@ -10,6 +10,7 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/hickorydock/hickorydock/internal/protocol/command"
 	"github.com/hickorydock/hickorydock/internal/protocol/fault"
 	"github.com/hickorydock/hickorydock/internal/protocol/query"
 )
@@ -20,6 +21,10 @@
 	calls  int
 	wait   func(call int) time.Duration
 	answer func(call int) (query.Answer, error)
+
+	sends   int             // of commands
+	seen    map[string]bool // keys of commands
+	forgets bool
 }
 
 func (t *target) Query(ctx context.Context, _ string, _ query.Request) (query.Answer, error) {
@@ -35,6 +40,42 @@
 	}
 }
 
+// Command answers under the key; a key of seen is told as recorded. Some keys
+// run again, as a broken node's would.
+func (t *target) Command(_ context.Context, _, key string, _ command.Request) (command.Answer, error) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.sends++
+	answer := command.Answer{Answer: query.Answer{RequestID: key, Outcome: query.Done, Coverage: query.Coverage{Covered: 1, Total: 1}}}
+	if t.seen[key] && t.forgets {
+		answer.RequestID += "-again"
+		return answer, nil
+	}
+	answer.Recorded = t.seen[key]
+	t.seen[key] = true
+	return answer, nil
+}
+
+func TestRepeatedCommandsMustBeRecorded(t *testing.T) {
+	for _, forgets := range []bool{false, true} {
+		cfg := config()
+		cfg.CommandShare, cfg.KeyPrefix = 0.5, "k"
+		to := &target{wait: always(0), answer: done, seen: map[string]bool{}, forgets: forgets}
+		r := run(t, cfg, to)
+		commands := int64(len(to.seen))
+		if commands < r.All.Answered*2/5 || commands > r.All.Answered*3/5 {
+			t.Errorf("%d of %d are commands, want half", commands, r.All.Answered)
+		}
+		repeats := int64(to.sends) - commands
+		if repeats < commands/6 || repeats > commands/3 {
+			t.Errorf("%d of %d commands were repeated, want a quarter", repeats, commands)
+		}
+		if broken := r.Violations[ViolationRepeat]; (broken == repeats) != forgets || (broken == 0) == forgets {
+			t.Errorf("%d of %d repeats are told as broken, forgets %v", broken, repeats, forgets)
+		}
+	}
+}
+
 func always(d time.Duration) func(int) time.Duration { return func(int) time.Duration { return d } }
 
 func done(int) (query.Answer, error) {
@@ -170,27 +211,31 @@
 		coverage query.Coverage
 		items    []query.Item
 		want     Violation
+		rule     shardRule
 	}{
-		{"complete", query.Done, query.Coverage{Covered: 2, Total: 2}, []query.Item{item("0", "3", "7"), item("1", "3", "7")}, ""},
-		{"partial", query.Partial, query.Coverage{Covered: 1, Total: 2, Missing: missing(1)}, []query.Item{item("0", "3", "7")}, ""},
-		{"failed", query.Failed, query.Coverage{Covered: 0, Total: 2, Missing: missing(0, 1)}, nil, ""},
-		{"old version", query.Done, query.Coverage{Covered: 2, Total: 2}, []query.Item{item("0", "3", "6")}, ViolationSnapshot},
-		{"old generation", query.Done, query.Coverage{Covered: 2, Total: 2}, []query.Item{item("0", "2", "7")}, ViolationSnapshot},
-		{"item of a missing shard", query.Partial, query.Coverage{Covered: 1, Total: 2, Missing: missing(1)}, []query.Item{item("1", "3", "7")}, ViolationShard},
-		{"item beyond the shards", query.Done, query.Coverage{Covered: 2, Total: 2}, []query.Item{item("2", "3", "7")}, ViolationShard},
-		{"item without a shard", query.Done, query.Coverage{Covered: 2, Total: 2}, []query.Item{query.Item(`{}`)}, ViolationItem},
-		{"missing not named", query.Partial, query.Coverage{Covered: 1, Total: 2}, nil, ViolationCoverage},
-		{"missing twice", query.Partial, query.Coverage{Covered: 0, Total: 2, Missing: missing(1, 1)}, nil, ViolationCoverage},
-		{"missing out of range", query.Partial, query.Coverage{Covered: 1, Total: 2, Missing: missing(2)}, nil, ViolationCoverage},
-		{"done with a gap", query.Done, query.Coverage{Covered: 1, Total: 2, Missing: missing(0)}, nil, ViolationOutcome},
-		{"partial without a gap", query.Partial, query.Coverage{Covered: 2, Total: 2}, nil, ViolationOutcome},
-		{"done of nothing", query.Done, query.Coverage{}, nil, ViolationOutcome},
-		{"no outcome", "", query.Coverage{Covered: 2, Total: 2}, nil, ViolationOutcome},
+		{"command", query.Done, query.Coverage{Covered: 1, Total: 1}, []query.Item{item("5", "3", "7"), item("5", "3", "7")}, "", oneShard},
+		{"command on two shards", query.Done, query.Coverage{Covered: 1, Total: 1}, []query.Item{item("5", "3", "7"), item("4", "3", "7")}, ViolationShard, oneShard},
+		{"command of an old version", query.Done, query.Coverage{Covered: 1, Total: 1}, []query.Item{item("5", "3", "6")}, ViolationSnapshot, oneShard},
+		{"complete", query.Done, query.Coverage{Covered: 2, Total: 2}, []query.Item{item("0", "3", "7"), item("1", "3", "7")}, "", coveredShards},
+		{"partial", query.Partial, query.Coverage{Covered: 1, Total: 2, Missing: missing(1)}, []query.Item{item("0", "3", "7")}, "", coveredShards},
+		{"failed", query.Failed, query.Coverage{Covered: 0, Total: 2, Missing: missing(0, 1)}, nil, "", coveredShards},
+		{"old version", query.Done, query.Coverage{Covered: 2, Total: 2}, []query.Item{item("0", "3", "6")}, ViolationSnapshot, coveredShards},
+		{"old generation", query.Done, query.Coverage{Covered: 2, Total: 2}, []query.Item{item("0", "2", "7")}, ViolationSnapshot, coveredShards},
+		{"item of a missing shard", query.Partial, query.Coverage{Covered: 1, Total: 2, Missing: missing(1)}, []query.Item{item("1", "3", "7")}, ViolationShard, coveredShards},
+		{"item beyond the shards", query.Done, query.Coverage{Covered: 2, Total: 2}, []query.Item{item("2", "3", "7")}, ViolationShard, coveredShards},
+		{"item without a shard", query.Done, query.Coverage{Covered: 2, Total: 2}, []query.Item{query.Item(`{}`)}, ViolationItem, coveredShards},
+		{"missing not named", query.Partial, query.Coverage{Covered: 1, Total: 2}, nil, ViolationCoverage, coveredShards},
+		{"missing twice", query.Partial, query.Coverage{Covered: 0, Total: 2, Missing: missing(1, 1)}, nil, ViolationCoverage, coveredShards},
+		{"missing out of range", query.Partial, query.Coverage{Covered: 1, Total: 2, Missing: missing(2)}, nil, ViolationCoverage, coveredShards},
+		{"done with a gap", query.Done, query.Coverage{Covered: 1, Total: 2, Missing: missing(0)}, nil, ViolationOutcome, coveredShards},
+		{"partial without a gap", query.Partial, query.Coverage{Covered: 2, Total: 2}, nil, ViolationOutcome, coveredShards},
+		{"done of nothing", query.Done, query.Coverage{}, nil, ViolationOutcome, coveredShards},
+		{"no outcome", "", query.Coverage{Covered: 2, Total: 2}, nil, ViolationOutcome, coveredShards},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
 			a := query.Answer{Outcome: c.outcome, Coverage: c.coverage, Items: c.items, Snapshot: query.Snapshot{Generation: 3, Version: 7}}
-			got := check(&a, true)
+			got := check(&a, c.rule, true)
 			if c.want == "" && len(got) > 0 {
 				t.Errorf("a sound answer breaks %v", got)
 			}
--- a/internal/transport/client/client.go
+++ b/internal/transport/client/client.go
@@ -7,11 +7,13 @@
 	"context"
 	"encoding/json"
 	"io"
+	"maps"
 	"mime"
 	"net/http"
 	"net/url"
 	"strings"
 
+	"github.com/hickorydock/hickorydock/internal/protocol/command"
 	"github.com/hickorydock/hickorydock/internal/protocol/fault"
 	"github.com/hickorydock/hickorydock/internal/protocol/query"
 )
@@ -29,7 +31,7 @@
 	Connections int
 }
 
-// Client sends queries. It is safe for concurrent use.
+// Client sends queries and commands. It is safe for concurrent use.
 type Client struct {
 	base  string
 	token string
@@ -57,29 +59,42 @@
 // returned as a *fault.Error with its status and outcome.
 func (c *Client) Query(ctx context.Context, service string, request query.Request) (query.Answer, error) {
 	var answer query.Answer
+	err := c.post(ctx, service, "query", nil, request, &answer)
+	return answer, err
+}
+
+// Command sends one command under an idempotency key. Errors are those of Query.
+func (c *Client) Command(ctx context.Context, service, key string, request command.Request) (command.Answer, error) {
+	var answer command.Answer
+	header := http.Header{command.HeaderKey: {key}}
+	err := c.post(ctx, service, "command", header, request, &answer)
+	return answer, err
+}
+
+func (c *Client) post(ctx context.Context, service, kind string, header http.Header, request, answer any) error {
 	body, err := json.Marshal(request)
 	if err != nil {
-		return answer, fault.Wrap(err, fault.StepDecode, "", "encode query")
+		return fault.Wrap(err, fault.StepDecode, "", "encode %s", kind)
 	}
-	path := c.base + "/v1/services/" + url.PathEscape(service) + "/query"
+	path := c.base + "/v1/services/" + url.PathEscape(service) + "/" + kind
 	r, err := http.NewRequestWithContext(ctx, http.MethodPost, path, bytes.NewReader(body))
 	if err != nil {
-		return answer, fault.Wrap(err, fault.StepSend, c.base, "build request")
+		return fault.Wrap(err, fault.StepSend, c.base, "build request")
 	}
+	maps.Copy(r.Header, header)
 	r.Header.Set("Content-Type", "application/json")
 	if c.token != "" {
 		r.Header.Set("Authorization", "Bearer "+c.token)
 	}
 	response, err := c.http.Do(r)
 	if err != nil {
-		return answer, fault.Wrap(err, fault.StepSend, c.base, "send")
+		return fault.Wrap(err, fault.StepSend, c.base, "send")
 	}
 	defer response.Body.Close()
-	err = c.read(response, &answer)
-	return answer, err
+	return c.read(response, answer)
 }
 
-func (c *Client) read(response *http.Response, answer *query.Answer) error {
+func (c *Client) read(response *http.Response, answer any) error {
 	text, err := io.ReadAll(io.LimitReader(response.Body, maxAnswerBytes))
 	if err != nil {
 		return fault.Wrap(err, fault.StepReply, c.base, "read answer")
