Answer late waiters at once and divide connections by their share

Cause: a query that waited too long learned it only when its turn came; a leaf's connections were divided without a reserve; a ticket whose deadline was that very moment was still granted (found by TestLeafLimit). Change: each end of work refuses every ticket that became late; the limit of a leaf lies within share.DirectShare. Adds tests of the waiting, of the queue before a leaf and of the refusals of an entry.

--- a/internal/coordination/admission/gate.go
+++ b/internal/coordination/admission/gate.go
@@ -271,7 +271,27 @@
 	}
 	c.inFlight--
 	g.inFlight--
-	return g.dispatch(now), nil
+	decided := g.dispatch(now)
+	return append(decided, g.expire(now)...), nil
+}
+
+// expire refuses every waiting ticket that became late, so that its caller
+// learns it at once and not when its turn comes.
+func (g *Gate) expire(now time.Time) []*Ticket {
+	var late []*Ticket
+	for k := len(g.waiting) - 1; k >= 0; k-- {
+		c := g.waiting[k]
+		for i := len(c.queue) - 1; i >= 0; i-- {
+			t := c.queue[i]
+			if !g.isLate(now, c, t) {
+				continue
+			}
+			g.remove(c, i)
+			g.refuse(c, t, RefuseLate)
+			late = append(late, t)
+		}
+	}
+	return late
 }
 
 // dispatch grants tickets while there is room and refuses those that are late.
@@ -298,10 +318,13 @@
 // without work in flight begins it even when the expected time is too long, so
 // that an estimate from a bad moment is measured again.
 func (g *Gate) isLate(now time.Time, c *class, t *Ticket) bool {
+	if !now.Before(t.Deadline) {
+		return true
+	}
 	if c.inFlight == 0 {
-		return !now.Before(t.Deadline)
+		return false
 	}
-	return now.Add(latencyReserve * g.latency(c)).After(t.Deadline)
+	return !now.Add(latencyReserve * g.latency(c)).Before(t.Deadline)
 }
 
 // next is the waiting class with room that has the least work in flight, and
--- a/internal/coordination/admission/gate_test.go
+++ b/internal/coordination/admission/gate_test.go
@@ -118,6 +118,23 @@
 			t.Errorf("decision %v for work that would wait 100 ms and needs 200 of 250", ticket.Decision)
 		}
 	})
+	t.Run("late tickets need not wait for their turn", func(t *testing.T) {
+		g := New(Config{Total: fixed(1), MaxQueue: 100, QueuePerLimit: 2})
+		learn(t, g, 10*time.Millisecond)
+		enter(g, "a", 1)
+		first, _ := enter(g, "a", 1)
+		second := &Ticket{Class: "a", Priority: 1, Deadline: start.Add(100 * time.Millisecond)}
+		g.Enter(start, second)
+		if second.Decision != Wait {
+			t.Fatalf("decision %v", second.Decision)
+		}
+		if _, err := g.Done(start.Add(90*time.Millisecond), "a", limit.Sample{}); err != nil {
+			t.Fatal(err)
+		}
+		if first.Decision != Admit || second.Decision != RefuseLate {
+			t.Errorf("first %v, second %v with 10 ms left for work of 20", first.Decision, second.Decision)
+		}
+	})
 	t.Run("too late after waiting", func(t *testing.T) {
 		g := New(Config{Total: fixed(2), MaxQueue: 100, QueuePerLimit: 2})
 		learn(t, g, 100*time.Millisecond)
--- /dev/null
+++ b/internal/transport/entry/admission_test.go
@@ -0,0 +1,107 @@
+package entry
+
+import (
+	"context"
+	"net/http"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/hickorydock/hickorydock/internal/coordination/quarantine"
+	"github.com/hickorydock/hickorydock/internal/protocol/fault"
+	"github.com/hickorydock/hickorydock/internal/protocol/note"
+	"github.com/hickorydock/hickorydock/internal/protocol/platform"
+	"github.com/hickorydock/hickorydock/internal/protocol/query"
+	contract "github.com/hickorydock/hickorydock/internal/protocol/upstream"
+	"github.com/hickorydock/hickorydock/internal/state/leaf"
+	"github.com/hickorydock/hickorydock/internal/state/shardmap"
+	"github.com/hickorydock/hickorydock/internal/transport/relay"
+	"github.com/hickorydock/hickorydock/internal/transport/tracing"
+)
+
+// slowRunner answers each subrequest after a second and counts them.
+type slowRunner struct {
+	mu   sync.Mutex
+	runs int
+}
+
+func (r *slowRunner) Run(ctx context.Context, task relay.Task) relay.Result {
+	r.mu.Lock()
+	r.runs++
+	r.mu.Unlock()
+	time.Sleep(time.Second)
+	return relay.Result{Shard: task.Shard, Restart: task.Restart, Snapshot: task.Snapshot, OK: true, Sent: true, Ran: time.Second}
+}
+
+func admissionEntry(runner Runner, queries, queue int) *Entry {
+	store := shardmap.NewStore(leaf.NewTable())
+	store.SetManifest(platform.VM{ID: "l", Group: "g"}, contract.Manifest{Holdings: []contract.Holding{{
+		Service: "s", Snapshot: query.Snapshot{Generation: 1, Version: 1}, ShardCount: 1, Shards: []int{0},
+	}}}, time.Now())
+	cfg := DefaultConfig()
+	cfg.MaxQueries = queries
+	cfg.MaxQueue = queue
+	return New(cfg, store, runner, nil, tracing.Off())
+}
+
+var admissionService = note.Service{Name: "s", UpstreamGroup: "g", Merge: note.MergeConcat, LongestWaitMS: 60_000}
+
+// TestOverloadRefusesAtOnce holds that what is above limit and queue is refused
+// without delay as not run, with advice, and that nothing of it ran.
+func TestOverloadRefusesAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		runner := &slowRunner{}
+		e := admissionEntry(runner, 2, 3)
+		var mu sync.Mutex
+		answered, refused := 0, 0
+		var running sync.WaitGroup
+		for range 10 {
+			running.Go(func() {
+				begun := time.Now()
+				_, err := e.Query(context.Background(), admissionService, query.Request{Query: []byte("1")}, begun)
+				mu.Lock()
+				defer mu.Unlock()
+				if err == nil {
+					answered++
+					return
+				}
+				refused++
+				f := fault.From(err)
+				if f.Outcome != query.NotRun || f.Status != http.StatusServiceUnavailable || f.RetryAfter < time.Second {
+					t.Errorf("refused as %s %d with advice %v", f.Outcome, f.Status, f.RetryAfter)
+				}
+				if waited := time.Since(begun); waited != 0 {
+					t.Errorf("refused after %v", waited)
+				}
+			})
+		}
+		running.Wait()
+		if answered != 5 || refused != 5 || runner.runs != 5 {
+			t.Errorf("%d answered, %d refused, %d runs; want 5 each", answered, refused, runner.runs)
+		}
+	})
+}
+
+// TestQuarantinedQueryIsRefused holds that a resend of a convicted query is
+// refused with advice and reaches no leaf.
+func TestQuarantinedQueryIsRefused(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		runner := &slowRunner{}
+		e := admissionEntry(runner, 2, 3)
+		f := quarantine.Of("s", []byte(`{"query":1}`))
+		e.guard.Hear(quarantine.Report{Kind: quarantine.Charged, Fingerprint: f, Leaf: "a"})
+		e.guard.Hear(quarantine.Report{Kind: quarantine.Charged, Fingerprint: f, Leaf: "b"})
+		_, err := e.Query(context.Background(), admissionService, query.Request{Query: []byte("1")}, time.Now())
+		refusal := fault.From(err)
+		if err == nil || refusal.Status != http.StatusUnprocessableEntity || refusal.Outcome != query.NotRun || refusal.RetryAfter <= 0 {
+			t.Errorf("error %v with status %d", err, refusal.Status)
+		}
+		if _, err := e.Query(context.Background(), admissionService, query.Request{Query: []byte("2")}, time.Now()); err != nil {
+			t.Errorf("another query: %v", err)
+		}
+		if runner.runs != 1 {
+			t.Errorf("%d runs, want 1", runner.runs)
+		}
+	})
+}
--- a/internal/transport/relay/queue.go
+++ b/internal/transport/relay/queue.go
@@ -7,6 +7,7 @@
 	"github.com/hickorydock/hickorydock/internal/coordination/admission"
 	"github.com/hickorydock/hickorydock/internal/coordination/limit"
 	"github.com/hickorydock/hickorydock/internal/coordination/quarantine"
+	"github.com/hickorydock/hickorydock/internal/coordination/share"
 	"github.com/hickorydock/hickorydock/internal/coordination/subrequest"
 	"github.com/hickorydock/hickorydock/internal/protocol/fault"
 	"github.com/hickorydock/hickorydock/internal/protocol/note"
@@ -80,8 +81,9 @@
 	if service.LeafSlots > 0 {
 		ceiling = service.LeafSlots + spareRuns
 	}
-	if service.LeafConnections > 0 {
-		ceiling = min(ceiling, service.LeafConnections/nodes)
+	connections := service.LeafConnections
+	if divided, err := share.DirectShare(connections, nodes, share.Reserve(connections)); err == nil {
+		ceiling = min(ceiling, divided.Each)
 	}
 	return max(ceiling, 1)
 }
--- /dev/null
+++ b/internal/transport/relay/queue_test.go
@@ -0,0 +1,101 @@
+package relay
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/hickorydock/hickorydock/internal/coordination/quarantine"
+	"github.com/hickorydock/hickorydock/internal/coordination/replica"
+	"github.com/hickorydock/hickorydock/internal/coordination/subrequest"
+	"github.com/hickorydock/hickorydock/internal/protocol/note"
+	"github.com/hickorydock/hickorydock/internal/protocol/platform"
+	contract "github.com/hickorydock/hickorydock/internal/protocol/upstream"
+	"github.com/hickorydock/hickorydock/internal/state/leaf"
+	"github.com/hickorydock/hickorydock/internal/state/shardmap"
+	"github.com/hickorydock/hickorydock/internal/transport/tracing"
+	"github.com/hickorydock/hickorydock/internal/transport/upstream"
+)
+
+// slowSender takes a second for each attempt and records the most at once.
+type slowSender struct {
+	mu             sync.Mutex
+	now, most, all int
+}
+
+func (s *slowSender) Run(ctx context.Context, _ platform.VM, _ contract.Subrequest, _ time.Duration, _ []byte) upstream.Reply {
+	s.mu.Lock()
+	s.now++
+	s.all++
+	s.most = max(s.most, s.now)
+	s.mu.Unlock()
+	defer func() {
+		s.mu.Lock()
+		s.now--
+		s.mu.Unlock()
+	}()
+	select {
+	case <-time.After(time.Second):
+		return upstream.Reply{Result: subrequest.OK, Sent: true}
+	case <-ctx.Done():
+		return upstream.Reply{Result: subrequest.Lost, Sent: true, Err: ctx.Err()}
+	}
+}
+
+// TestLeafLimit holds that subrequests above a leaf's limit wait, and that one
+// that never left the queue before its deadline is not called sent.
+func TestLeafLimit(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		sender := &slowSender{}
+		r := New(sender, shardmap.NewStore(leaf.NewTable()), nil, "az-1", replica.Choose, nil, tracing.Off())
+		service := &note.Service{Name: "s", LeafSlots: 2, LeafConnections: 25}
+		replicas := []shardmap.Replica{{VM: platform.VM{ID: "a"}, Record: &leaf.Record{}}}
+		limit := service.LeafSlots + spareRuns
+		var mu sync.Mutex
+		sent, unsent := 0, 0
+		var running sync.WaitGroup
+		for i := range 3 * limit {
+			running.Go(func() {
+				result := r.Run(context.Background(), Task{
+					Service: service, RequestID: "r", Shard: i, Replicas: replicas,
+					Deadline: time.Now().Add(1500 * time.Millisecond), Fingerprint: quarantine.Fingerprint(i),
+				})
+				mu.Lock()
+				defer mu.Unlock()
+				if result.Sent {
+					sent++
+				} else {
+					unsent++
+				}
+			})
+		}
+		running.Wait()
+		synctest.Wait()
+		sender.mu.Lock()
+		defer sender.mu.Unlock()
+		if sender.most != limit {
+			t.Errorf("%d attempts at once, limit %d", sender.most, limit)
+		}
+		if sent != sender.all || unsent != 3*limit-sender.all || unsent == 0 {
+			t.Errorf("%d called sent and %d unsent, but %d were sent", sent, unsent, sender.all)
+		}
+	})
+}
+
+func TestLimitLiesWithinConnectionShare(t *testing.T) {
+	q := newQueues(10)
+	service := &note.Service{Name: "s", LeafSlots: 8, LeafConnections: 25}
+	if got := q.ceiling(service); got != 8+spareRuns {
+		t.Errorf("one node: %d", got)
+	}
+	q.setNodes(7)
+	if got := q.ceiling(service); got != 3 {
+		t.Errorf("7 nodes share 25 connections with a reserve: %d each", got)
+	}
+	q.setNodes(100)
+	if got := q.ceiling(service); got != 1 {
+		t.Errorf("more nodes than connections: %d", got)
+	}
+}
