Carry the kind of a quarantine report between nodes

Cause: peers took every report as a charge, also that of a trial and that of an answer, so a good suspect would have been convicted by its own trials. The table of calls checks that each kind arrives.

--- a/internal/transport/peering/calls.go
+++ b/internal/transport/peering/calls.go
@@ -106,7 +106,7 @@
 
 // Tell passes a quarantine report on to all other nodes. It does not block.
 func (n *Network) Tell(r quarantine.Report) {
-	charge := &contract.Charge{Fingerprint: uint64(r.Fingerprint), Leaf: r.Leaf}
+	charge := &contract.Charge{Kind: contract.ChargeKind(r.Kind), Fingerprint: uint64(r.Fingerprint), Leaf: r.Leaf}
 	for _, address := range n.roster.targets() {
 		l := n.link(address)
 		if l.put(charge) && !n.background(func() { n.sendCharges(address, l) }) {
--- a/internal/transport/peering/peering_test.go
+++ b/internal/transport/peering/peering_test.go
@@ -84,9 +84,12 @@
 				}
 				checkForward(t, result, err, test.want, test.omitted)
 				if test.change == nil {
-					a.Tell(quarantine.Report{Fingerprint: 1, Leaf: "l"})
-					if got := <-heard; got.Leaf != "l" || got.Fingerprint != 1 {
-						t.Errorf("next call brought %+v", got)
+					for _, kind := range []quarantine.Kind{quarantine.Charged, quarantine.Tried, quarantine.Ended, quarantine.Cleared} {
+						want := quarantine.Report{Kind: kind, Fingerprint: 1, Leaf: "l"}
+						a.Tell(want)
+						if got := <-heard; got != want {
+							t.Errorf("next call brought %+v, want %+v", got, want)
+						}
 					}
 				}
 				f.close(a, b)
--- a/internal/transport/peering/service.go
+++ b/internal/transport/peering/service.go
@@ -147,7 +147,11 @@
 		return nil, errNotTaken
 	}
 	for _, charge := range request.Charges {
-		hear(quarantine.Report{Fingerprint: quarantine.Fingerprint(charge.Fingerprint), Leaf: charge.Leaf})
+		hear(quarantine.Report{
+			Kind:        quarantine.Kind(charge.Kind),
+			Fingerprint: quarantine.Fingerprint(charge.Fingerprint),
+			Leaf:        charge.Leaf,
+		})
 	}
 	return &contract.ReportReply{Hello: s.network.wire.Hello()}, nil
 }
