Count refused attempts, show admission and share connections among live nodes

Cause: nothing showed why attempts were refused nor how many queries a service may run, and no one told the relay of the other nodes. Change: subrequests_refused_total, admission_limit, admission_waiting; the relay takes the number of live nodes from the platform's list.

--- a/internal/node/control/module.go
+++ b/internal/node/control/module.go
@@ -13,6 +13,7 @@
 	"github.com/hickorydock/hickorydock/internal/transport/discovery"
 	"github.com/hickorydock/hickorydock/internal/transport/metrics"
 	"github.com/hickorydock/hickorydock/internal/transport/peering"
+	"github.com/hickorydock/hickorydock/internal/transport/relay"
 	"github.com/hickorydock/hickorydock/internal/transport/server"
 )
 
@@ -30,6 +31,7 @@
 	Client    platform.Client
 	Store     *catalogue.Store
 	Discovery *discovery.Discovery
+	Relay     *relay.Relay    `optional:"true"`
 	Budget    *command.Budget `optional:"true"`
 	Logger    log.Interface
 	Metrics   *metrics.Metrics
@@ -61,6 +63,9 @@
 // setVMs hands the platform's list to those who follow it.
 func (p params) setVMs(vms []platform.VM) {
 	p.Discovery.SetVMs(vms)
+	if p.Relay != nil {
+		p.Relay.SetVMs(vms)
+	}
 	if p.Budget != nil {
 		p.Budget.SetVMs(vms)
 	}
--- a/internal/transport/entry/admission.go
+++ b/internal/transport/entry/admission.go
@@ -90,4 +90,8 @@
 	if err := e.admission.Done(service.Name, sample); err != nil {
 		e.violated("admission")
 	}
+	if e.onAdmission != nil {
+		_, waiting, limit := e.admission.Load(service.Name)
+		e.onAdmission(service.Name, limit, waiting)
+	}
 }
--- a/internal/transport/entry/entry.go
+++ b/internal/transport/entry/entry.go
@@ -68,6 +68,8 @@
 	tracer     *tracing.Tracer
 	admission  *throttle.Throttle
 	guard      *guard.Guard
+	// onAdmission is told a service's limit and the queries waiting; may be nil.
+	onAdmission func(service string, limit, waiting int)
 }
 
 // New returns an entry; onBroken is told the name of each broken invariant and may be nil.
--- a/internal/transport/entry/module.go
+++ b/internal/transport/entry/module.go
@@ -23,5 +23,6 @@
 	cfg.CanaryShards = int(s.Query.CanaryShards)
 	entry := New(cfg, store, runner, m.InvariantViolated, tracer)
 	entry.guard = g
+	entry.onAdmission = m.Admission
 	return entry
 }
--- a/internal/transport/metrics/metrics.go
+++ b/internal/transport/metrics/metrics.go
@@ -55,6 +55,9 @@
 	subrequests   *prometheus.CounterVec
 	cancelled     *prometheus.CounterVec
 	refusals      *prometheus.CounterVec
+	refusedSubs   *prometheus.CounterVec
+	queryLimit    *prometheus.GaugeVec
+	queryWaiting  prometheus.Gauge
 	invariants    *prometheus.CounterVec
 	revision      prometheus.Gauge
 	oldRevisions  prometheus.Counter
@@ -83,6 +86,9 @@
 		subrequests:   counter("subrequests_total", "Subrequests sent to upstreams, by service and kind: first, hedge, retry or restart.", "service", "kind"),
 		cancelled:     counter("subrequests_cancelled_total", "Subrequests given up after they were sent, by service.", "service"),
 		refusals:      counter("refusals_total", "Requests refused before they ran, by reason.", "reason"),
+		refusedSubs:   counter("subrequests_refused_total", "Attempts that this node refused before they were sent, by service and reason: queue or quarantine.", "service", "reason"),
+		queryLimit:    gauges("admission_limit", "Queries of a service that this node lets run at once; it adapts to load.", "service"),
+		queryWaiting:  gauge("admission_waiting", "Queries that wait for admission on this node."),
 		invariants:    counter("invariant_violations_total", "Broken invariants, each of which failed one request, by name.", "name"),
 		revision:      gauge("catalogue_revision", "Revision of the catalogue in force on this node."),
 		oldRevisions:  counter("catalogue_old_revisions_total", "Catalogues not taken because their revision was not newer.").WithLabelValues(),
@@ -94,7 +100,7 @@
 	}
 	m.registry.MustRegister(
 		collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}),
-		m.queries, m.coverage, m.inFlight, m.subrequests, m.cancelled, m.refusals, m.invariants,
+		m.queries, m.coverage, m.inFlight, m.subrequests, m.cancelled, m.refusals, m.refusedSubs, m.queryLimit, m.queryWaiting, m.invariants,
 		m.revision, m.oldRevisions, m.platformCalls, m.connections, m.opened, m.quarantine, m.peers,
 	)
 	return m
@@ -108,6 +114,10 @@
 	return prometheus.NewCounterVec(prometheus.CounterOpts{Namespace: namespace, Name: name, Help: help}, labels)
 }
 
+func gauges(name, help string, labels ...string) *prometheus.GaugeVec {
+	return prometheus.NewGaugeVec(prometheus.GaugeOpts{Namespace: namespace, Name: name, Help: help}, labels)
+}
+
 func gauge(name, help string) prometheus.Gauge {
 	return prometheus.NewGauge(prometheus.GaugeOpts{Namespace: namespace, Name: name, Help: help})
 }
@@ -164,6 +174,31 @@
 	}
 }
 
+// SubrequestReason says why an attempt was refused before it was sent.
+type SubrequestReason string
+
+// Reasons for a refused attempt.
+const (
+	ReasonQueue      SubrequestReason = "queue"
+	ReasonQuarantine SubrequestReason = "quarantine"
+)
+
+// SubrequestRefused counts an attempt that was refused before it was sent.
+func (m *Metrics) SubrequestRefused(service string, reason SubrequestReason) {
+	if m != nil {
+		m.refusedSubs.WithLabelValues(service, string(reason)).Inc()
+	}
+}
+
+// Admission records the limit of queries of a service and the queries of all
+// services that wait.
+func (m *Metrics) Admission(service string, limit, waiting int) {
+	if m != nil {
+		m.queryLimit.WithLabelValues(service).Set(float64(limit))
+		m.queryWaiting.Set(float64(waiting))
+	}
+}
+
 // InvariantViolated counts a broken invariant. The name must be a constant.
 func (m *Metrics) InvariantViolated(name string) {
 	if m != nil {
--- a/internal/transport/relay/module.go
+++ b/internal/transport/relay/module.go
@@ -46,3 +46,12 @@
 
 // InvariantBroken counts a broken invariant.
 func (m meter) InvariantBroken(name string) { m.metrics.InvariantViolated(name) }
+
+// Refused counts an attempt that was refused before it was sent.
+func (m meter) Refused(service string, quarantined bool) {
+	reason := metrics.ReasonQueue
+	if quarantined {
+		reason = metrics.ReasonQuarantine
+	}
+	m.metrics.SubrequestRefused(service, reason)
+}
--- a/internal/transport/relay/queue.go
+++ b/internal/transport/relay/queue.go
@@ -11,6 +11,7 @@
 	"github.com/hickorydock/hickorydock/internal/coordination/subrequest"
 	"github.com/hickorydock/hickorydock/internal/protocol/fault"
 	"github.com/hickorydock/hickorydock/internal/protocol/note"
+	"github.com/hickorydock/hickorydock/internal/protocol/platform"
 	"github.com/hickorydock/hickorydock/internal/state/shardmap"
 	"github.com/hickorydock/hickorydock/internal/transport/throttle"
 	"github.com/hickorydock/hickorydock/internal/transport/upstream"
@@ -123,8 +124,17 @@
 	return now.Sub(l.used) > idleQueueTTL
 }
 
-// SetNodes changes the number of nodes that share the connections of each leaf.
-func (r *Relay) SetNodes(nodes int) { r.queues.setNodes(nodes) }
+// SetVMs takes the number of nodes that share the connections of each leaf from
+// the platform's list.
+func (r *Relay) SetVMs(vms []platform.VM) {
+	nodes := 0
+	for _, vm := range vms {
+		if vm.Group == platform.NodeGroup && vm.State == platform.VMLive {
+			nodes++
+		}
+	}
+	r.queues.setNodes(nodes)
+}
 
 // priorities of attempts at a leaf's queue: a retry has the least time left.
 var attemptPriorities = map[subrequest.Kind]int{subrequest.First: 1, subrequest.Retry: 2, subrequest.Hedge: 0}
--- a/internal/transport/relay/relay.go
+++ b/internal/transport/relay/relay.go
@@ -46,6 +46,9 @@
 	Subrequest(service string, kind subrequest.Kind, restarted bool)
 	// Cancelled counts an attempt that was given up after it was sent.
 	Cancelled(service string)
+	// Refused counts an attempt that was refused before it was sent, by the
+	// quarantine or by the leaf's queue.
+	Refused(service string, quarantined bool)
 	// InvariantBroken counts a broken invariant.
 	InvariantBroken(name string)
 }
@@ -359,6 +362,7 @@
 		span.End(refused.reply.Err)
 		now := time.Now()
 		target.Record.End(now, 0, leaf.Unsent)
+		u.countRefusal(refused)
 		refused.index = attempt.Replica
 		refused.waited = now.Sub(entered)
 		u.results <- *refused
--- a/internal/transport/relay/trial.go
+++ b/internal/transport/relay/trial.go
@@ -49,3 +49,11 @@
 		return quarantine.Unknown
 	}
 }
+
+// countRefusal counts an attempt that was refused. One whose context ended
+// while it waited was not refused.
+func (u *run) countRefusal(e *ended) {
+	if u.relay.observer != nil && e.reply.Result == subrequest.NotRun {
+		u.relay.observer.Refused(u.task.Service.Name, e.quarantined)
+	}
+}
