Measure rolling replacement and a platform outage over whole nodes

Cause: planned stops and starts during an outage were not measured end to end. Change: experiments rolling and store-outage on the demo, whose nodes now know each other's peer addresses; a balancer that moves refused requests on.

--- /dev/null
+++ b/internal/experiment/balancer.go
@@ -0,0 +1,143 @@
+package experiment
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/hickorydock/hickorydock/internal/protocol/command"
+	"github.com/hickorydock/hickorydock/internal/protocol/query"
+)
+
+// balancer sends requests to the nodes in turn, as callers behind a load
+// balancer do: one that a node refuses as not run, or that no connection could
+// be made for, goes to the next node. It is safe for concurrent use.
+type balancer struct {
+	caller *caller
+
+	mu    sync.Mutex
+	urls  []string
+	moved int // requests sent to another node
+	cut   int // requests whose connection ended before the answer
+}
+
+func newBalancer(urls []string) *balancer {
+	return &balancer{caller: newCaller(), urls: slices.Clone(urls)}
+}
+
+func (b *balancer) close() { b.caller.close() }
+
+func (b *balancer) add(url string) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.urls = append(b.urls, url)
+}
+
+func (b *balancer) remove(url string) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.urls = slices.DeleteFunc(b.urls, func(u string) bool { return u == url })
+}
+
+// pick returns the node for a try of request i and the number of nodes.
+func (b *balancer) pick(i, try int) (url string, nodes int) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if try > 0 {
+		b.moved++
+	}
+	return b.urls[(i+try)%len(b.urls)], len(b.urls)
+}
+
+// isUnsent reports whether no connection was made.
+func isUnsent(err error) bool {
+	var e *net.OpError
+	return errors.As(err, &e) && e.Op == "dial"
+}
+
+func (b *balancer) noteCut(ctx context.Context, err error) {
+	if err == nil || isUnsent(err) || ctx.Err() != nil {
+		return
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.cut++
+}
+
+// counts returns how many requests moved on and how many were cut off.
+func (b *balancer) counts() (moved, cut int) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.moved, b.cut
+}
+
+// ask sends a query that was due at begun.
+func (b *balancer) ask(ctx context.Context, service string, i int, begun time.Time) sample {
+	for try := 0; ; try++ {
+		url, nodes := b.pick(i, try)
+		s := b.caller.ask(ctx, url, service, i, begun)
+		b.noteCut(ctx, s.err)
+		refused := isUnsent(s.err) || s.err == nil && s.status == http.StatusServiceUnavailable && s.answer.Outcome == query.NotRun
+		if !refused || try+1 >= nodes {
+			return s
+		}
+	}
+}
+
+// command sends a command under a key until a node tells an outcome.
+func (b *balancer) command(ctx context.Context, service, key string, i int) told {
+	t := told{key: key, sent: time.Now()}
+	path := "/v1/services/" + service + "/command"
+	for try := 0; ; try++ {
+		url, nodes := b.pick(i, try)
+		t.status, t.err = b.post(ctx, url+path, key, fmt.Sprintf(`{"query":{"echo":%q},"shard_key":%q}`, key, key), &t.answer)
+		b.noteCut(ctx, t.err)
+		settled := t.err == nil && t.answer.Outcome != query.NotRun
+		if settled || try+1 >= 2*nodes || ctx.Err() != nil {
+			t.elapsed = time.Since(t.sent)
+			return t
+		}
+	}
+}
+
+// redeem takes a ticket at one node and sends a command under it through the next.
+func (b *balancer) redeem(ctx context.Context, service string, i int) told {
+	t := told{sent: time.Now()}
+	var issued command.TicketReply
+	for try := 0; issued.Ticket == ""; try++ {
+		url, nodes := b.pick(i, try)
+		t.status, t.err = b.post(ctx, url+"/v1/tickets", "", fmt.Sprintf(`{"service":%q}`, service), &issued)
+		b.noteCut(ctx, t.err)
+		if issued.Ticket == "" && (try+1 >= nodes || ctx.Err() != nil) {
+			return t
+		}
+	}
+	t = b.command(ctx, service, issued.Ticket, i+1)
+	return t
+}
+
+func (b *balancer) post(ctx context.Context, url, key, body string, answer any) (int, error) {
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, url, bytes.NewBufferString(body))
+	if err != nil {
+		return 0, err
+	}
+	request.Header.Set("Content-Type", "application/json")
+	if key != "" {
+		request.Header.Set(command.HeaderKey, key)
+		// net/http sends a request with this header again by itself; its body must not allow it.
+		request.GetBody = nil
+	}
+	response, err := b.caller.http.Do(request)
+	if err != nil {
+		return 0, err
+	}
+	defer response.Body.Close()
+	return response.StatusCode, json.NewDecoder(response.Body).Decode(answer)
+}
--- a/internal/experiment/demo.go
+++ b/internal/experiment/demo.go
@@ -134,23 +134,40 @@
 }
 
 func (d *Demo) startNode(ctx context.Context, i int, logs io.Writer) error {
+	n, err := d.launch(ctx, d.nodeSettings(i), logs)
+	if err == nil {
+		d.nodes = append(d.nodes, n)
+	}
+	return err
+}
+
+// nodeSettings are the settings of the i-th node ever started.
+func (d *Demo) nodeSettings(i int) settings.Settings {
 	s := settings.Default()
 	s.Node.ID = fmt.Sprintf("node-%d", i)
 	s.Node.AvailabilityZone = zones[i%len(zones)]
 	s.Node.CallerAddress = "127.0.0.1:0"
 	s.Node.AdminAddress = "127.0.0.1:0"
 	s.Node.PeerAddress = "127.0.0.1:0"
+	for _, n := range d.nodes {
+		s.Node.BootstrapPeers = append(s.Node.BootstrapPeers, n.PeerAddress())
+	}
 	s.Platform.URL = d.url
+	return s
+}
+
+// launch starts a node and enters it in the platform's list of VMs.
+func (d *Demo) launch(ctx context.Context, s settings.Settings, logs io.Writer) (*node.Node, error) {
 	n, err := node.New(node.Config{Settings: s, Logs: logs, Control: node.PlatformControl(d.Client())})
 	if err != nil {
-		return err
+		return nil, err
 	}
 	if err := n.Start(ctx); err != nil {
-		return err
+		return nil, err
 	}
-	d.nodes = append(d.nodes, n)
-	return d.platform.Set(platform.KindVM, s.Node.ID, platform.VM{
-		ID: s.Node.ID, Group: platform.NodeGroup, Address: n.Address(), AvailabilityZone: s.Node.AvailabilityZone, State: platform.VMLive,
+	return n, d.platform.Set(platform.KindVM, s.Node.ID, platform.VM{
+		ID: s.Node.ID, Group: platform.NodeGroup, Address: n.Address(), PeerAddress: n.PeerAddress(),
+		AvailabilityZone: s.Node.AvailabilityZone, State: platform.VMLive,
 	})
 }
 
--- /dev/null
+++ b/internal/experiment/demofleet.go
@@ -0,0 +1,108 @@
+package experiment
+
+import (
+	"context"
+	"io"
+	"strings"
+	"time"
+
+	"github.com/hickorydock/hickorydock/internal/node"
+	"github.com/hickorydock/hickorydock/internal/protocol/note"
+	"github.com/hickorydock/hickorydock/internal/protocol/platform"
+	"github.com/hickorydock/hickorydock/internal/protocol/settings"
+	"github.com/hickorydock/hickorydock/internal/protocol/upstream"
+	"github.com/hickorydock/hickorydock/internal/standin/leaf"
+	"github.com/hickorydock/hickorydock/internal/transport/operator"
+)
+
+// demoComplaints is the service for commands that experiments add to the demo.
+var demoComplaints = note.Service{
+	Name: "complaints", UpstreamGroup: "complaints", Policy: note.PolicyCoverage, Merge: note.MergeConcat,
+	LongestWaitMS: 5000, LeafSlots: 4, LeafConnections: 100, Commands: true,
+}
+
+// demoNote adds the demo's services.
+func demoNote() note.Note {
+	n := note.Note{ID: "first", Author: "operator"}
+	for _, g := range demoGroups {
+		s := note.Service{
+			Name: g.name, UpstreamGroup: g.name, Policy: note.PolicyCoverage, Merge: note.MergeConcat,
+			LongestWaitMS: 2000, HedgeShare: 0.05, LeafSlots: g.slots, LeafConnections: g.cap,
+		}
+		n.Added = append(n.Added, s.Normalize())
+	}
+	return n
+}
+
+// startCommandDemo starts the demo with demoComplaints in force on every node.
+func startCommandDemo(ctx context.Context) (*Demo, error) {
+	d, err := StartDemo(ctx, demoNote(), io.Discard)
+	if err != nil {
+		return nil, err
+	}
+	err = d.addComplaints(ctx)
+	if err == nil {
+		for _, n := range d.nodes {
+			err = d.awaitNode(ctx, n)
+		}
+	}
+	if err != nil {
+		d.Stop(ctx)
+		return nil, err
+	}
+	return d, nil
+}
+
+func (d *Demo) addComplaints(ctx context.Context) error {
+	for i := range commandReplicas {
+		o := commandLeaf
+		o.ID = "complaints-" + string(rune('a'+i))
+		o.Seed = uint64(i)
+		o.AvailabilityZone = zones[i]
+		o.Holdings = []upstream.Holding{{Service: demoComplaints.Name, Snapshot: firstSnapshot, ShardCount: 1, Shards: []int{0}}}
+		if err := d.startLeaf(demoComplaints.UpstreamGroup, leaf.New(o)); err != nil {
+			return err
+		}
+	}
+	added := note.Note{ID: "complaints", Author: "operator", Base: 1, Added: []note.Service{demoComplaints.Normalize()}}
+	_, err := operator.Apply(ctx, d.Client(), added, operator.Options{})
+	return err
+}
+
+// awaitNode waits until a node is ready and answers every service completely.
+func (d *Demo) awaitNode(ctx context.Context, n *node.Node) error {
+	if err := awaitReady(ctx, n); err != nil {
+		return err
+	}
+	c := newCaller()
+	defer c.close()
+	for _, service := range append(demoNote().Added, demoComplaints) {
+		if err := c.awaitComplete(ctx, n.URL(), service.Name); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// readyPause is the wait between two looks at whether a node is ready.
+const readyPause = 5 * time.Millisecond
+
+func awaitReady(ctx context.Context, n *node.Node) error {
+	for n.Ready() != nil {
+		if !sleepUntil(ctx, time.Now().Add(readyPause)) {
+			return ctx.Err()
+		}
+	}
+	return nil
+}
+
+// addressesOf keeps the addresses of a running node in settings.
+func addressesOf(n *node.Node, s settings.Settings) settings.Settings {
+	s.Node.CallerAddress = n.Address()
+	s.Node.AdminAddress = strings.TrimPrefix(n.AdminURL(), "http://")
+	s.Node.PeerAddress = n.PeerAddress()
+	return s
+}
+
+// forget takes a VM out of the platform's list.
+func (d *Demo) forget(id string) error { return d.platform.Remove(platform.KindVM, id) }
--- a/internal/experiment/experiment.go
+++ b/internal/experiment/experiment.go
@@ -67,6 +67,8 @@
 		tailExperiment,
 		commandsExperiment,
 		commandsOutageExperiment,
+		storeOutageExperiment,
+		rollingExperiment,
 		slowExperiment,
 		versionsExperiment,
 		coverageExperiment,
--- /dev/null
+++ b/internal/experiment/rolling.go
@@ -0,0 +1,177 @@
+package experiment
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/hickorydock/hickorydock/internal/protocol/upstream"
+)
+
+var rollingExperiment = Experiment{
+	Name:    "rolling",
+	Summary: "all three nodes replaced by new ones, one after another, under queries, commands and tickets",
+	Target:  "cut off 0; commands run twice 0; p99 at most 1.5 times the quiet one",
+	Run:     runRolling,
+}
+
+const (
+	rollingRate    = 350.0 // queries/s
+	rollingQueries = 3200
+	rollingEvery   = 10 // each so many queries a command, every second one under a ticket
+	// rollingPause is the time between two replacements.
+	rollingPause = 1500 * time.Millisecond
+	// rollingP99 is the most that p99 may grow.
+	rollingP99 = 1.5
+)
+
+// rollingRun is one phase's traffic with what became of it.
+type rollingRun struct {
+	*balancer
+	queries *tally
+
+	mu   sync.Mutex
+	told []told
+}
+
+func runRolling(ctx context.Context, seed uint64) (Result, error) {
+	d, err := startCommandDemo(ctx)
+	if err != nil {
+		return Result{}, err
+	}
+	defer d.Stop(context.WithoutCancel(ctx))
+	quiet := d.drive(ctx, seed, "quiet", nil)
+	defer quiet.close()
+	var replaced error
+	moving := d.drive(ctx, seed+1, "moving", func(r *rollingRun) { replaced = d.replaceAll(ctx, r.balancer) })
+	defer moving.close()
+	if replaced != nil || ctx.Err() != nil {
+		return Result{}, fmt.Errorf("replace nodes: %w", firstError(replaced, ctx.Err()))
+	}
+	doubled := float64(d.doubledCommands())
+	_, cut := moving.counts()
+	_, cutQuiet := quiet.counts()
+	counts := moving.count()
+	return Result{
+		Baseline: quiet.figures(),
+		Policy:   append(moving.figures(), Figure{"commands_run_twice", doubled}),
+		Checks: []Check{
+			AtMost("cut_off", float64(cut+cutQuiet), 0),
+			AtMost("queries_without_answer", float64(moving.queries.failed+moving.queries.notRun), 0),
+			AtMost("commands_unknown", float64(counts.unknown+counts.other), 0),
+			AtMost("commands_run_twice", doubled, 0),
+			AtMost("p99_ms", moving.queries.quantileMS(0.99), rollingP99*quiet.queries.quantileMS(0.99)),
+			AtLeast("queries", float64(moving.queries.total()), 3000),
+		},
+	}, nil
+}
+
+func firstError(all ...error) error {
+	for _, err := range all {
+		if err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// drive sends the traffic of one phase; beside runs meanwhile.
+func (d *Demo) drive(ctx context.Context, seed uint64, phase string, beside func(*rollingRun)) *rollingRun {
+	r := &rollingRun{balancer: newBalancer(d.URLs()), queries: newTally(false)}
+	var besides sync.WaitGroup
+	if beside != nil {
+		besides.Go(func() { beside(r) })
+	}
+	poisson(ctx, seed, rollingRate, rollingQueries, func(i int, at time.Time) {
+		if i%rollingEvery == 0 {
+			besides.Go(func() { r.sendCommand(ctx, phase, i/rollingEvery) })
+		}
+		r.queries.add(r.ask(ctx, demoGroups[i%len(demoGroups)].name, i, at))
+	})
+	besides.Wait()
+	return r
+}
+
+func (r *rollingRun) sendCommand(ctx context.Context, phase string, i int) {
+	var t told
+	if i%2 == 0 {
+		t = r.command(ctx, demoComplaints.Name, fmt.Sprintf("%s-%d", phase, i), i)
+	} else {
+		t = r.redeem(ctx, demoComplaints.Name, i)
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.told = append(r.told, t)
+}
+
+// count sums up what was told of the commands.
+func (r *rollingRun) count() outcomes {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var o outcomes
+	for _, t := range r.told {
+		o.add(t)
+	}
+	return o
+}
+
+func (r *rollingRun) figures() []Figure {
+	moved, cut := r.counts()
+	o := r.count()
+	return append(r.queries.figures(),
+		Figure{"moved_to_another_node", float64(moved)},
+		Figure{"cut_off", float64(cut)},
+		Figure{"commands", float64(o.sends)},
+		Figure{"commands_done", float64(o.done)},
+		Figure{"commands_not_run", float64(o.notRun)},
+		Figure{"commands_unknown", float64(o.unknown)},
+		Figure{"commands_without_answer", float64(o.other)},
+	)
+}
+
+// replaceAll replaces each node by a new one and stops it as planned.
+func (d *Demo) replaceAll(ctx context.Context, b *balancer) error {
+	for i := range demoNodes {
+		sleepUntil(ctx, time.Now().Add(rollingPause))
+		old := d.nodes[i]
+		successor, err := d.launch(ctx, d.nodeSettings(demoNodes+i), io.Discard)
+		if err != nil {
+			return err
+		}
+		d.nodes[i] = successor
+		if err := d.awaitNode(ctx, successor); err != nil {
+			return err
+		}
+		b.add(successor.URL())
+		if err := old.Stop(ctx); err != nil {
+			return fmt.Errorf("planned stop: %w", err)
+		}
+		b.remove(old.URL())
+		if err := d.forget(fmt.Sprintf("node-%d", i)); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// doubledCommands counts the commands that ran more than once.
+func (d *Demo) doubledCommands() int {
+	runs := map[string]int{}
+	for _, l := range d.leafs {
+		for _, run := range l.AllRuns() {
+			if strings.HasPrefix(l.ID(), demoComplaints.Name) && run.Class == upstream.ClassCommand {
+				runs[run.RequestID[:strings.LastIndexByte(run.RequestID, '-')+1]]++
+			}
+		}
+	}
+	doubled := 0
+	for _, n := range runs {
+		if n > 1 {
+			doubled++
+		}
+	}
+	return doubled
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -18,6 +18,7 @@
 	"github.com/hickorydock/hickorydock/internal/node/control"
 	"github.com/hickorydock/hickorydock/internal/protocol/platform"
 	"github.com/hickorydock/hickorydock/internal/protocol/settings"
+	"github.com/hickorydock/hickorydock/internal/state/catalogue"
 	"github.com/hickorydock/hickorydock/internal/transport/admin"
 	"github.com/hickorydock/hickorydock/internal/transport/command"
 	"github.com/hickorydock/hickorydock/internal/transport/credentials"
@@ -82,6 +83,7 @@
 	logger    log.Interface
 	guard     *guard.Guard
 	network   *peering.Network // nil without peers
+	catalogue *catalogue.Store // nil without a platform
 }
 
 // New assembles a node; nothing listens before Start.
@@ -112,7 +114,7 @@
 		server.Module,
 		status.Module,
 		fx.Populate(&n.admin, &n.listener, &n.server, &n.entry, &n.metrics, &n.discovery, &n.tls, &n.logger, &n.guard),
-		fx.Invoke(func(in optionalNetwork) { n.network = in.Network }),
+		fx.Invoke(func(in optional) { n.network, n.catalogue = in.Network, in.Catalogue }),
 	)
 	if err := n.app.Err(); err != nil {
 		return nil, fmt.Errorf("assemble node: %w", err)
@@ -188,6 +190,14 @@
 	return n.network.Address()
 }
 
+// Revision is the revision of the catalogue in force; 0 means none, or no platform.
+func (n *Node) Revision() uint64 {
+	if n.catalogue == nil {
+		return 0
+	}
+	return n.catalogue.Revision()
+}
+
 // Ready says why the node must not be given work, or returns nil.
 func (n *Node) Ready() error { return n.server.Ready() }
 
--- a/internal/node/peers.go
+++ b/internal/node/peers.go
@@ -6,6 +6,7 @@
 	"go.uber.org/fx"
 
 	"github.com/hickorydock/hickorydock/internal/node/control"
+	"github.com/hickorydock/hickorydock/internal/state/catalogue"
 	"github.com/hickorydock/hickorydock/internal/transport/command"
 	"github.com/hickorydock/hickorydock/internal/transport/guard"
 	"github.com/hickorydock/hickorydock/internal/transport/peering"
@@ -19,10 +20,11 @@
 	fx.Invoke(answerPeers, tellPeersFirst),
 )
 
-// optionalNetwork is the network of a node that has one.
-type optionalNetwork struct {
+// optional is what only a node with a platform has.
+type optional struct {
 	fx.In
-	Network *peering.Network `optional:"true"`
+	Network   *peering.Network `optional:"true"`
+	Catalogue *catalogue.Store `optional:"true"`
 }
 
 func answerPeers(n *peering.Network, c *control.Control, r *command.Runner, g *guard.Guard) {
