Let callers' connections end before a stopping node closes them

Change: answers of a stopping server end their connections, and the server waits up to 1 s for callers' connections before it closes them. A node that is not ready refuses work as not_run with 503 and Retry-After.

--- a/internal/transport/server/module.go
+++ b/internal/transport/server/module.go
@@ -84,7 +84,9 @@
 // in progress are finished before connections close.
 func Listen(s settings.Settings, handler *Server, tls *credentials.Credentials, logger log.Interface, lifecycle fx.Lifecycle) *Listener {
 	l := &Listener{}
+	conns := &connections{}
 	server := limits.Server(handler, s.Limits)
+	server.ConnState = conns.changed
 	lifecycle.Append(fx.Hook{
 		OnStart: func(context.Context) error {
 			listener, err := net.Listen("tcp", s.Node.CallerAddress)
@@ -99,6 +101,7 @@
 			if cut := handler.Stop(ctx); cut > 0 {
 				logger.WithField("requests", cut).Error("stop limit reached, requests cut off")
 			}
+			conns.await(ctx, connectionGrace)
 			return server.Shutdown(ctx)
 		},
 	})
--- a/internal/transport/server/server.go
+++ b/internal/transport/server/server.go
@@ -11,6 +11,7 @@
 	"net/http"
 	"os"
 	"strconv"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -72,7 +73,7 @@
 	gin.SetMode(gin.ReleaseMode)
 	s.engine = gin.New()
 	s.engine.HandleMethodNotAllowed = true
-	s.engine.Use(gin.CustomRecoveryWithWriter(nil, recovered))
+	s.engine.Use(gin.CustomRecoveryWithWriter(nil, recovered), s.refuseUnready)
 	s.engine.NoRoute(func(c *gin.Context) { Problem(c, notFound("no such path")) })
 	s.engine.NoMethod(func(c *gin.Context) {
 		Problem(c, badRequest("", "method not allowed").WithStatus(http.StatusMethodNotAllowed, query.NotRun))
@@ -86,8 +87,30 @@
 // Engine is the router, for routes that other packages add before serving.
 func (s *Server) Engine() *gin.Engine { return s.engine }
 
-// ServeHTTP handles one request.
-func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) { s.engine.ServeHTTP(w, r) }
+// ServeHTTP handles one request. While the server stops, an answer ends its
+// connection, so that its caller goes elsewhere with the next request.
+func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	s.engine.ServeHTTP(&lastAnswer{w, s.stopping.Load}, r)
+}
+
+// workPath begins the paths of requests for work.
+const workPath = "/v1/"
+
+// unreadyRetryAfter is the advice to callers of a node that is not ready yet.
+const unreadyRetryAfter = time.Second
+
+// refuseUnready refuses work while the node does not know what is in force: it
+// cannot tell a service that is not there from one that it has not heard of.
+func (s *Server) refuseUnready(c *gin.Context) {
+	if s.cfg.Ready == nil || !strings.HasPrefix(c.Request.URL.Path, workPath) {
+		return
+	}
+	if err := s.cfg.Ready(); err != nil {
+		Problem(c, fault.Wrap(err, fault.StepAdmit, "", "node is not ready").
+			WithStatus(http.StatusServiceUnavailable, query.NotRun).WithRetryAfter(unreadyRetryAfter))
+		c.Abort()
+	}
+}
 
 func recovered(c *gin.Context, _ any) {
 	Problem(c, fault.New(fault.StepInternal, "", "internal error"))
