--- a/internal/experiment/experiment.go
+++ b/internal/experiment/experiment.go
@@ -67,6 +67,8 @@
 		tailExperiment,
 		commandsExperiment,
 		commandsOutageExperiment,
+		storeOutageExperiment,
+		rollingExperiment,
 		slowExperiment,
 		versionsExperiment,
 		coverageExperiment,
@@ -82,7 +84,7 @@
 		membershipExperiment,
 		drainExperiment,
 		configExperiment,
-		storeOutageExperiment,
+		outageKindsExperiment,
 		controlSizeExperiment,
 	}
 }
--- a/internal/experiment/storeoutage.go
+++ b/internal/experiment/storeoutage.go
@@ -2,308 +2,248 @@
 
 import (
 	"context"
-	"fmt"
+	"errors"
+	"io"
 	"sync"
 	"time"
 
-	"github.com/hickorydock/hickorydock/internal/coordination/reconcile"
 	"github.com/hickorydock/hickorydock/internal/node"
 	"github.com/hickorydock/hickorydock/internal/protocol/note"
-	"github.com/hickorydock/hickorydock/internal/protocol/platform"
-	"github.com/hickorydock/hickorydock/internal/protocol/settings"
-	"github.com/hickorydock/hickorydock/internal/standin/leaf"
 	standin "github.com/hickorydock/hickorydock/internal/standin/platform"
 	"github.com/hickorydock/hickorydock/internal/transport/operator"
 )
 
 var storeOutageExperiment = Experiment{
 	Name:    "store-outage",
-	Summary: "platform down for 10 s, refusing in one fleet and hanging in another, while a node is replaced and an operator applies a note under load",
-	Target:  "query errors 0; reverts 0; replaced node ready from peers in at most 3 s; the apply reports what the history shows; the note in force everywhere afterwards",
+	Summary: "platform silent for 10 s while a node restarts and an operator applies a note, under queries",
+	Target:  "query errors 0, reverts 0, restarted node ready from its peers in at most 3 s, the apply reports its true outcome",
 	Run:     runStoreOutage,
 }
 
 const (
-	storeOutageShards  = 6
-	storeOutageRate    = 60.0
-	storeOutageQueries = 1000 // about 17 s
-	storeOutageBegin   = 1 * time.Second
-	storeOutageLength  = 10 * time.Second
-	// storeOutageApply is the time after its begin at which the operator applies.
-	storeOutageApply = 5 * time.Second
-	// storeOutageSettle is the time that the fleet has to catch up afterwards.
-	storeOutageSettle = 6 * time.Second
-	revisionPoll      = 100 * time.Millisecond
+	storeRate    = 150.0 // queries/s
+	storeQueries = 2700
+	storeBefore  = 2 * time.Second
+	storeOutage  = 10 * time.Second
+	// restartAfter and applyAfter count from the start of the outage.
+	restartAfter = time.Second
+	applyAfter   = 1500 * time.Millisecond
+	// restartReady is the most time until the restarted node is ready.
+	restartReady = 3 * time.Second
+	// watchEvery is the time between two looks at the revisions in force.
+	watchEvery = 10 * time.Millisecond
+	// storeSettled is the time after which every node has caught up.
+	storeSettled = 5 * time.Second
 )
 
-// storeOutage is one fleet and what became of it.
-type storeOutage struct {
-	*rig
-	platform *standin.Platform
-	api      platform.Client
-	kind     standin.Outage
-
-	mu      sync.Mutex
-	serving []*node.Node // takes callers
-
-	tally    *tally
-	reverts  int
-	ready    time.Duration
-	applyErr error
-	stopErr  error // of the planned stop during the outage
-	// untrue is true when the apply's word differs from the history.
-	untrue bool
-	behind int
+// storeRun is the run of the experiment.
+type storeRun struct {
+	demo     *Demo
+	balancer *balancer
+	queries  *tally
+	reverts  reverts
+
+	stopTook, readyTook time.Duration
+	restarted           error
+	applied             error
+	applyTook           time.Duration
 }
 
-func newStoreOutage(ctx context.Context, seed uint64, kind standin.Outage) (*storeOutage, func(), error) {
-	p := standin.New(standin.Options{Seed: seed})
-	api, stop, err := servePlatform(p)
+func runStoreOutage(ctx context.Context, seed uint64) (Result, error) {
+	d, err := startCommandDemo(ctx)
 	if err != nil {
-		return nil, nil, err
+		return Result{}, err
 	}
-	options := tailRig(seed, 0.05, leaf.ServiceTime{Median: 5 * time.Millisecond, Sigma: 0.3})
-	options.shards = storeOutageShards
-	options.control = node.PlatformControl(api)
-	s := &storeOutage{rig: &rig{options: options}, platform: p, api: api, kind: kind, tally: newTally(false)}
-	s.options.adjust = func(cfg *settings.Settings) {
-		for _, n := range s.nodes {
-			cfg.Node.BootstrapPeers = append(cfg.Node.BootstrapPeers, n.PeerAddress())
-		}
+	defer d.Stop(context.WithoutCancel(ctx))
+	r := &storeRun{demo: d, balancer: newBalancer(d.URLs()), queries: newTally(false)}
+	defer r.balancer.close()
+	for _, n := range d.nodes {
+		r.reverts.follow(n)
 	}
-	end := func() {
-		p.SetFaults(standin.Faults{}) // nodes stop without waiting for a call
-		s.close()
-		stop()
+	watching, stop := context.WithCancel(ctx)
+	var running sync.WaitGroup
+	running.Go(func() { r.reverts.watch(watching) })
+	running.Go(func() { r.outage(ctx) })
+	poisson(ctx, seed, storeRate, storeQueries, func(i int, at time.Time) {
+		r.queries.add(r.balancer.ask(ctx, demoGroups[i%len(demoGroups)].name, i, at))
+	})
+	sleepUntil(ctx, time.Now().Add(storeSettled))
+	stop()
+	running.Wait()
+	if r.restarted != nil || ctx.Err() != nil {
+		return Result{}, firstError(r.restarted, ctx.Err())
 	}
-	return s, end, s.prepare(ctx)
+	return r.result(ctx)
 }
 
-// prepare starts leafs and three nodes and puts the service in force.
-func (s *storeOutage) prepare(ctx context.Context) error {
-	catalogue := note.Catalogue{Revision: 1, Services: []note.Service{s.options.service.Normalize()}}
-	if err := s.platform.Set(platform.KindCatalogue, platform.CatalogueName, catalogue); err != nil {
-		return err
-	}
-	for shard := range s.options.shards {
-		var replicas []*leaf.Leaf
-		for replica := range s.options.replicas {
-			l, err := s.startLeaf(shard, replica)
-			if err != nil {
-				return err
-			}
-			replicas = append(replicas, l)
-		}
-		s.leafs = append(s.leafs, replicas)
-	}
-	for _, vm := range s.vms {
-		if err := s.platform.Set(platform.KindVM, vm.ID, vm); err != nil {
-			return err
-		}
+func (r *storeRun) result(ctx context.Context) (Result, error) {
+	stored, err := operator.Read(ctx, r.demo.Client())
+	if err != nil {
+		return Result{}, err
 	}
-	for i := range 3 {
-		if err := s.join(ctx, i); err != nil {
-			return err
+	told, untrue := judgeApply(r.applied, inHistory(stored.Catalogue, outageNote.ID))
+	behind := 0
+	for _, n := range r.demo.nodes {
+		if n.Revision() != stored.Catalogue.Revision {
+			behind++
 		}
 	}
-	s.serving = append(s.serving, s.nodes...)
-	return s.awaitComplete(ctx)
+	moved, cut := r.balancer.counts()
+	q := r.queries
+	return Result{
+		Policy: append(q.figures(),
+			Figure{"moved_to_another_node", float64(moved)},
+			Figure{"stop_s", r.stopTook.Seconds()},
+			Figure{"apply_s", r.applyTook.Seconds()},
+			Figure{"apply_told", told},
+		),
+		Checks: []Check{
+			AtMost("query_errors", float64(q.failed+q.notRun+q.partial+q.mixed+cut), 0),
+			AtMost("reverts", float64(r.reverts.count()), 0),
+			AtMost("restarted_ready_s", r.readyTook.Seconds(), restartReady.Seconds()),
+			AtMost("apply_told_untrue", untrue, 0),
+			AtMost("nodes_behind_at_the_end", float64(behind), 0),
+			AtLeast("revisions_seen", float64(r.reverts.seen()), 1000),
+		},
+	}, nil
 }
 
-// join starts a node and lists it in the platform.
-func (s *storeOutage) join(ctx context.Context, i int) error {
-	if err := s.startNode(ctx, i); err != nil {
-		return err
+// outageNote is what the operator applies in the outage.
+var outageNote = note.Note{ID: "in-the-outage", Author: "operator", Base: 2, Changed: []note.Service{changedComplaints()}}
+
+// changedComplaints differs from the complaints in force by its longest wait.
+func changedComplaints() note.Service {
+	s := demoComplaints
+	s.LongestWaitMS += 1000
+	return s.Normalize()
+}
+
+func inHistory(c note.Catalogue, id string) bool {
+	for _, applied := range c.History {
+		if applied.ID == id {
+			return true
+		}
 	}
-	n := s.nodes[len(s.nodes)-1]
-	id := fmt.Sprintf("node-%d", i)
-	return s.platform.Set(platform.KindVM, id, platform.VM{
-		ID: id, Group: platform.NodeGroup, Address: n.Address(), PeerAddress: n.PeerAddress(), State: platform.VMLive,
-	})
+	return false
 }
 
-// target picks a node for a request, as a balancer that leaves out nodes that
-// are not ready.
-func (s *storeOutage) target(i int) *node.Node {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.serving[i%len(s.serving)]
+// What the operator was told of the note.
+const (
+	toldApplied = iota
+	toldNotApplied
+	toldUnknown
+	toldOther
+)
+
+// judgeApply returns what the operator was told and 1 when it is not true. An
+// unknown outcome is always true.
+func judgeApply(err error, inForce bool) (told, untrue float64) {
+	var unknown *operator.OutcomeUnknown
+	var not *operator.NotApplied
+	switch {
+	case err == nil:
+		told = toldApplied
+	case errors.As(err, &not):
+		told = toldNotApplied
+	case errors.As(err, &unknown):
+		return toldUnknown, 0
+	default:
+		return toldOther, 1
+	}
+	if (told == toldApplied) != inForce {
+		return told, 1
+	}
+	return told, 0
 }
 
-// run plays the outage under load.
-func (s *storeOutage) run(ctx context.Context) error {
-	c := newCaller()
-	defer c.close()
-	var others sync.WaitGroup
-	var err error
-	watching, stop := context.WithCancel(ctx)
-	others.Go(func() { s.watchRevisions(watching) })
-	others.Go(func() {
-		defer stop()
-		err = s.play(ctx)
+// outage takes the platform away, restarts a node and has the note applied.
+func (r *storeRun) outage(ctx context.Context) {
+	sleepUntil(ctx, time.Now().Add(storeBefore))
+	begun := time.Now()
+	r.demo.platform.SetFaults(standin.Faults{Outage: standin.OutageHang})
+	var running sync.WaitGroup
+	running.Go(func() {
+		sleepUntil(ctx, begun.Add(restartAfter))
+		r.restarted = r.restart(ctx)
 	})
-	poisson(ctx, s.options.seed, storeOutageRate, storeOutageQueries, func(i int, at time.Time) {
-		s.tally.add(c.ask(ctx, s.target(i).URL(), s.options.service.Name, i, at))
+	running.Go(func() {
+		sleepUntil(ctx, begun.Add(applyAfter))
+		sent := time.Now()
+		_, r.applied = operator.Apply(ctx, r.demo.Client(), outageNote, operator.Options{})
+		r.applyTook = time.Since(sent)
 	})
-	others.Wait()
-	return err
+	sleepUntil(ctx, begun.Add(storeOutage))
+	r.demo.platform.SetFaults(standin.Faults{})
+	running.Wait()
 }
 
-func (s *storeOutage) play(ctx context.Context) error {
-	sleepUntil(ctx, time.Now().Add(storeOutageBegin))
+// restart stops a node as planned and starts it again at its addresses.
+func (r *storeRun) restart(ctx context.Context) error {
+	d := r.demo
+	last := demoNodes - 1
+	old := d.nodes[last]
+	s := addressesOf(old, d.nodeSettings(last))
 	begun := time.Now()
-	s.platform.SetFaults(standin.Faults{Outage: s.kind})
-	heal := time.AfterFunc(storeOutageLength, func() { s.platform.SetFaults(standin.Faults{}) })
-	defer heal.Stop()
-	var applied sync.WaitGroup
-	applied.Go(func() {
-		sleepUntil(ctx, begun.Add(storeOutageApply))
-		s.applyErr = s.apply(ctx, "during")
-	})
-	if err := s.replaceNode(ctx); err != nil {
-		return err
-	}
-	applied.Wait()
-	sleepUntil(ctx, begun.Add(storeOutageLength))
-	stored, err := operator.Read(ctx, s.api)
+	// Without the platform the stop cannot leave a ledger of tickets and says so.
+	_ = old.Stop(ctx)
+	r.stopTook = time.Since(begun)
+	begun = time.Now()
+	n, err := d.launch(ctx, s, io.Discard)
 	if err != nil {
 		return err
 	}
-	_, found := reconcile.FindNote(stored.Catalogue, "during")
-	s.untrue = found != (s.applyErr == nil)
-	if err := s.apply(ctx, "after"); err != nil {
+	d.nodes[last] = n
+	if err := awaitReady(ctx, n); err != nil {
 		return err
 	}
-	sleepUntil(ctx, time.Now().Add(storeOutageSettle))
-	stored, err = operator.Read(ctx, s.api)
-	if err != nil {
-		return err
-	}
-	for _, n := range s.serving {
-		if revisionOf(n) != stored.Catalogue.Revision {
-			s.behind++
-		}
-	}
+	r.readyTook = time.Since(begun)
+	r.reverts.follow(n)
 	return nil
 }
 
-// apply changes the service by a note against the revision that node 0 has in
-// force, as an operator who knows it from before the outage.
-func (s *storeOutage) apply(ctx context.Context, id string) error {
-	service := s.options.service.Normalize()
-	service.LongestWaitMS++
-	n := note.Note{ID: id, Author: "operator", Base: revisionOf(s.nodes[0]), Changed: []note.Service{service}}
-	if id == "after" {
-		stored, err := operator.Read(ctx, s.api)
-		if err != nil {
-			return err
-		}
-		n.Base = stored.Catalogue.Revision
-	}
-	_, err := operator.Apply(ctx, s.api, n, operator.Options{})
-	return err
+// reverts counts revisions in force that were followed by lower ones.
+type reverts struct {
+	mu     sync.Mutex
+	nodes  []*node.Node
+	newest []uint64
+	looks  int
+	found  int
 }
 
-// replaceNode stops the last node and starts another one in its place.
-func (s *storeOutage) replaceNode(ctx context.Context) error {
-	s.mu.Lock()
-	s.serving = s.serving[:2]
-	s.mu.Unlock()
-	s.stopErr = s.nodes[2].Stop(ctx)
-	s.nodes = s.nodes[:2]
-	begun := time.Now()
-	if err := s.startNode(ctx, 3); err != nil {
-		return err
-	}
-	n := s.nodes[2]
-	for n.Ready() != nil && sleepUntil(ctx, time.Now().Add(settlePause)) {
-		continue
-	}
-	s.ready = time.Since(begun)
-	s.mu.Lock()
-	s.serving = append(s.serving, n)
-	s.mu.Unlock()
-	return ctx.Err()
+func (r *reverts) follow(n *node.Node) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.nodes = append(r.nodes, n)
+	r.newest = append(r.newest, 2) // what every node had in force before
 }
 
-// watchRevisions counts steps back of the revision in force on the first two nodes.
-func (s *storeOutage) watchRevisions(ctx context.Context) {
-	var highest [2]uint64
-	for sleepUntil(ctx, time.Now().Add(revisionPoll)) {
-		for i := range highest {
-			revision := revisionOf(s.nodes[i])
-			if revision < highest[i] {
-				s.reverts++
-			}
-			highest[i] = max(highest[i], revision)
-		}
+func (r *reverts) watch(ctx context.Context) {
+	for sleepUntil(ctx, time.Now().Add(watchEvery)) {
+		r.look()
 	}
 }
 
-// revisionOf reads the revision in force from a node's metrics.
-func revisionOf(n *node.Node) uint64 {
-	families, err := n.Metrics().Gatherer().Gather()
-	if err != nil {
-		return 0
-	}
-	for _, family := range families {
-		if family.GetName() == "hickorydock_catalogue_revision" {
-			return uint64(family.GetMetric()[0].GetGauge().GetValue())
+func (r *reverts) look() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for i, n := range r.nodes {
+		revision := n.Revision()
+		r.looks++
+		if revision < r.newest[i] {
+			r.found++
 		}
+		r.newest[i] = max(r.newest[i], revision)
 	}
-	return 0
 }
 
-func (s *storeOutage) figures(prefix string) []Figure {
-	var figures []Figure
-	list := append(s.tally.figures(),
-		Figure{"reverts", float64(s.reverts)}, Figure{"ready_s", s.ready.Seconds()},
-		Figure{"apply_untrue", truth(s.untrue)}, Figure{"apply_failed", truth(s.applyErr != nil)}, Figure{"nodes_behind", float64(s.behind)},
-		Figure{"stop_failed", truth(s.stopErr != nil)})
-	for _, f := range list {
-		figures = append(figures, Figure{prefix + f.Name, f.Value})
-	}
-	return figures
+func (r *reverts) count() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.found
 }
 
-func truth(b bool) float64 {
-	if b {
-		return 1
-	}
-	return 0
-}
-
-func runStoreOutage(ctx context.Context, seed uint64) (Result, error) {
-	var result Result
-	kinds := []standin.Outage{standin.OutageRefuse, standin.OutageHang}
-	fleets, errs := make([]*storeOutage, len(kinds)), make([]error, len(kinds))
-	var running sync.WaitGroup
-	for i, kind := range kinds {
-		fleet, end, err := newStoreOutage(ctx, seed, kind)
-		if end != nil {
-			defer end()
-		}
-		if err != nil {
-			return result, err
-		}
-		fleets[i] = fleet
-		running.Go(func() { errs[i] = fleet.run(ctx) })
-	}
-	running.Wait()
-	for i, fleet := range fleets {
-		if errs[i] != nil {
-			return result, errs[i]
-		}
-		prefix := string(kinds[i]) + "_"
-		result.Policy = append(result.Policy, fleet.figures(prefix)...)
-		result.Checks = append(result.Checks,
-			AtMost(prefix+"query_errors", float64(fleet.tally.total()-fleet.tally.complete), 0),
-			AtMost(prefix+"reverts", float64(fleet.reverts), 0),
-			AtMost(prefix+"ready_s", fleet.ready.Seconds(), 3),
-			AtMost(prefix+"apply_untrue", truth(fleet.untrue), 0),
-			AtMost(prefix+"stop_failed", truth(fleet.stopErr != nil), 0),
-			AtMost(prefix+"nodes_behind", float64(fleet.behind), 0),
-		)
-	}
-	return result, ctx.Err()
+func (r *reverts) seen() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.looks
 }
