--- a/internal/experiment/experiment.go
+++ b/internal/experiment/experiment.go
@@ -67,6 +67,8 @@
 		tailExperiment,
 		commandsExperiment,
 		commandsOutageExperiment,
+		storeOutageExperiment,
+		rollingExperiment,
 		slowExperiment,
 		versionsExperiment,
 		coverageExperiment,
@@ -81,6 +83,8 @@
 		zoneLossExperiment,
 		membershipExperiment,
 		drainExperiment,
+		configExperiment,
+		outageKindsExperiment,
 		controlSizeExperiment,
 	}
 }
--- a/internal/transport/server/module.go
+++ b/internal/transport/server/module.go
@@ -49,7 +49,7 @@
 	e := fault.From(err)
 	m.metrics.Refused(refusal(e))
 	m.logger.WithFields(log.Fields{
-		"service": service, "step": string(e.Step), "peer": e.Peer, "outcome": string(e.Outcome), "error": e.Detail(),
+		"request_id": e.RequestID, "service": service, "step": string(e.Step), "peer": e.Peer, "outcome": string(e.Outcome), "error": e.Detail(),
 	}).Warn("request failed")
 }
 
@@ -84,7 +84,9 @@
 // in progress are finished before connections close.
 func Listen(s settings.Settings, handler *Server, tls *credentials.Credentials, logger log.Interface, lifecycle fx.Lifecycle) *Listener {
 	l := &Listener{}
+	conns := &connections{}
 	server := limits.Server(handler, s.Limits)
+	server.ConnState = conns.changed
 	lifecycle.Append(fx.Hook{
 		OnStart: func(context.Context) error {
 			listener, err := net.Listen("tcp", s.Node.CallerAddress)
@@ -99,6 +101,7 @@
 			if cut := handler.Stop(ctx); cut > 0 {
 				logger.WithField("requests", cut).Error("stop limit reached, requests cut off")
 			}
+			conns.await(ctx, connectionGrace)
 			return server.Shutdown(ctx)
 		},
 	})
