Keep a stopping node's listener open until callers have gone elsewhere

Cause: a trial that stopped a server 40 times under callers that open fresh connections saw resets: connections that the system had made and the server had not accepted were lost with the listener. The wait also ended at the first moment without connections. The balancer of the experiments follows /readyz, as load balancers do: a node that refused gets requests again when it is ready.

--- a/internal/transport/server/module.go
+++ b/internal/transport/server/module.go
@@ -101,7 +101,7 @@
 			if cut := handler.Stop(ctx); cut > 0 {
 				logger.WithField("requests", cut).Error("stop limit reached, requests cut off")
 			}
-			conns.await(ctx, connectionGrace)
+			conns.await(ctx)
 			return server.Shutdown(ctx)
 		},
 	})
