--- a/internal/experiment/rolling.go
+++ b/internal/experiment/rolling.go
@@ -21,7 +21,9 @@
 const (
 	rollingRate    = 350.0 // queries/s
 	rollingQueries = 3200
-	rollingEvery   = 10 // each so many queries a command, every second one under a ticket
+	// rollingWarm is the queries before the quiet phase, which are not counted.
+	rollingWarm  = 1000
+	rollingEvery = 10 // each so many queries a command, every second one under a ticket
 	// rollingPause is the time between two replacements.
 	rollingPause = 1500 * time.Millisecond
 	// rollingP99 is the most that p99 may grow.
@@ -43,10 +45,11 @@
 		return Result{}, err
 	}
 	defer d.Stop(context.WithoutCancel(ctx))
-	quiet := d.drive(ctx, seed, "quiet", nil)
+	d.drive(ctx, seed+2, "warm", rollingWarm, nil).close()
+	quiet := d.drive(ctx, seed, "quiet", rollingQueries, nil)
 	defer quiet.close()
 	var replaced error
-	moving := d.drive(ctx, seed+1, "moving", func(r *rollingRun) { replaced = d.replaceAll(ctx, r.balancer) })
+	moving := d.drive(ctx, seed+1, "moving", rollingQueries, func(r *rollingRun) { replaced = d.replaceAll(ctx, r.balancer) })
 	defer moving.close()
 	if replaced != nil || ctx.Err() != nil {
 		return Result{}, fmt.Errorf("replace nodes: %w", firstError(replaced, ctx.Err()))
@@ -79,13 +82,13 @@
 }
 
 // drive sends the traffic of one phase; beside runs meanwhile.
-func (d *Demo) drive(ctx context.Context, seed uint64, phase string, beside func(*rollingRun)) *rollingRun {
+func (d *Demo) drive(ctx context.Context, seed uint64, phase string, queries int, beside func(*rollingRun)) *rollingRun {
 	r := &rollingRun{balancer: newBalancer(d.URLs()), queries: newTally(false)}
 	var besides sync.WaitGroup
 	if beside != nil {
 		besides.Go(func() { beside(r) })
 	}
-	poisson(ctx, seed, rollingRate, rollingQueries, func(i int, at time.Time) {
+	poisson(ctx, seed, rollingRate, queries, func(i int, at time.Time) {
 		if i%rollingEvery == 0 {
 			besides.Go(func() { r.sendCommand(ctx, phase, i/rollingEvery) })
 		}
