--- a/internal/experiment/experiment.go
+++ b/internal/experiment/experiment.go
@@ -80,7 +80,11 @@
 		connectionsExperiment,
 		overloadExperiment,
 		crashExperiment,
+		zoneLossExperiment,
 		membershipExperiment,
+		drainExperiment,
+		configExperiment,
+		outageKindsExperiment,
 		controlSizeExperiment,
 	}
 }
--- a/internal/transport/entry/entry.go
+++ b/internal/transport/entry/entry.go
@@ -68,6 +68,8 @@
 	tracer     *tracing.Tracer
 	admission  *throttle.Throttle
 	guard      *guard.Guard
+	// onAdmission is told a service's limit and the queries waiting; may be nil.
+	onAdmission func(service string, limit, waiting int)
 }
 
 // New returns an entry; onBroken is told the name of each broken invariant and may be nil.
@@ -120,6 +122,7 @@
 	cfg := gather.Config{
 		Policy:         service.Policy,
 		MinCoverage:    max(service.MinCoverage, request.MinCoverage),
+		Begun:          arrived,
 		Deadline:       deadline,
 		RestartReserve: e.cfg.RestartReserve,
 	}
@@ -134,7 +137,10 @@
 	}
 	answer, err = c.run(ctx)
 	met = c.load
-	return answer, err
+	if err != nil {
+		return answer, fault.From(err).WithRequestID(c.id)
+	}
+	return answer, nil
 }
 
 func wait(service note.Service, request query.Request) time.Duration {
@@ -146,7 +152,8 @@
 }
 
 func (c *collection) run(ctx context.Context) (query.Answer, error) {
-	timer := time.NewTimer(time.Until(c.deadline))
+	leaveAt := c.query.LeaveAt()
+	timer := time.NewTimer(time.Until(leaveAt))
 	defer timer.Stop()
 	c.fanOut(ctx)
 	defer func() { c.cancel() }()
@@ -166,6 +173,10 @@
 				next = c.restart(ctx)
 			}
 			progress = next
+			if at := c.query.LeaveAt(); at != leaveAt {
+				leaveAt = at
+				timer.Reset(time.Until(leaveAt))
+			}
 		}
 	}
 	return c.answer()
@@ -219,7 +230,7 @@
 	var progress gather.Progress
 	var err error
 	if r.OK {
-		progress, err = c.query.Reply(r.Restart, r.Shard, r.Snapshot, r.Items)
+		progress, err = c.query.Reply(time.Now(), r.Restart, r.Shard, r.Snapshot, r.Items)
 	} else {
 		c.last = r.Err
 		progress, err = c.query.Fail(time.Now(), r.Restart, r.Shard, r.Reason)
--- a/internal/transport/metrics/metrics.go
+++ b/internal/transport/metrics/metrics.go
@@ -48,18 +48,22 @@
 
 // Metrics holds the collectors of one process.
 type Metrics struct {
-	registry      *prometheus.Registry
+	registry      *registry
 	queries       *prometheus.HistogramVec
 	coverage      *prometheus.HistogramVec
 	inFlight      prometheus.Gauge
 	subrequests   *prometheus.CounterVec
 	cancelled     *prometheus.CounterVec
 	refusals      *prometheus.CounterVec
+	refusedSubs   *prometheus.CounterVec
+	queryLimit    *prometheus.GaugeVec
+	queryWaiting  prometheus.Gauge
 	invariants    *prometheus.CounterVec
 	revision      prometheus.Gauge
 	oldRevisions  prometheus.Counter
 	platformCalls *prometheus.HistogramVec
-	connections   *prometheus.GaugeVec
+	connections   prometheus.Gauge
+	opened        prometheus.Counter
 	quarantine    prometheus.Gauge
 	peers         prometheus.Gauge
 }
@@ -75,25 +79,29 @@
 // runtime and of the process.
 func New() *Metrics {
 	m := &Metrics{
-		registry:      prometheus.NewRegistry(),
+		registry:      &registry{Registry: prometheus.NewRegistry()},
 		queries:       histogram("query_duration_seconds", "Time from a request's header to its answer, by service and outcome.", latencyBuckets, "service", "outcome"),
 		coverage:      histogram("query_coverage_ratio", "Share of shards that an answer covers, by service.", coverageBuckets, "service"),
 		inFlight:      gauge("queries_in_flight", "Queries that the node works on."),
 		subrequests:   counter("subrequests_total", "Subrequests sent to upstreams, by service and kind: first, hedge, retry or restart.", "service", "kind"),
 		cancelled:     counter("subrequests_cancelled_total", "Subrequests given up after they were sent, by service.", "service"),
 		refusals:      counter("refusals_total", "Requests refused before they ran, by reason.", "reason"),
+		refusedSubs:   counter("subrequests_refused_total", "Attempts that this node refused before they were sent, by service and reason: queue or quarantine.", "service", "reason"),
+		queryLimit:    gauges("admission_limit", "Queries of a service that this node lets run at once; it adapts to load.", "service"),
+		queryWaiting:  gauge("admission_waiting", "Queries that wait for admission on this node."),
 		invariants:    counter("invariant_violations_total", "Broken invariants, each of which failed one request, by name.", "name"),
 		revision:      gauge("catalogue_revision", "Revision of the catalogue in force on this node."),
 		oldRevisions:  counter("catalogue_old_revisions_total", "Catalogues not taken because their revision was not newer.").WithLabelValues(),
 		platformCalls: histogram("platform_call_duration_seconds", "Time of calls of the platform's object API, by method and result.", prometheus.DefBuckets, "method", "result"),
-		connections:   gaugeVec("leaf_connections", "Open connections to upstreams, by upstream group.", "group"),
+		connections:   gauge("leaf_connections", "Open connections to leafs."),
+		opened:        counter("leaf_connections_opened_total", "Connections to leafs that were opened.").WithLabelValues(),
 		quarantine:    gauge("quarantine_entries", "Requests in quarantine."),
 		peers:         gauge("peers", "Nodes that this node has a stream to."),
 	}
 	m.registry.MustRegister(
 		collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}),
-		m.queries, m.coverage, m.inFlight, m.subrequests, m.cancelled, m.refusals, m.invariants,
-		m.revision, m.oldRevisions, m.platformCalls, m.connections, m.quarantine, m.peers,
+		m.queries, m.coverage, m.inFlight, m.subrequests, m.cancelled, m.refusals, m.refusedSubs, m.queryLimit, m.queryWaiting, m.invariants,
+		m.revision, m.oldRevisions, m.platformCalls, m.connections, m.opened, m.quarantine, m.peers,
 	)
 	return m
 }
@@ -106,12 +114,12 @@
 	return prometheus.NewCounterVec(prometheus.CounterOpts{Namespace: namespace, Name: name, Help: help}, labels)
 }
 
-func gauge(name, help string) prometheus.Gauge {
-	return prometheus.NewGauge(prometheus.GaugeOpts{Namespace: namespace, Name: name, Help: help})
+func gauges(name, help string, labels ...string) *prometheus.GaugeVec {
+	return prometheus.NewGaugeVec(prometheus.GaugeOpts{Namespace: namespace, Name: name, Help: help}, labels)
 }
 
-func gaugeVec(name, help string, labels ...string) *prometheus.GaugeVec {
-	return prometheus.NewGaugeVec(prometheus.GaugeOpts{Namespace: namespace, Name: name, Help: help}, labels)
+func gauge(name, help string) prometheus.Gauge {
+	return prometheus.NewGauge(prometheus.GaugeOpts{Namespace: namespace, Name: name, Help: help})
 }
 
 // Handler serves the registry in the Prometheus text format.
@@ -166,6 +174,31 @@
 	}
 }
 
+// SubrequestReason says why an attempt was refused before it was sent.
+type SubrequestReason string
+
+// Reasons for a refused attempt.
+const (
+	ReasonQueue      SubrequestReason = "queue"
+	ReasonQuarantine SubrequestReason = "quarantine"
+)
+
+// SubrequestRefused counts an attempt that was refused before it was sent.
+func (m *Metrics) SubrequestRefused(service string, reason SubrequestReason) {
+	if m != nil {
+		m.refusedSubs.WithLabelValues(service, string(reason)).Inc()
+	}
+}
+
+// Admission records the limit of queries of a service and the queries of all
+// services that wait.
+func (m *Metrics) Admission(service string, limit, waiting int) {
+	if m != nil {
+		m.queryLimit.WithLabelValues(service).Set(float64(limit))
+		m.queryWaiting.Set(float64(waiting))
+	}
+}
+
 // InvariantViolated counts a broken invariant. The name must be a constant.
 func (m *Metrics) InvariantViolated(name string) {
 	if m != nil {
@@ -194,11 +227,14 @@
 	}
 }
 
-// LeafConnections records the open connections to the leafs of an upstream group.
-func (m *Metrics) LeafConnections(group string, open int) {
-	if m != nil {
-		m.connections.WithLabelValues(group).Set(float64(open))
+// LeafConnected counts a connection to a leaf as open until closed runs.
+func (m *Metrics) LeafConnected() (closed func()) {
+	if m == nil {
+		return func() {}
 	}
+	m.opened.Inc()
+	m.connections.Inc()
+	return m.connections.Dec
 }
 
 // QuarantineSize records the number of requests in quarantine.
