Test a quarter of the leafs replaced by cold ones; no ramp is needed

Cause: leafs have cold starts, and nothing had measured one. Change: a virtual-time test replaces 20 of 80 leafs at once by leafs that are 10 times slow for 2 s.

--- a/internal/transport/entry/tail_test.go
+++ b/internal/transport/entry/tail_test.go
@@ -32,6 +32,9 @@
 	runs   int
 	// straggle is the share of runs that take stragglerFactor times as long.
 	straggle float64
+	// warmAt is when a leaf that starts cold runs at full speed; before, its
+	// service times are coldFactor times as long.
+	warmAt map[string]time.Time
 	// slow maps a leaf to the factor of its service times.
 	slow map[string]float64
 	// runsOf counts the runs of each leaf.
@@ -42,6 +45,7 @@
 	tailMedian      = 5 * time.Millisecond
 	tailSigma       = 0.3
 	stragglerFactor = 20
+	coldFactor      = 10
 	tailSlots       = 3
 	tailShards      = 40
 	tailQueries     = 3000
@@ -55,6 +59,7 @@
 		random:   rand.New(rand.NewPCG(seed, 2)),
 		slots:    make(map[string]chan struct{}),
 		straggle: straggle,
+		warmAt:   make(map[string]time.Time),
 		slow:     make(map[string]float64),
 		runsOf:   make(map[string]int),
 	}
@@ -74,6 +79,9 @@
 	if factor, ok := s.slow[id]; ok {
 		took *= factor
 	}
+	if time.Now().Before(s.warmAt[id]) {
+		took *= coldFactor
+	}
 	return s.slots[id], time.Duration(took)
 }
 
@@ -126,29 +134,48 @@
 	extra float64
 }
 
+// tailOptions describe a run. A hedge share of 0 turns hedges and retries off.
+type tailOptions struct {
+	seed       uint64
+	leafs      *slotted
+	choose     replica.Chooser
+	hedgeShare float64
+	rate       float64 // queries/s
+	queries    int
+	// halfway is called when half of the queries are sent; nil does nothing.
+	halfway func(store *shardmap.Store)
+}
+
+// enter adds a leaf that holds a shard.
+func enter(store *shardmap.Store, id string, shard, r int) {
+	vm := platform.VM{ID: id, Group: "g", AvailabilityZone: []string{"az-1", "az-2"}[(shard+r)%2]}
+	store.SetManifest(vm, contract.Manifest{Holdings: []contract.Holding{{
+		Service: "s", Snapshot: query.Snapshot{Generation: 1, Version: 1}, ShardCount: tailShards, Shards: []int{shard},
+	}}}, time.Now())
+}
+
 // runTail sends queries as a Poisson process through an entry in virtual time.
-// A hedge share of 0 turns hedges and retries off.
-func runTail(seed uint64, leafs *slotted, choose replica.Chooser, hedgeShare, rate float64, queries int) tailFigures {
+func runTail(o tailOptions) tailFigures {
+	seed, leafs, queries := o.seed, o.leafs, o.queries
 	store := shardmap.NewStore(leaf.NewTable())
 	for shard := range tailShards {
 		for r := range 2 {
-			id := fmt.Sprintf("leaf-%d-%d", shard, r)
-			vm := platform.VM{ID: id, Group: "g", AvailabilityZone: []string{"az-1", "az-2"}[(shard+r)%2]}
-			store.SetManifest(vm, contract.Manifest{Holdings: []contract.Holding{{
-				Service: "s", Snapshot: query.Snapshot{Generation: 1, Version: 1}, ShardCount: tailShards, Shards: []int{shard},
-			}}}, time.Now())
+			enter(store, fmt.Sprintf("leaf-%d-%d", shard, r), shard, r)
 		}
 	}
-	runner := relay.New(leafs, store, nil, "az-1", choose, nil, tracing.Off())
+	runner := relay.New(leafs, store, nil, "az-1", o.choose, nil, tracing.Off())
 	e := New(DefaultConfig(), store, runner, nil, tracing.Off())
-	service := note.Service{Name: "s", UpstreamGroup: "g", Merge: note.MergeConcat, LongestWaitMS: 2000, HedgeShare: hedgeShare}
+	service := note.Service{Name: "s", UpstreamGroup: "g", Merge: note.MergeConcat, LongestWaitMS: 2000, HedgeShare: o.hedgeShare}
 	var mu sync.Mutex
 	var took []time.Duration
 	var running sync.WaitGroup
 	arrivals := rand.New(rand.NewPCG(seed, 3))
 	before := 0
 	for i := range tailWarmup + queries {
-		time.Sleep(time.Duration(arrivals.ExpFloat64() / rate * float64(time.Second)))
+		time.Sleep(time.Duration(arrivals.ExpFloat64() / o.rate * float64(time.Second)))
+		if i == tailWarmup+queries/2 && o.halfway != nil {
+			o.halfway(store)
+		}
 		if i == tailWarmup {
 			before = leafs.restart()
 		}
@@ -174,9 +201,9 @@
 // where the machine's load does not count.
 func TestTailUnderStragglers(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		baseline := runTail(1, newSlotted(1, 0.01), replica.Random, 0, tailRate, tailQueries)
-		quiet := runTail(1, newSlotted(1, 0), replica.Choose, 0.05, tailRate, 2*tailQueries)
-		policy := runTail(1, newSlotted(1, 0.01), replica.Choose, 0.05, tailRate, 2*tailQueries)
+		baseline := runTail(tailOptions{seed: 1, leafs: newSlotted(1, 0.01), choose: replica.Random, hedgeShare: 0, rate: tailRate, queries: tailQueries})
+		quiet := runTail(tailOptions{seed: 1, leafs: newSlotted(1, 0), choose: replica.Choose, hedgeShare: 0.05, rate: tailRate, queries: 2 * tailQueries})
+		policy := runTail(tailOptions{seed: 1, leafs: newSlotted(1, 0.01), choose: replica.Choose, hedgeShare: 0.05, rate: tailRate, queries: 2 * tailQueries})
 		t.Logf("baseline %v, quiet %v, policy %v", baseline, quiet, policy)
 		if float64(policy.p99) > 0.25*float64(baseline.p99) {
 			t.Errorf("p99 %v, above 0.25 of the baseline's %v", policy.p99, baseline.p99)
@@ -195,10 +222,10 @@
 func TestSlowLeaf(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		const slowID = "leaf-7-0"
-		quiet := runTail(1, newSlotted(1, 0), replica.Choose, 0.05, tailRate/2, tailQueries)
+		quiet := runTail(tailOptions{seed: 1, leafs: newSlotted(1, 0), choose: replica.Choose, hedgeShare: 0.05, rate: tailRate / 2, queries: tailQueries})
 		leafs := newSlotted(1, 0)
 		leafs.slow[slowID] = 10
-		got := runTail(1, leafs, replica.Choose, 0.05, tailRate/2, tailQueries)
+		got := runTail(tailOptions{seed: 1, leafs: leafs, choose: replica.Choose, hedgeShare: 0.05, rate: tailRate / 2, queries: tailQueries})
 		share := float64(leafs.count(slowID)) / (tailQueries / 2)
 		t.Logf("quiet %v, with a slow leaf %v, its share %.3f", quiet, got, share)
 		if float64(got.p99) > 1.3*float64(quiet.p99) {
@@ -212,3 +239,33 @@
 		}
 	})
 }
+
+// TestColdLeafs replaces a quarter of the leafs at once by leafs that are 10
+// times slow for their first 2 s.
+func TestColdLeafs(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		run := tailOptions{seed: 1, leafs: newSlotted(1, 0), choose: replica.Choose, hedgeShare: 0.05, rate: tailRate / 2, queries: tailQueries}
+		quiet := runTail(run)
+		leafs := newSlotted(1, 0)
+		const cold = 2 * time.Second
+		run.leafs = leafs
+		run.halfway = func(store *shardmap.Store) {
+			for shard := range tailShards / 2 {
+				store.Remove("g", fmt.Sprintf("leaf-%d-0", shard))
+				id := fmt.Sprintf("new-%d", shard)
+				leafs.mu.Lock()
+				leafs.warmAt[id] = time.Now().Add(cold)
+				leafs.mu.Unlock()
+				enter(store, id, shard, 0)
+			}
+		}
+		got := runTail(run)
+		t.Logf("quiet %v, with cold leafs %v, runs of one %d", quiet, got, leafs.count("new-7"))
+		if float64(got.p99) > 1.3*float64(quiet.p99) {
+			t.Errorf("p99 %v, above 1.3 of %v", got.p99, quiet.p99)
+		}
+		if fair := tailQueries / 4; leafs.count("new-7") < fair/4 {
+			t.Errorf("a leaf got %d runs after the replacement, it never warmed up", leafs.count("new-7"))
+		}
+	})
+}
