Follow a request's running attempts by shard

Change: attempts are counted by shard. The service of the relay's benchmark states the slots that its leaf has; with 3 stated, the benchmark measured waiting for a limit of 4.

--- a/internal/coordination/admission/gate_test.go
+++ b/internal/coordination/admission/gate_test.go
@@ -264,3 +264,16 @@
 		}
 	})
 }
+
+// BenchmarkEnterDone is one unit of work that need not wait.
+func BenchmarkEnterDone(b *testing.B) {
+	g := New(Config{Total: fixed(10), MaxQueue: 10})
+	b.ReportAllocs()
+	for b.Loop() {
+		t := Ticket{Class: "a", Deadline: start.Add(time.Minute)}
+		g.Enter(start, &t)
+		if _, err := g.Done(start, "a", limit.Sample{Elapsed: time.Millisecond}); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
--- a/internal/coordination/quarantine/quarantine.go
+++ b/internal/coordination/quarantine/quarantine.go
@@ -121,8 +121,7 @@
 
 // Ledger is the state of the quarantine on one node.
 type Ledger struct {
-	running  map[Fingerprint]map[Attempt]struct{}
-	copied   map[Fingerprint]struct{} // running ones of which a copy was held
+	running  map[Fingerprint]*runs
 	suspects map[Fingerprint]*suspect
 	proven   map[Fingerprint]struct{} // of the current period
 	older    map[Fingerprint]struct{} // of the period before
@@ -131,6 +130,13 @@
 	trials   map[string]trial         // of peers, by leaf
 }
 
+// runs holds the attempts of one fingerprint that run.
+type runs struct {
+	attempts map[Attempt]struct{}
+	shards   map[int]int // number of attempts by shard
+	copied   bool        // a copy was held
+}
+
 // trial is the run of a suspect by a peer.
 type trial struct {
 	fingerprint Fingerprint
@@ -140,8 +146,7 @@
 // New returns an empty ledger.
 func New() *Ledger {
 	return &Ledger{
-		running:  make(map[Fingerprint]map[Attempt]struct{}),
-		copied:   make(map[Fingerprint]struct{}),
+		running:  make(map[Fingerprint]*runs),
 		suspects: make(map[Fingerprint]*suspect),
 		proven:   make(map[Fingerprint]struct{}),
 		down:     make(map[string]time.Time),
@@ -186,12 +191,13 @@
 	if !l.mayRun(now, a, s) {
 		return Hold, nil
 	}
-	attempts := l.running[a.Fingerprint]
-	if attempts == nil {
-		attempts = make(map[Attempt]struct{})
-		l.running[a.Fingerprint] = attempts
+	running := l.running[a.Fingerprint]
+	if running == nil {
+		running = &runs{attempts: make(map[Attempt]struct{}), shards: make(map[int]int)}
+		l.running[a.Fingerprint] = running
 	}
-	attempts[a] = struct{}{}
+	running.attempts[a] = struct{}{}
+	running.shards[a.Shard]++
 	if s == nil {
 		return Allow, nil
 	}
@@ -200,27 +206,23 @@
 
 // mayRun applies the rule for unproven fingerprints and suspects.
 func (l *Ledger) mayRun(now time.Time, a Attempt, s *suspect) bool {
-	attempts := l.running[a.Fingerprint]
+	running := l.running[a.Fingerprint]
 	if s != nil {
-		return len(attempts) == 0 && now.Sub(s.last) >= reportDelay && !l.hasSuspect(now, a.Leaf) && !l.hasTrial(now, a)
+		return running == nil && now.Sub(s.last) >= reportDelay && !l.hasSuspect(now, a.Leaf) && !l.hasTrial(now, a)
 	}
-	same, beside := 0, 0
-	for other := range attempts {
-		if other.Shard == a.Shard {
-			same++
-		} else {
-			beside++
-		}
+	if running == nil {
+		return true
 	}
+	same := running.shards[a.Shard]
 	if a.Hedge {
 		// The callers of copies are many; one leaf each is what they may cost.
-		_, copied := l.copied[a.Fingerprint]
-		return same <= 1 && !copied
+		return same <= 1 && !running.copied
 	}
 	if same > 0 {
-		l.copied[a.Fingerprint] = struct{}{}
+		running.copied = true
+		return false
 	}
-	return same == 0 && !(a.Canary && beside > 0)
+	return !a.Canary
 }
 
 // hasSuspect reports whether a suspect runs on a leaf.
@@ -248,7 +250,11 @@
 }
 
 func (l *Ledger) runsOn(f Fingerprint, leaf string) bool {
-	for a := range l.running[f] {
+	running := l.running[f]
+	if running == nil {
+		return false
+	}
+	for a := range running.attempts {
 		if a.Leaf == leaf {
 			return true
 		}
@@ -279,11 +285,17 @@
 }
 
 func (l *Ledger) leave(a Attempt) {
-	attempts := l.running[a.Fingerprint]
-	delete(attempts, a)
-	if len(attempts) == 0 {
+	running := l.running[a.Fingerprint]
+	if running == nil {
+		return
+	}
+	if _, followed := running.attempts[a]; !followed {
+		return
+	}
+	delete(running.attempts, a)
+	running.shards[a.Shard]--
+	if len(running.attempts) == 0 {
 		delete(l.running, a.Fingerprint)
-		delete(l.copied, a.Fingerprint)
 	}
 }
 
--- a/internal/coordination/quarantine/quarantine_test.go
+++ b/internal/coordination/quarantine/quarantine_test.go
@@ -341,3 +341,48 @@
 	}
 	return false
 }
+
+// BenchmarkBeginEnd is one attempt of a request that no leaf has answered yet.
+func BenchmarkBeginEnd(b *testing.B) {
+	l := New()
+	f := Fingerprint(0)
+	b.ReportAllocs()
+	for b.Loop() {
+		f++
+		a := Attempt{Fingerprint: f, Leaf: "a", Begun: start}
+		l.Begin(start, a)
+		l.End(start, a, Answered)
+	}
+}
+
+// BenchmarkBeginEndProven is one attempt of a request that was answered before.
+func BenchmarkBeginEndProven(b *testing.B) {
+	l := New()
+	a := Attempt{Fingerprint: good, Leaf: "a", Begun: start}
+	l.Begin(start, a)
+	l.End(start, a, Answered)
+	b.ReportAllocs()
+	for b.Loop() {
+		l.Begin(start, a)
+		l.End(start, a, Answered)
+	}
+}
+
+// BenchmarkFanOut is one unproven request to 310 shards.
+func BenchmarkFanOut(b *testing.B) {
+	const shards = 310
+	l := New()
+	f := Fingerprint(0)
+	attempts := make([]Attempt, shards)
+	b.ReportAllocs()
+	for b.Loop() {
+		f++
+		for i := range attempts {
+			attempts[i] = Attempt{Fingerprint: f, Shard: i, Leaf: "a", Begun: start}
+			l.Begin(start, attempts[i])
+		}
+		for _, a := range attempts {
+			l.End(start, a, Answered)
+		}
+	}
+}
--- a/internal/experiment/relay_bench_test.go
+++ b/internal/experiment/relay_bench_test.go
@@ -21,11 +21,14 @@
 	client "github.com/hickorydock/hickorydock/internal/transport/upstream"
 )
 
+// benchSlots is the number of slots of the leaf, which its service states.
+const benchSlots = 64
+
 // benchLeaf starts a leaf whose runs take no time.
 func benchLeaf(b *testing.B) platform.VM {
 	l := leaf.New(leaf.Options{
 		ID:       "leaf",
-		Slots:    64,
+		Slots:    benchSlots,
 		Items:    1,
 		Holdings: []upstream.Holding{{Service: "s", Snapshot: firstSnapshot, ShardCount: 1, Shards: []int{0}}},
 	})
@@ -90,6 +93,7 @@
 	r := relay.New(c, store, nil, "az-1", replica.Choose, nil, tracing.Off())
 	service := experimentService(0.05)
 	service.Name = "s"
+	service.LeafSlots = benchSlots
 	body, _ := json.Marshal(upstream.RunRequest{Query: json.RawMessage(`{}`)})
 	record := &stateleaf.Record{}
 	reportProcessorTime(b, func(pb *testing.PB) {
