--- a/cmd/hickorydock/experiment.go
+++ b/cmd/hickorydock/experiment.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"time"
 
 	"github.com/integrii/flaggy"
 
@@ -14,12 +15,13 @@
 var experimentCommand = command{
 	name:    "experiment",
 	summary: "Measure the tier against stand-ins on loopback.",
-	examples: `Each experiment takes at most 30 s and prints one line of JSON with the figures of
+	examples: `Each experiment takes at most 30 s, unless --for says otherwise, and prints one line of JSON with the figures of
 a baseline and of the policy, its target and "pass". The exit code is 1 when a check fails.
 Examples:
   hickorydock experiment --list
   hickorydock experiment tail --seed 7
   hickorydock experiment slopes --markdown
+  hickorydock experiment soak --for 60s --seed 7
   hickorydock experiment --all`,
 	bind: bindExperiment,
 }
@@ -31,6 +33,7 @@
 	all      bool
 	seed     uint64
 	markdown bool
+	duration time.Duration
 }
 
 // defaultSeed is the seed of experiments when none is given.
@@ -43,6 +46,7 @@
 	flags.Bool(&opts.all, "a", "all", "Run every experiment.")
 	flags.UInt64(&opts.seed, "s", "seed", "Seed of everything random.")
 	flags.Bool(&opts.markdown, "m", "markdown", "With slopes: print docs/CAPACITY.md.")
+	flags.Duration(&opts.duration, "", "for", "With soak: the time of the load, at least 15s.")
 	return func(ctx context.Context, out, errOut io.Writer) error {
 		return runExperiment(ctx, opts, out, errOut)
 	}
@@ -59,6 +63,8 @@
 		return runExperiments(ctx, experiment.All(), opts.seed, out)
 	case opts.markdown:
 		return printCapacity(ctx, opts.name, out)
+	case opts.duration != 0:
+		return runSoak(ctx, opts, out)
 	}
 	e, ok := experiment.Find(opts.name)
 	if !ok {
@@ -67,6 +73,14 @@
 	return runExperiments(ctx, []experiment.Experiment{e}, opts.seed, out)
 }
 
+// runSoak runs the experiment soak for the time asked for.
+func runSoak(ctx context.Context, opts experimentOptions, out io.Writer) error {
+	if opts.name != "soak" || opts.duration < experiment.SoakShortest {
+		return usageError("--for goes with the experiment soak and is at least %s", experiment.SoakShortest)
+	}
+	return runExperiments(ctx, []experiment.Experiment{experiment.Soak(opts.duration)}, opts.seed, out)
+}
+
 // printCapacity measures the slopes and writes the page on capacity.
 func printCapacity(ctx context.Context, name string, out io.Writer) error {
 	if name != "slopes" {
--- a/internal/experiment/balancer.go
+++ b/internal/experiment/balancer.go
@@ -21,6 +21,8 @@
 // be made for, goes to the next node. It is safe for concurrent use.
 type balancer struct {
 	caller *caller
+	// refused is told of each refusal of a query as not run; nil is told of none.
+	refused func(sample)
 
 	mu    sync.Mutex
 	urls  []string
@@ -85,6 +87,9 @@
 		s := b.caller.ask(ctx, url, service, i, begun)
 		b.noteCut(ctx, s.err)
 		refused := isUnsent(s.err) || s.err == nil && s.status == http.StatusServiceUnavailable && s.answer.Outcome == query.NotRun
+		if refused && s.err == nil && b.refused != nil {
+			b.refused(s)
+		}
 		if !refused || try+1 >= nodes {
 			return s
 		}
--- a/internal/experiment/config.go
+++ b/internal/experiment/config.go
@@ -91,7 +91,7 @@
 		sleepUntil(ctx, begun.Add(time.Duration(i)*configPause))
 		id := fmt.Sprintf("%s-%d", name, i)
 		for ctx.Err() == nil {
-			err := applyNext(ctx, api, id)
+			err := applyNext(ctx, api, id, operator.Options{Attempts: 50, Pause: 20 * time.Millisecond})
 			var conflict *reconcile.Conflict
 			if err == nil {
 				break
@@ -109,7 +109,7 @@
 
 // applyNext writes a note against the revision in force, which adds or changes
 // the one service that both operators work on.
-func applyNext(ctx context.Context, api platform.Client, id string) error {
+func applyNext(ctx context.Context, api platform.Client, id string, options operator.Options) error {
 	stored, err := operator.Read(ctx, api)
 	if err != nil {
 		return err
@@ -122,7 +122,7 @@
 	} else {
 		n.Added = []note.Service{service.Normalize()}
 	}
-	_, err = operator.Apply(ctx, api, n, operator.Options{Attempts: 50, Pause: 20 * time.Millisecond})
+	_, err = operator.Apply(ctx, api, n, options)
 	return err
 }
 
--- a/internal/experiment/demo.go
+++ b/internal/experiment/demo.go
@@ -29,8 +29,8 @@
 	demoClientTimeout = 2 * time.Second
 )
 
-// demoGroups are the upstreams of the demo: 12 leafs in two services.
-var demoGroups = []struct {
+// demoGroup is an upstream group whose leafs hold one shard each.
+type demoGroup struct {
 	name     string
 	shards   int
 	replicas int
@@ -38,7 +38,10 @@
 	cap      int
 	connect  time.Duration
 	service  leaf.ServiceTime
-}{
+}
+
+// demoGroups are the upstreams of the demo: 12 leafs in two services.
+var demoGroups = []demoGroup{
 	{"licence-desk", 4, 2, 4, 100, time.Millisecond, leaf.ServiceTime{Median: 3 * time.Millisecond, Sigma: 0.3, StragglerShare: 0.01, StragglerFactor: 20}},
 	{"job-history", 2, 2, 2, 25, 6 * time.Millisecond, leaf.ServiceTime{Median: 3 * time.Millisecond, Sigma: 0.3, StragglerShare: 0.01, StragglerFactor: 20}},
 }
@@ -50,12 +53,14 @@
 	server   *http.Server
 	url      string
 	leafs    []*leaf.Leaf
-	nodes    []*node.Node
+	// addresses are those of leafs by their IDs.
+	addresses map[string]string
+	nodes     []*node.Node
 }
 
 // StartDemo starts the demo and applies a release note. Log lines go to logs.
 func StartDemo(ctx context.Context, first note.Note, logs io.Writer) (*Demo, error) {
-	d := &Demo{platform: standin.New(standin.Options{Seed: 1})}
+	d := &Demo{platform: standin.New(standin.Options{Seed: 1}), addresses: make(map[string]string)}
 	if err := d.start(ctx, first, logs); err != nil {
 		d.Stop(ctx)
 		return nil, err
@@ -102,17 +107,9 @@
 	for _, g := range demoGroups {
 		for shard := range g.shards {
 			for replica := range g.replicas {
-				l := leaf.New(leaf.Options{
-					ID:               fmt.Sprintf("%s-%d-%d", g.name, shard, replica),
-					AvailabilityZone: zones[(shard+replica)%len(zones)],
-					Seed:             uint64(len(d.leafs)),
-					Slots:            g.slots,
-					ConnectionCap:    g.cap,
-					ConnectCost:      g.connect,
-					ServiceTime:      g.service,
-					Holdings:         []upstream.Holding{{Service: g.name, Snapshot: firstSnapshot, ShardCount: g.shards, Shards: []int{shard}}},
-				})
-				if err := d.startLeaf(g.name, l); err != nil {
+				o := g.leaf(shard, replica)
+				o.Seed = uint64(len(d.leafs))
+				if err := d.startLeaf(g.name, leaf.New(o)); err != nil {
 					return err
 				}
 			}
@@ -121,6 +118,19 @@
 	return nil
 }
 
+// leaf are the options of one leaf of the group.
+func (g demoGroup) leaf(shard, replica int) leaf.Options {
+	return leaf.Options{
+		ID:               fmt.Sprintf("%s-%d-%d", g.name, shard, replica),
+		AvailabilityZone: zones[(shard+replica)%len(zones)],
+		Slots:            g.slots,
+		ConnectionCap:    g.cap,
+		ConnectCost:      g.connect,
+		ServiceTime:      g.service,
+		Holdings:         []upstream.Holding{{Service: g.name, Snapshot: firstSnapshot, ShardCount: g.shards, Shards: []int{shard}}},
+	}
+}
+
 // startLeaf starts a leaf and enters it in the platform's list of VMs.
 func (d *Demo) startLeaf(group string, l *leaf.Leaf) error {
 	address, err := l.Start("127.0.0.1:0")
@@ -128,6 +138,7 @@
 		return err
 	}
 	d.leafs = append(d.leafs, l)
+	d.addresses[l.ID()] = address
 	return d.platform.Set(platform.KindVM, l.ID(), platform.VM{
 		ID: l.ID(), Group: group, Address: address, AvailabilityZone: l.AvailabilityZone(), State: platform.VMLive,
 	})
--- a/internal/experiment/demofleet.go
+++ b/internal/experiment/demofleet.go
@@ -55,12 +55,7 @@
 
 func (d *Demo) addComplaints(ctx context.Context) error {
 	for i := range commandReplicas {
-		o := commandLeaf
-		o.ID = "complaints-" + string(rune('a'+i))
-		o.Seed = uint64(i)
-		o.AvailabilityZone = zones[i]
-		o.Holdings = []upstream.Holding{{Service: demoComplaints.Name, Snapshot: firstSnapshot, ShardCount: 1, Shards: []int{0}}}
-		if err := d.startLeaf(demoComplaints.UpstreamGroup, leaf.New(o)); err != nil {
+		if err := d.startLeaf(demoComplaints.UpstreamGroup, leaf.New(complaintsLeaf(i))); err != nil {
 			return err
 		}
 	}
@@ -69,6 +64,16 @@
 	return err
 }
 
+// complaintsLeaf are the options of one leaf of demoComplaints.
+func complaintsLeaf(replica int) leaf.Options {
+	o := commandLeaf
+	o.ID = "complaints-" + string(rune('a'+replica))
+	o.Seed = uint64(replica)
+	o.AvailabilityZone = zones[replica]
+	o.Holdings = []upstream.Holding{{Service: demoComplaints.Name, Snapshot: firstSnapshot, ShardCount: 1, Shards: []int{0}}}
+	return o
+}
+
 // awaitNode waits until a node is ready and answers every service completely.
 func (d *Demo) awaitNode(ctx context.Context, n *node.Node) error {
 	if err := awaitReady(ctx, n); err != nil {
--- a/internal/experiment/experiment.go
+++ b/internal/experiment/experiment.go
@@ -57,6 +57,8 @@
 	Name    string
 	Summary string
 	Target  string
+	// Limit bounds the duration; 0 means Limit of the package.
+	Limit time.Duration
 	// Run fills in Baseline, Policy and Checks.
 	Run func(ctx context.Context, seed uint64) (Result, error)
 }
@@ -86,6 +88,7 @@
 		configExperiment,
 		outageKindsExperiment,
 		controlSizeExperiment,
+		soakExperiment,
 	}
 }
 
@@ -99,9 +102,13 @@
 	return Experiment{}, false
 }
 
-// Execute runs an experiment within Limit and judges its checks.
+// Execute runs an experiment within its limit and judges its checks.
 func Execute(ctx context.Context, e Experiment, seed uint64) (Result, error) {
-	ctx, cancel := context.WithTimeout(ctx, Limit)
+	limit := e.Limit
+	if limit == 0 {
+		limit = Limit
+	}
+	ctx, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
 	begun := time.Now()
 	result, err := e.Run(ctx, seed)
--- /dev/null
+++ b/internal/experiment/soak.go
@@ -0,0 +1,251 @@
+package experiment
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"runtime"
+	"sync"
+	"time"
+
+	"github.com/hickorydock/hickorydock/internal/transport/operator"
+)
+
+var soakExperiment = Experiment{
+	Name:    "soak",
+	Summary: "three nodes, queries and commands, faults of all kinds at random and overlapping; --for sets the time",
+	Target:  "every promise holds against the counts of the stand-ins: all violations 0",
+	Run: func(ctx context.Context, seed uint64) (Result, error) {
+		return runSoak(ctx, seed, soakDefault)
+	},
+}
+
+const (
+	// soakDefault is the time of a run that fits the package's Limit.
+	soakDefault = 22 * time.Second
+	// SoakShortest is the shortest time of a run.
+	SoakShortest = 15 * time.Second
+	// soakMargin is the time for start, stop and judgement.
+	soakMargin = 30 * time.Second
+	// soakLead is the time of load before the first fault.
+	soakLead = time.Second
+	// soakTail is the time at the end in which no fault begins.
+	soakTail = 8 * time.Second
+
+	soakQueryRate   = 120.0 // queries/s
+	soakCommandRate = 20.0  // commands/s
+	soakResendShare = 0.3
+	// soakStranded is the wait after which a caller counts as stranded, over
+	// twice the longest wait of any service.
+	soakStranded = 12 * time.Second
+	// soakSettle is the longest wait for nodes to have the last revision.
+	soakSettle = 4 * time.Second
+)
+
+// Soak is the experiment soak with another duration.
+func Soak(d time.Duration) Experiment {
+	e := soakExperiment
+	e.Limit = d + soakMargin
+	e.Run = func(ctx context.Context, seed uint64) (Result, error) { return runSoak(ctx, seed, d) }
+	return e
+}
+
+// soak is one run: the fleet, its traffic and what was told.
+type soak struct {
+	*soakFleet
+	balancer *balancer
+	queries  *tally // with all samples
+	reverts  reverts
+
+	mu      sync.Mutex
+	refused []sample // queries that one node refused as not run
+	sends   []told
+	notes   []appliedNote
+}
+
+// appliedNote is what an operator was told of a note.
+type appliedNote struct {
+	id  string
+	err error
+}
+
+func runSoak(ctx context.Context, seed uint64, d time.Duration) (Result, error) {
+	if d < SoakShortest {
+		return Result{}, fmt.Errorf("soak for %s: want at least %s", d, SoakShortest)
+	}
+	before := measureLevel()
+	result, err := soakOnce(ctx, seed, d)
+	if err != nil {
+		return Result{}, err
+	}
+	after := awaitLevel(before)
+	result.Policy = append(result.Policy,
+		Figure{"goroutines_before", float64(before.goroutines)},
+		Figure{"goroutines_after", float64(after.goroutines)},
+		Figure{"heap_before_mib", before.heapMiB},
+		Figure{"heap_after_mib", after.heapMiB},
+	)
+	result.Checks = append(result.Checks,
+		AtMost("goroutines_left", float64(max(0, after.goroutines-before.goroutines)), 0),
+		AtMost("heap_left_mib", max(0, after.heapMiB-before.heapMiB), heapAllowanceMiB),
+	)
+	return result, nil
+}
+
+func soakOnce(ctx context.Context, seed uint64, d time.Duration) (Result, error) {
+	demo, err := startCommandDemo(ctx)
+	if err != nil {
+		return Result{}, err
+	}
+	s := &soak{soakFleet: newSoakFleet(demo), balancer: newBalancer(demo.URLs()), queries: newTally(true)}
+	defer s.balancer.close()
+	defer demo.Stop(context.WithoutCancel(ctx))
+	s.balancer.refused = s.noteRefused
+	for _, n := range demo.nodes {
+		s.reverts.follow(n)
+	}
+	watching, stop := context.WithCancel(ctx)
+	var watch sync.WaitGroup
+	watch.Go(func() { s.reverts.watch(watching) })
+	s.run(ctx, seed, d)
+	behind := s.awaitRevision(ctx)
+	stop()
+	watch.Wait()
+	if err := errors.Join(s.failure(), ctx.Err()); err != nil {
+		return Result{}, err
+	}
+	stored, err := operator.Read(ctx, demo.Client())
+	if err != nil {
+		return Result{}, err
+	}
+	return s.result(stored.Catalogue, behind), nil
+}
+
+// run sends the load for d and has the faults happen beside it.
+func (s *soak) run(ctx context.Context, seed uint64, d time.Duration) {
+	faultsEnd := time.Now().Add(d - soakTail)
+	var running sync.WaitGroup
+	running.Go(func() { s.faults(ctx, seed, faultsEnd) })
+	for i, name := range []string{"a", "b"} {
+		running.Go(func() { s.operate(ctx, name, rand.New(rand.NewPCG(seed, uint64(100+i))), faultsEnd) })
+	}
+	running.Go(func() { s.commands(ctx, seed, int(soakCommandRate*d.Seconds())) })
+	poisson(ctx, seed, soakQueryRate, int(soakQueryRate*d.Seconds()), func(i int, at time.Time) { s.query(ctx, i, at) })
+	running.Wait()
+}
+
+func (s *soak) query(ctx context.Context, i int, at time.Time) {
+	s.queries.add(s.balancer.ask(ctx, demoGroups[i%len(demoGroups)].name, i, at))
+}
+
+func (s *soak) noteRefused(q sample) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.refused = append(s.refused, q)
+}
+
+func (s *soak) noteSend(t told) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.sends = append(s.sends, t)
+}
+
+// commands sends commands, every second one under a ticket; those that the seed
+// chooses are sent again through another node.
+func (s *soak) commands(ctx context.Context, seed uint64, count int) {
+	poisson(ctx, seed+1, soakCommandRate, count, func(i int, _ time.Time) {
+		random := rand.New(rand.NewPCG(seed, uint64(i)))
+		again := random.Float64() < soakResendShare
+		after := time.Duration(random.Float64() * float64(resendWithin))
+		if i%2 == 1 {
+			s.redeemTwice(ctx, i, again)
+			return
+		}
+		key := commandKey(i)
+		var resent sync.WaitGroup
+		if again {
+			resent.Go(func() {
+				if sleepUntil(ctx, time.Now().Add(after)) {
+					s.noteSend(s.balancer.command(ctx, demoComplaints.Name, key, i+1))
+				}
+			})
+		}
+		s.noteSend(s.balancer.command(ctx, demoComplaints.Name, key, i))
+		resent.Wait()
+	})
+}
+
+// redeemTwice sends a command under a ticket, when again is set twice.
+func (s *soak) redeemTwice(ctx context.Context, i int, again bool) {
+	t := s.balancer.redeem(ctx, demoComplaints.Name, i)
+	if t.key == "" {
+		return // no node gave out a ticket
+	}
+	s.noteSend(t)
+	if again {
+		s.noteSend(s.balancer.command(ctx, demoComplaints.Name, t.key, i+2))
+	}
+}
+
+// operate applies notes until end; two operators race for every revision.
+func (s *soak) operate(ctx context.Context, name string, random *rand.Rand, end time.Time) {
+	for i := 0; time.Now().Before(end) && i < soakNotes; i++ {
+		id := fmt.Sprintf("%s-%d", name, i)
+		err := applyNext(ctx, s.demo.Client(), id, operator.Options{})
+		s.mu.Lock()
+		s.notes = append(s.notes, appliedNote{id, err})
+		s.mu.Unlock()
+		sleepUntil(ctx, time.Now().Add(time.Duration(random.Float64()*float64(soakNotePause))))
+	}
+}
+
+// awaitRevision counts the nodes that do not have the stored revision in force
+// within soakSettle.
+func (s *soak) awaitRevision(ctx context.Context) (behind int) {
+	for end := time.Now().Add(soakSettle); ; {
+		behind = 0
+		stored, err := operator.Read(ctx, s.demo.Client())
+		for _, n := range s.demo.nodes {
+			if err != nil || n.Revision() != stored.Catalogue.Revision {
+				behind++
+			}
+		}
+		if behind == 0 || time.Now().After(end) || !sleepUntil(ctx, time.Now().Add(settlePause)) {
+			return behind
+		}
+	}
+}
+
+const (
+	// soakNotes bounds the notes of one operator, so that the catalogue
+	// remembers all.
+	soakNotes     = 90
+	soakNotePause = time.Second
+	// heapAllowanceMiB is the growth of the heap that is not taken for a leak.
+	heapAllowanceMiB = 4.0
+	// levelWait is the longest wait for goroutines to end.
+	levelWait = 3 * time.Second
+)
+
+// level is what a process holds.
+type level struct {
+	goroutines int
+	heapMiB    float64
+}
+
+func measureLevel() level {
+	runtime.GC()
+	runtime.GC() // frees what the finalizers of the first held
+	var stats runtime.MemStats
+	runtime.ReadMemStats(&stats)
+	return level{goroutines: runtime.NumGoroutine(), heapMiB: float64(stats.HeapAlloc) / (1 << 20)}
+}
+
+// awaitLevel waits until no more goroutines run than before.
+func awaitLevel(before level) level {
+	for end := time.Now().Add(levelWait); time.Now().Before(end) && runtime.NumGoroutine() > before.goroutines; {
+		time.Sleep(settlePause)
+	}
+	return measureLevel()
+}
--- /dev/null
+++ b/internal/experiment/soakfaults.go
@@ -0,0 +1,300 @@
+package experiment
+
+import (
+	"context"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/hickorydock/hickorydock/internal/protocol/platform"
+	"github.com/hickorydock/hickorydock/internal/standin/leaf"
+	standin "github.com/hickorydock/hickorydock/internal/standin/platform"
+)
+
+const (
+	// soakFaultPause is the mean time between the starts of two faults.
+	soakFaultPause = 400 * time.Millisecond
+	// soakDoubled is the share of faults that happen twice at once.
+	soakDoubled = 0.3
+	// soakBurst is the number of queries of a burst.
+	soakBurst = 120
+	// soakNodesDown bounds the nodes that are replaced at once.
+	soakNodesDown = 2
+	soakLostShare = 0.2
+	soakSlow      = 30.0 // slow factor
+)
+
+// soakKind is a kind of fault. It returns when the fault is over.
+type soakKind struct {
+	name   string
+	happen func(s *soak, ctx context.Context, random *rand.Rand)
+}
+
+// soakKinds are all kinds of faults, but for racing operators and commands sent
+// again, which go on all the time.
+var soakKinds = []soakKind{
+	{"version_moves", func(s *soak, ctx context.Context, r *rand.Rand) { s.move(ctx, s.index(r), false) }},
+	{"repartitions", func(s *soak, ctx context.Context, r *rand.Rand) { s.move(ctx, s.index(r), true) }},
+	{"slow_leafs", (*soak).slowLeaf},
+	{"bursts", (*soak).burst},
+	{"drains", (*soak).drain},
+	{"leafs_replaced", (*soak).crashLeaf},
+	{"leafs_crashed", (*soak).bounceLeaf},
+	{"lost_upstream_replies", (*soak).loseReplies},
+	{"platform_outages", (*soak).outage},
+	{"platform_lost_replies", (*soak).losePlatformReplies},
+	{"nodes_replaced", (*soak).replaceNode},
+}
+
+// faults has faults of all kinds happen until end and waits for the last one.
+func (s *soak) faults(ctx context.Context, seed uint64, end time.Time) {
+	random := rand.New(rand.NewPCG(seed, 2))
+	var running sync.WaitGroup
+	defer running.Wait()
+	var order []int
+	for next := time.Now().Add(soakLead); next.Before(end) && sleepUntil(ctx, next); {
+		if len(order) == 0 {
+			order = random.Perm(len(soakKinds))
+		}
+		kind := soakKinds[order[0]]
+		order = order[1:]
+		times := 1
+		if random.Float64() < soakDoubled {
+			times = 2
+		}
+		for range times {
+			own := rand.New(rand.NewPCG(random.Uint64(), random.Uint64()))
+			s.happened(kind.name)
+			running.Go(func() { kind.happen(s, ctx, own) })
+		}
+		next = next.Add(between(random, 0, 2*soakFaultPause))
+	}
+}
+
+func (f *soakFleet) happened(name string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.counts[name]++
+}
+
+// between draws a time.
+func between(random *rand.Rand, least, most time.Duration) time.Duration {
+	return least + time.Duration(random.Float64()*float64(most-least))
+}
+
+// stay waits for a time between least and most.
+func stay(ctx context.Context, random *rand.Rand, least, most time.Duration) {
+	sleepUntil(ctx, time.Now().Add(between(random, least, most)))
+}
+
+func (f *soakFleet) index(random *rand.Rand) *soakIndex {
+	return f.indexes[random.IntN(len(f.indexes))]
+}
+
+func (s *soak) slowLeaf(ctx context.Context, random *rand.Rand) {
+	_, l := s.pick(random)
+	l.SetSlowFactor(1 + random.Float64()*soakSlow)
+	stay(ctx, random, 500*time.Millisecond, 3*time.Second)
+	l.SetSlowFactor(1)
+}
+
+// burst makes leafs shed load.
+func (s *soak) burst(ctx context.Context, random *rand.Rand) {
+	first := 1<<20 + random.IntN(1<<20) // numbers that the steady load does not use
+	var running sync.WaitGroup
+	for i := range soakBurst {
+		running.Go(func() { s.query(ctx, first+i, time.Now()) })
+	}
+	running.Wait()
+}
+
+func (s *soak) crashLeaf(ctx context.Context, random *rand.Rand) {
+	p, l := s.pick(random)
+	s.replaceLeaf(ctx, p, l, between(random, 0, time.Second), random.IntN(2) == 0)
+}
+
+// bounceLeaf crashes a leaf that comes back at its address.
+func (s *soak) bounceLeaf(_ context.Context, random *rand.Rand) {
+	_, l := s.pick(random)
+	l.Crash(between(random, 100*time.Millisecond, time.Second))
+}
+
+func (s *soak) loseReplies(ctx context.Context, random *rand.Rand) {
+	_, l := s.pick(random)
+	l.SetLostReplyShare(soakLostShare)
+	stay(ctx, random, 500*time.Millisecond, 2*time.Second)
+	l.SetLostReplyShare(0)
+}
+
+// platformFault is a fault of the platform that is in force beside others.
+type platformFault struct{ standin.Faults }
+
+// platformFaulty has a fault of the platform in force for a time.
+func (s *soak) platformFaulty(ctx context.Context, random *rand.Rand, faults standin.Faults) {
+	p := &platformFault{faults}
+	s.soakFleet.mu.Lock()
+	s.faulty = append(s.faulty, p)
+	s.setFaults()
+	s.soakFleet.mu.Unlock()
+	stay(ctx, random, time.Second, 3*time.Second)
+	s.soakFleet.mu.Lock()
+	s.faulty = slices.DeleteFunc(s.faulty, func(q *platformFault) bool { return q == p })
+	s.setFaults()
+	s.soakFleet.mu.Unlock()
+}
+
+// setFaults puts the sum of the faults in force; the caller holds the lock.
+func (f *soakFleet) setFaults() {
+	var sum standin.Faults
+	for _, p := range f.faulty {
+		sum.LostReplies = max(sum.LostReplies, p.LostReplies)
+		sum.Latency = max(sum.Latency, p.Latency)
+		if p.Outage != standin.OutageNone {
+			sum.Outage = p.Outage
+		}
+	}
+	f.demo.platform.SetFaults(sum)
+}
+
+func (s *soak) outage(ctx context.Context, random *rand.Rand) {
+	kind := []standin.Outage{standin.OutageRefuse, standin.OutageHang}[random.IntN(2)]
+	begun := time.Now()
+	s.platformFaulty(ctx, random, standin.Faults{Outage: kind})
+	s.soakFleet.mu.Lock()
+	defer s.soakFleet.mu.Unlock()
+	s.outages = append(s.outages, span{begun, time.Now()})
+}
+
+func (s *soak) losePlatformReplies(ctx context.Context, random *rand.Rand) {
+	s.platformFaulty(ctx, random, standin.Faults{LostReplies: soakLostShare, Latency: between(random, 0, 50*time.Millisecond)})
+}
+
+// Ways in which a leaf is said to drain.
+const (
+	drainByManifest = iota
+	drainDenied     // by the header of its replies; its manifest denies it
+	drainByList
+	drainWays
+)
+
+// drain has a leaf leave and come back, and counts what reaches it from
+// drainKnown on.
+func (s *soak) drain(ctx context.Context, random *rand.Rand) {
+	p, l := s.pick(random)
+	way, free := s.claimDrain(p)
+	if !free {
+		return
+	}
+	begun := time.Now()
+	s.setDraining(p, l, way, true)
+	sleepUntil(ctx, begun.Add(drainKnown))
+	known := l.RunCount() + l.ShedCount()
+	stay(ctx, random, 500*time.Millisecond, 1500*time.Millisecond)
+	late := l.RunCount() + l.ShedCount() - known
+	s.judgeDrain(way, begun, late)
+	s.setDraining(p, l, way, false)
+	s.soakFleet.mu.Lock()
+	defer s.soakFleet.mu.Unlock()
+	p.draining = false
+}
+
+// claimDrain reserves a place for a drain and takes the ways in turn; free is
+// false when a drain is going on there.
+func (f *soakFleet) claimDrain(p *soakPlace) (way int, free bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if p.draining {
+		return 0, false
+	}
+	p.draining = true
+	f.drains++
+	return (f.drains - 1) % drainWays, true
+}
+
+func (f *soakFleet) setDraining(p *soakPlace, l *leaf.Leaf, way int, draining bool) {
+	state := platform.VMLive
+	if draining {
+		state = platform.VMLeaving
+	}
+	switch way {
+	case drainByList:
+		f.setVMState(p, l, state)
+	case drainDenied:
+		l.SetManifestDraining(false)
+		l.SetDraining(draining)
+	default:
+		l.SetDraining(draining)
+	}
+}
+
+// judgeDrain counts subrequests sent late. What no node can know is not judged:
+// the list during an outage, and a denied drain on a node that started later.
+func (f *soakFleet) judgeDrain(way int, begun time.Time, late int) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	unknowable := false
+	if way == drainByList {
+		unknowable = len(f.faulty) > 0
+		for _, o := range f.outages {
+			unknowable = unknowable || o.end.After(begun)
+		}
+	}
+	if way == drainDenied {
+		for _, at := range f.starts {
+			unknowable = unknowable || at.After(begun)
+		}
+	}
+	if unknowable {
+		f.drainsNotJudged++
+		return
+	}
+	f.drainsJudged++
+	f.drainedLate += late
+}
+
+// replaceNode starts a node and stops another one as planned, one of them first.
+func (s *soak) replaceNode(ctx context.Context, random *rand.Rand) {
+	i, ok := s.takeNode(random, soakNodesDown)
+	if !ok {
+		return
+	}
+	stopFirst := random.IntN(2) == 0
+	if stopFirst {
+		s.stopNode(ctx, i)
+	}
+	n, id, err := s.launchNode(ctx)
+	if err == nil {
+		err = awaitReady(ctx, n)
+	}
+	if err != nil {
+		s.fail(err)
+		return
+	}
+	s.balancer.add(n.URL())
+	s.reverts.follow(n)
+	if !stopFirst {
+		s.stopNode(ctx, i)
+	}
+	s.soakFleet.mu.Lock()
+	defer s.soakFleet.mu.Unlock()
+	s.demo.nodes[i] = n
+	s.names[i] = id
+	s.busy[i] = false
+}
+
+// stopNode stops a node as planned while the balancer still sends to it.
+func (s *soak) stopNode(ctx context.Context, i int) {
+	s.soakFleet.mu.Lock()
+	old, id := s.demo.nodes[i], s.names[i]
+	s.soakFleet.mu.Unlock()
+	// Without the platform the stop cannot leave a ledger of tickets and says so.
+	if err := old.Stop(ctx); err != nil {
+		s.happened("stops_incomplete")
+	}
+	s.balancer.remove(old.URL())
+	s.fail(s.demo.forget(id))
+	s.soakFleet.mu.Lock()
+	defer s.soakFleet.mu.Unlock()
+	s.retired = append(s.retired, old)
+}
--- /dev/null
+++ b/internal/experiment/soakjudge.go
@@ -0,0 +1,274 @@
+package experiment
+
+import (
+	"encoding/json"
+	"errors"
+	"slices"
+	"strconv"
+
+	"github.com/hickorydock/hickorydock/internal/coordination/reconcile"
+	"github.com/hickorydock/hickorydock/internal/protocol/note"
+	"github.com/hickorydock/hickorydock/internal/protocol/query"
+	"github.com/hickorydock/hickorydock/internal/protocol/upstream"
+	"github.com/hickorydock/hickorydock/internal/transport/operator"
+)
+
+// reply names a shard's reply to one attempt of a request.
+type reply struct {
+	requestID string
+	snapshot  query.Snapshot
+	shard     int
+}
+
+// soakTruth is what the leafs really did.
+type soakTruth struct {
+	replied map[reply]bool
+	ran     map[string]bool    // request IDs of queries
+	keys    map[string]keyRuns // commands by their key
+}
+
+func (f *soakFleet) truth() soakTruth {
+	t := soakTruth{replied: map[reply]bool{}, ran: map[string]bool{}, keys: map[string]keyRuns{}}
+	for _, l := range f.demo.leafs {
+		for _, run := range l.AllRuns() {
+			if run.Class == upstream.ClassCommand {
+				k := t.keys[run.Echo]
+				if k.runs == 0 || run.Started.Before(k.begun) {
+					k.begun = run.Started
+				}
+				k.runs++
+				t.keys[run.Echo] = k
+				continue
+			}
+			t.ran[run.RequestID] = true
+			if run.Replied {
+				t.replied[reply{run.RequestID, run.Snapshot, run.Shard}] = true
+			}
+		}
+	}
+	return t
+}
+
+// violations counts broken promises to callers.
+type violations struct {
+	mixed, wrongCaller, coverage, notRunRan, stranded, runTwice, doneUntrue int
+}
+
+// soakItem is what a stand-in's item tells of its origin.
+type soakItem struct {
+	Shard int `json:"shard"`
+	echoed
+}
+
+func (s *soak) judgeQueries(t soakTruth, v *violations) {
+	for i := range s.queries.samples {
+		q := &s.queries.samples[i]
+		if q.elapsed > soakStranded {
+			v.stranded++
+		}
+		if q.err == nil {
+			s.judgeAnswer(q, t, v)
+		}
+	}
+	for i := range s.refused {
+		if t.ran[s.refused[i].answer.RequestID] {
+			v.notRunRan++
+		}
+	}
+}
+
+func (s *soak) judgeAnswer(q *sample, t soakTruth, v *violations) {
+	a := &q.answer
+	if a.Outcome == query.NotRun && t.ran[a.RequestID] {
+		v.notRunRan++
+	}
+	given := map[int]bool{}
+	mixed, wrong := false, false
+	for _, raw := range a.Items {
+		var item soakItem
+		if json.Unmarshal(raw, &item) != nil {
+			wrong = true
+			continue
+		}
+		given[item.Shard] = true
+		mixed = mixed || item.Generation != a.Snapshot.Generation || item.Version != a.Snapshot.Version
+		wrong = wrong || item.Echo != echo(q.index)
+	}
+	if mixed {
+		v.mixed++
+	}
+	if wrong {
+		v.wrongCaller++
+	}
+	if q.ok() && !s.isCovered(q, given, t) {
+		v.coverage++
+	}
+}
+
+// isCovered compares the stated coverage with the layouts of the index, with the
+// items and with the leafs' replies.
+func (s *soak) isCovered(q *sample, given map[int]bool, t soakTruth) bool {
+	a := &q.answer
+	index := s.indexes[slices.IndexFunc(s.indexes, func(x *soakIndex) bool {
+		return x.service == demoGroups[q.index%len(demoGroups)].name
+	})]
+	missing, _ := missingShards(a)
+	complete := len(missing) == 0
+	if a.Coverage.Total != index.layouts[a.Snapshot] || a.Coverage.Covered != a.Coverage.Total-len(missing) ||
+		len(given) != a.Coverage.Covered || complete != (a.Outcome == query.Done) {
+		return false
+	}
+	for shard := range a.Coverage.Total {
+		replied := t.replied[reply{a.RequestID, a.Snapshot, shard}]
+		if given[shard] == missing[shard] || given[shard] && !replied {
+			return false
+		}
+	}
+	return true
+}
+
+func (s *soak) judgeCommands(t soakTruth, v *violations) {
+	onlyRefused := map[string]bool{}
+	for _, send := range s.sends {
+		key := strconv.Quote(send.key)
+		k := t.keys[key]
+		refused := send.err == nil && send.answer.Outcome == query.NotRun
+		if before, found := onlyRefused[key]; !found || before {
+			onlyRefused[key] = refused
+		}
+		if send.elapsed > soakStranded {
+			v.stranded++
+		}
+		if refused && k.runs > 0 && k.begun.Before(send.sent) {
+			v.notRunRan++
+		}
+		if send.err == nil && send.answer.Outcome == query.Done {
+			if k.runs != 1 {
+				v.doneUntrue++
+			}
+			if !isEchoOf(send.answer, send.key) {
+				v.wrongCaller++
+			}
+		}
+	}
+	for key, refused := range onlyRefused {
+		if refused && t.keys[key].runs > 0 {
+			v.notRunRan++
+		}
+	}
+	for _, k := range t.keys {
+		if k.runs > 1 {
+			v.runTwice++
+		}
+	}
+}
+
+// noteCounts is what became of the notes.
+type noteCounts struct {
+	applied, conflicts, notApplied, unknown, lost, doubled, untrue int
+}
+
+func (s *soak) judgeNotes(c note.Catalogue) noteCounts {
+	var n noteCounts
+	times := map[string]int{}
+	for _, applied := range c.History {
+		times[applied.ID]++
+	}
+	for _, count := range times {
+		n.doubled += count - 1
+	}
+	for _, told := range s.notes {
+		n.add(told.err, times[told.id] > 0)
+	}
+	return n
+}
+
+func (n *noteCounts) add(err error, inForce bool) {
+	var conflict *reconcile.Conflict
+	var not *operator.NotApplied
+	switch {
+	case err == nil:
+		n.applied++
+		if !inForce {
+			n.lost++
+		}
+	case errors.As(err, &conflict), errors.As(err, &not):
+		if conflict != nil {
+			n.conflicts++
+		} else {
+			n.notApplied++
+		}
+		if inForce {
+			n.untrue++
+		}
+	default: // no claim: the outcome is unknown, or the catalogue was not read
+		n.unknown++
+	}
+}
+
+func (s *soak) result(c note.Catalogue, behind int) Result {
+	t := s.truth()
+	var v violations
+	s.judgeQueries(t, &v)
+	s.judgeCommands(t, &v)
+	notes := s.judgeNotes(c)
+	moved, cut := s.balancer.counts()
+	var invariants int64
+	for _, n := range s.allNodes() {
+		invariants += n.Violations()
+	}
+	return Result{
+		Policy: s.figures(notes, moved),
+		Checks: []Check{
+			AtMost("mixed_answers", float64(v.mixed), 0),
+			AtMost("untrue_coverage", float64(v.coverage), 0),
+			AtMost("answers_to_wrong_caller", float64(v.wrongCaller), 0),
+			AtMost("not_run_that_ran", float64(v.notRunRan), 0),
+			AtMost("commands_run_twice", float64(v.runTwice), 0),
+			AtMost("done_untrue", float64(v.doneUntrue), 0),
+			AtMost("callers_stranded", float64(v.stranded), 0),
+			AtMost("sent_to_draining_after_3s", float64(s.drainedLate), 0),
+			AtMost("cut_off", float64(cut), 0),
+			AtMost("reverted_revisions", float64(s.reverts.count()), 0),
+			AtMost("nodes_behind_at_end", float64(behind), 0),
+			AtMost("notes_lost", float64(notes.lost), 0),
+			AtMost("notes_doubled", float64(notes.doubled), 0),
+			AtMost("notes_told_untrue", float64(notes.untrue), 0),
+			AtMost("broken_invariants", float64(invariants), 0),
+			AtLeast("queries", float64(s.queries.total()), 1),
+			AtLeast("commands_done", float64(s.outcomes().done), 1),
+			AtLeast("drains_judged", float64(s.drainsJudged), 1),
+		},
+	}
+}
+
+func (s *soak) outcomes() outcomes {
+	var o outcomes
+	for _, t := range s.sends {
+		o.add(t)
+	}
+	return o
+}
+
+func (s *soak) figures(notes noteCounts, moved int) []Figure {
+	o := s.outcomes()
+	figures := append(s.queries.figures(),
+		Figure{"slowest_ms", s.queries.quantileMS(1)},
+		Figure{"moved_to_another_node", float64(moved)},
+		Figure{"command_sends", float64(o.sends)},
+		Figure{"commands_done", float64(o.done)},
+		Figure{"commands_not_run", float64(o.notRun)},
+		Figure{"commands_unknown", float64(o.unknown)},
+		Figure{"commands_without_answer", float64(o.other)},
+		Figure{"notes_applied", float64(notes.applied)},
+		Figure{"notes_in_conflict", float64(notes.conflicts)},
+		Figure{"notes_not_applied", float64(notes.notApplied)},
+		Figure{"notes_without_claim", float64(notes.unknown)},
+		Figure{"drains_judged", float64(s.drainsJudged)},
+		Figure{"drains_not_judged", float64(s.drainsNotJudged)},
+	)
+	for _, kind := range append(soakKinds, soakKind{name: "stops_incomplete"}) {
+		figures = append(figures, Figure{kind.name, float64(s.counts[kind.name])})
+	}
+	return figures
+}
