--- a/internal/experiment/balancer.go
+++ b/internal/experiment/balancer.go
@@ -26,6 +26,8 @@
 	closing context.Context
 	end     context.CancelFunc
 	probing sync.WaitGroup
+	// refused is told of each refusal of a query as not run; nil is told of none.
+	refused func(sample)
 
 	mu    sync.Mutex
 	urls  []string
@@ -146,7 +148,11 @@
 		url, nodes := b.pick(i, try)
 		s := b.caller.ask(ctx, url, service, i, begun)
 		b.noteCut(ctx, s.err)
-		if !isRefused(s.status, s.answer.Outcome, s.err) || try+1 >= nodes {
+		refused := isRefused(s.status, s.answer.Outcome, s.err)
+		if refused && s.err == nil && b.refused != nil {
+			b.refused(s)
+		}
+		if !refused || try+1 >= nodes {
 			return s
 		}
 		b.passOver(url)
