Let a faulty item cost its shard only, and bound answers

Cause: reading the entry showed three gaps: one item without the merged field failed the whole query; the settings max_items and max_answer_bytes were read by nothing; nothing checked an answer's coverage against the replies it holds. Change: a reply with such an item is discarded and its shard named as bad_reply; an answer above the bounds is refused as failed with its size; the gathering checks its own counts before each answer, and a broken one fails that query. Conclusion: a faulty upstream costs its subrequest, and coverage is asserted in the program.

--- a/internal/coordination/gather/gather.go
+++ b/internal/coordination/gather/gather.go
@@ -230,6 +230,41 @@
 	return replies
 }
 
+// Discard takes back the reply at a position of Replies, which turned out to be
+// unusable; its shard is then missing for reason.
+func (q *Query) Discard(position int, reason query.Reason) error {
+	for i := range q.slots {
+		if !q.slots[i].answered {
+			continue
+		}
+		if position == 0 {
+			q.slots[i] = slot{failed: true, reason: reason}
+			q.covered--
+			return nil
+		}
+		position--
+	}
+	return fmt.Errorf("no reply to discard, %d positions too far", position+1)
+}
+
+// Check returns an error when the coverage counter differs from the replies held
+// or a subrequest is unaccounted for.
+func (q *Query) Check() error {
+	answered, failed := 0, 0
+	for i := range q.slots {
+		if q.slots[i].answered {
+			answered++
+		}
+		if q.slots[i].failed {
+			failed++
+		}
+	}
+	if answered != q.covered || answered+failed+q.pending != len(q.slots) {
+		return fmt.Errorf("%d answered, %d counted, %d failed and %d pending of %d shards", answered, q.covered, failed, q.pending, len(q.slots))
+	}
+	return nil
+}
+
 // Coverage states which shards of the current snapshot are covered. Shards
 // without a reply count as late.
 func (q *Query) Coverage() query.Coverage {
--- a/internal/coordination/merge/merge.go
+++ b/internal/coordination/merge/merge.go
@@ -18,7 +18,22 @@
 	Value *float64
 }
 
-// Merge combines replies, one list of items a shard, as the service states.
+// ItemError says that an item lacks what the merge mode reads. The reply that
+// holds it cannot be used.
+type ItemError struct {
+	// Reply is the position of the reply among those merged.
+	Reply int
+	cause error
+}
+
+// Error names the reply and the cause.
+func (e *ItemError) Error() string { return fmt.Sprintf("reply %d: %v", e.Reply, e.cause) }
+
+// Unwrap returns the cause.
+func (e *ItemError) Unwrap() error { return e.cause }
+
+// Merge combines replies, one list of items a shard, as the service states. The
+// error is an *ItemError when a reply is at fault.
 func Merge(service *note.Service, replies [][]query.Item) (Merged, error) {
 	switch service.Merge {
 	case note.MergeConcat:
@@ -68,11 +83,11 @@
 func topK(replies [][]query.Item, field string, k int) (Merged, error) {
 	best := make(lowest, 0, k)
 	order := 0
-	for _, items := range replies {
+	for reply, items := range replies {
 		for _, item := range items {
 			score, err := number(item, field)
 			if err != nil {
-				return Merged{}, err
+				return Merged{}, &ItemError{reply, err}
 			}
 			order++
 			best.offer(scored{score, order, item}, k)
@@ -104,11 +119,11 @@
 
 func sum(replies [][]query.Item, field string) (Merged, error) {
 	total := 0.0
-	for _, items := range replies {
+	for reply, items := range replies {
 		for _, item := range items {
 			v, err := number(item, field)
 			if err != nil {
-				return Merged{}, err
+				return Merged{}, &ItemError{reply, err}
 			}
 			total += v
 		}
--- a/internal/transport/entry/entry.go
+++ b/internal/transport/entry/entry.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"net/http"
 	"sync/atomic"
 	"time"
@@ -46,6 +47,8 @@
 	CanaryShards int
 	// MaxItems bounds the items of an answer; 0 means no bound.
 	MaxItems int
+	// MaxAnswerBytes bounds the bytes of an answer's items; 0 means no bound.
+	MaxAnswerBytes int
 }
 
 // DefaultConfig returns the reserves used when nothing else is set.
@@ -268,15 +271,18 @@
 }
 
 func (c *collection) answer() (query.Answer, error) {
+	merged, err := c.merge()
+	if err != nil {
+		return query.Answer{}, err
+	}
+	if err := c.query.Check(); err != nil {
+		return query.Answer{}, c.broken("coverage", err)
+	}
 	coverage := c.query.Coverage()
 	outcome := c.query.Outcome(coverage)
 	if outcome == query.NotRun {
 		return query.Answer{}, c.notRun()
 	}
-	merged, err := merge.Merge(c.service, c.query.Replies())
-	if err != nil {
-		return query.Answer{}, fault.Wrap(err, fault.StepMerge, c.service.UpstreamGroup, "merge")
-	}
 	return query.Answer{
 		RequestID: c.id,
 		Outcome:   outcome,
@@ -287,6 +293,47 @@
 	}, nil
 }
 
+// merge combines the replies. One whose items lack what the merge mode reads is
+// discarded, so that it costs its own shard only.
+func (c *collection) merge() (merge.Merged, error) {
+	for {
+		merged, err := merge.Merge(c.service, c.query.Replies())
+		var bad *merge.ItemError
+		if errors.As(err, &bad) {
+			if err := c.query.Discard(bad.Reply, query.ReasonBadReply); err != nil {
+				return merge.Merged{}, c.broken("discard", err)
+			}
+			continue
+		}
+		if err != nil {
+			return merge.Merged{}, fault.Wrap(err, fault.StepMerge, c.service.UpstreamGroup, "merge")
+		}
+		return merged, c.checkSize(merged)
+	}
+}
+
+// checkSize refuses an answer above the node's bounds, whose pieces the leafs'
+// own bounds let through.
+func (c *collection) checkSize(merged merge.Merged) error {
+	bytes := 0
+	for _, item := range merged.Items {
+		bytes += len(item)
+	}
+	cfg := c.entry.cfg
+	if cfg.MaxItems > 0 && len(merged.Items) > cfg.MaxItems {
+		return c.tooLarge("%d items, the limit is %d", len(merged.Items), cfg.MaxItems)
+	}
+	if cfg.MaxAnswerBytes > 0 && bytes > cfg.MaxAnswerBytes {
+		return c.tooLarge("%d bytes of items, the limit is %d", bytes, cfg.MaxAnswerBytes)
+	}
+	return nil
+}
+
+func (c *collection) tooLarge(format string, args ...any) error {
+	return fault.New(fault.StepMerge, c.service.UpstreamGroup, "the answer holds "+format, args...).
+		WithStatus(http.StatusBadGateway, query.Failed)
+}
+
 func (c *collection) notRun() error {
 	cause := c.last
 	if cause == nil {
--- a/internal/transport/entry/module.go
+++ b/internal/transport/entry/module.go
@@ -20,6 +20,7 @@
 	cfg.MaxQueries = int(s.Limits.MaxConcurrentQueries)
 	cfg.MaxQueue = int(s.Limits.QueryQueue)
 	cfg.MaxItems = int(s.Limits.MaxItems)
+	cfg.MaxAnswerBytes = int(s.Limits.MaxAnswerBytes)
 	cfg.CanaryShards = int(s.Query.CanaryShards)
 	entry := New(cfg, store, runner, m.InvariantViolated, tracer)
 	entry.guard = g
