Keep attempt numbers apart over many rounds

Cause: a restart's attempt numbers begin 100 above the last one's, and the rounds of the coverage policy can send more than 100 attempts within a long wait. Change: 10,000 apart. Conclusion: an attempt's number stays unique within its query.

--- a/internal/transport/relay/relay.go
+++ b/internal/transport/relay/relay.go
@@ -31,7 +31,7 @@
 
 const (
 	// attemptsPerRestart separates attempt numbers of one query attempt from the next.
-	attemptsPerRestart = 100
+	attemptsPerRestart = 10_000
 	// hedgeBudgetUse is the share of the hedge share that late subrequests may
 	// claim; the rest is left for retries.
 	hedgeBudgetUse = 0.8
