--- a/internal/transport/peering/peering_test.go
+++ b/internal/transport/peering/peering_test.go
@@ -226,13 +226,13 @@
 	})
 }
 
-// TestLeaving holds that a node that leaves is told of nothing more and that its
-// next incarnation is.
+// TestLeaving holds that a node that leaves is told of nothing more, that its
+// tickets are still forwarded to it, and that its next incarnation is told.
 func TestLeaving(t *testing.T) {
 	run(t, func(f *fabric) {
 		t := f.t
 		heard := make(chan quarantine.Report, 4)
-		hears := Handlers{Hear: func(r quarantine.Report) { heard <- r }, Offer: func() Offer { return Offer{} }}
+		hears := Handlers{Forward: done, Hear: func(r quarantine.Report) { heard <- r }, Offer: func() Offer { return Offer{} }}
 		a := f.start("a", hears, nil)
 		b := f.start("b", hears, nil)
 		for _, n := range []*Network{a, b} {
@@ -244,6 +244,9 @@
 		if len(heard) != 0 || len(a.Offers(t.Context())) != 0 {
 			t.Error("a node that leaves was called")
 		}
+		if _, err := a.Forward(t.Context(), "b", forwarded(1)); err != nil {
+			t.Errorf("a ticket was not forwarded to a node that leaves: %v", err)
+		}
 		f.close(b)
 		b = f.start("b", hears, func(n *Network, _ *Config) { n.wire.Incarnation = 2 })
 		b.SetVMs(vms("a", "b"))
