Let a second signal end a stop, and always say what it cut off

Cause: a second SIGTERM was swallowed; serve waited for the stop limit. Change: a second signal ends the stop; the node itself logs how many requests were in progress when a stop ended early, whatever hook it was in.

--- a/cmd/hickorydock/serve.go
+++ b/cmd/hickorydock/serve.go
@@ -60,8 +60,11 @@
 		return fmt.Errorf("start node: %w", err)
 	}
 	reloadOnHangup(ctx, n, opts)
-	// The stop limit in the settings bounds the stop; the ended ctx must not.
-	return n.Stop(context.WithoutCancel(ctx))
+	// The stop limit in the settings bounds the stop, and so does a second signal;
+	// the ctx that the first one ended must not.
+	stopping, stop := signal.NotifyContext(context.WithoutCancel(ctx), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	return n.Stop(stopping)
 }
 
 // reloadOnHangup reads the TLS settings again with each SIGHUP until ctx ends.
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -78,6 +78,7 @@
 	app       *fx.App
 	settings  settings.Settings
 	admin     *admin.Listener
+	callers   *server.Server
 	listener  *server.Listener
 	server    *server.Server
 	entry     *entry.Entry
@@ -117,7 +118,7 @@
 		entry.Module,
 		server.Module,
 		status.Module,
-		fx.Populate(&n.admin, &n.listener, &n.server, &n.entry, &n.metrics, &n.discovery, &n.tls, &n.logger, &n.guard),
+		fx.Populate(&n.admin, &n.callers, &n.listener, &n.server, &n.entry, &n.metrics, &n.discovery, &n.tls, &n.logger, &n.guard),
 		fx.Invoke(func(in optional) { n.network, n.catalogue = in.Network, in.Catalogue }),
 	)
 	if err := n.app.Err(); err != nil {
@@ -154,11 +155,15 @@
 }
 
 // Stop is a graceful stop: new requests are refused, those in progress finish
-// within the stop limit.
+// within the stop limit. When ctx ends first, the log says how many were cut off.
 func (n *Node) Stop(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, n.settings.Stop.Limit())
 	defer cancel()
-	return n.app.Stop(ctx)
+	err := n.app.Stop(ctx)
+	if err != nil {
+		n.logger.WithField("requests", n.callers.Active()).WithError(err).Error("stop ended early, requests cut off")
+	}
+	return err
 }
 
 // Logger writes to the node's log.
--- a/internal/transport/server/module.go
+++ b/internal/transport/server/module.go
@@ -98,9 +98,7 @@
 			return nil
 		},
 		OnStop: func(ctx context.Context) error {
-			if cut := handler.Stop(ctx); cut > 0 {
-				logger.WithField("requests", cut).Error("stop limit reached, requests cut off")
-			}
+			handler.Stop(ctx)
 			conns.await(ctx)
 			return server.Shutdown(ctx)
 		},
--- a/internal/transport/server/server.go
+++ b/internal/transport/server/server.go
@@ -135,6 +135,13 @@
 	return s.active
 }
 
+// Active is the number of requests in progress.
+func (s *Server) Active() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.active
+}
+
 // Begin counts a request in progress and reports false when the node is stopping.
 func (s *Server) Begin() bool {
 	s.mu.Lock()
