--- a/internal/experiment/demo.go
+++ b/internal/experiment/demo.go
@@ -127,6 +127,7 @@
 		ConnectionCap:    g.cap,
 		ConnectCost:      g.connect,
 		ServiceTime:      g.service,
+		CrashMarker:      crashMarker,
 		Holdings:         []upstream.Holding{{Service: g.name, Snapshot: firstSnapshot, ShardCount: g.shards, Shards: []int{shard}}},
 	}
 }
--- a/internal/experiment/soak.go
+++ b/internal/experiment/soak.go
@@ -57,6 +57,7 @@
 	balancer *balancer
 	queries  *tally // with all samples
 	reverts  reverts
+	loadTook time.Duration
 
 	mu      sync.Mutex
 	refused []sample // queries that one node refused as not run
@@ -124,7 +125,8 @@
 
 // run sends the load for d and has the faults happen beside it.
 func (s *soak) run(ctx context.Context, seed uint64, d time.Duration) {
-	faultsEnd := time.Now().Add(d - soakTail)
+	begun := time.Now()
+	faultsEnd := begun.Add(d - soakTail)
 	var running sync.WaitGroup
 	running.Go(func() { s.faults(ctx, seed, faultsEnd) })
 	for i, name := range []string{"a", "b"} {
@@ -133,6 +135,7 @@
 	running.Go(func() { s.commands(ctx, seed, int(soakCommandRate*d.Seconds())) })
 	poisson(ctx, seed, soakQueryRate, int(soakQueryRate*d.Seconds()), func(i int, at time.Time) { s.query(ctx, i, at) })
 	running.Wait()
+	s.loadTook = time.Since(begun)
 }
 
 func (s *soak) query(ctx context.Context, i int, at time.Time) {
--- a/internal/experiment/soakfaults.go
+++ b/internal/experiment/soakfaults.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"math/rand/v2"
 	"slices"
 	"sync"
@@ -21,8 +22,10 @@
 	soakBurst = 120
 	// soakNodesDown bounds the nodes that are replaced at once.
 	soakNodesDown = 2
-	soakLostShare = 0.2
-	soakSlow      = 30.0 // slow factor
+	// soakCrashSends is how often a crashing request is sent.
+	soakCrashSends = 5
+	soakLostShare  = 0.2
+	soakSlow       = 30.0 // slow factor
 )
 
 // soakKind is a kind of fault. It returns when the fault is over.
@@ -41,6 +44,7 @@
 	{"drains", (*soak).drain},
 	{"leafs_replaced", (*soak).crashLeaf},
 	{"leafs_crashed", (*soak).bounceLeaf},
+	{"crashing_requests", (*soak).sendCrashing},
 	{"lost_upstream_replies", (*soak).loseReplies},
 	{"platform_outages", (*soak).outage},
 	{"platform_lost_replies", (*soak).losePlatformReplies},
@@ -120,6 +124,18 @@
 	l.Crash(between(random, 100*time.Millisecond, time.Second))
 }
 
+// sendCrashing sends a request that crashes each leaf that runs it, one send after
+// another through all nodes.
+func (s *soak) sendCrashing(ctx context.Context, random *rand.Rand) {
+	service := demoGroups[random.IntN(len(demoGroups))].name
+	body := fmt.Sprintf(`{"query":{"echo":"%s-%d"}}`, crashMarker, random.Uint64())
+	for i := range soakCrashSends {
+		url, _ := s.balancer.pick(i, 0)
+		// The answer is of no interest: the leafs count what ran.
+		_, _, _ = s.balancer.caller.post(ctx, url+"/v1/services/"+service+"/query", body)
+	}
+}
+
 func (s *soak) loseReplies(ctx context.Context, random *rand.Rand) {
 	_, l := s.pick(random)
 	l.SetLostReplyShare(soakLostShare)
--- a/internal/experiment/soakjudge.go
+++ b/internal/experiment/soakjudge.go
@@ -242,6 +242,15 @@
 	}
 }
 
+// shed counts the subrequests that the leafs refused.
+func (f *soakFleet) shed() int {
+	count := 0
+	for _, l := range f.demo.leafs {
+		count += l.ShedCount()
+	}
+	return count
+}
+
 func (s *soak) outcomes() outcomes {
 	var o outcomes
 	for _, t := range s.sends {
@@ -254,6 +263,11 @@
 	o := s.outcomes()
 	figures := append(s.queries.figures(),
 		Figure{"slowest_ms", s.queries.quantileMS(1)},
+		Figure{"queries_per_s", float64(s.queries.total()) / s.loadTook.Seconds()},
+		Figure{"command_sends_per_s", float64(o.sends) / s.loadTook.Seconds()},
+		Figure{"refused_by_one_node", float64(len(s.refused))},
+		Figure{"quarantined", float64(refusedAsSuspect(s.queries))},
+		Figure{"subrequests_shed", float64(s.shed())},
 		Figure{"moved_to_another_node", float64(moved)},
 		Figure{"command_sends", float64(o.sends)},
 		Figure{"commands_done", float64(o.done)},
