--- a/internal/experiment/soakfaults.go
+++ b/internal/experiment/soakfaults.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"math/rand/v2"
 	"slices"
 	"sync"
@@ -21,8 +22,10 @@
 	soakBurst = 120
 	// soakNodesDown bounds the nodes that are replaced at once.
 	soakNodesDown = 2
-	soakLostShare = 0.2
-	soakSlow      = 30.0 // slow factor
+	// soakCrashSends is how often a crashing request is sent.
+	soakCrashSends = 5
+	soakLostShare  = 0.2
+	soakSlow       = 30.0 // slow factor
 )
 
 // soakKind is a kind of fault. It returns when the fault is over.
@@ -41,6 +44,7 @@
 	{"drains", (*soak).drain},
 	{"leafs_replaced", (*soak).crashLeaf},
 	{"leafs_crashed", (*soak).bounceLeaf},
+	{"crashing_requests", (*soak).sendCrashing},
 	{"lost_upstream_replies", (*soak).loseReplies},
 	{"platform_outages", (*soak).outage},
 	{"platform_lost_replies", (*soak).losePlatformReplies},
@@ -120,6 +124,18 @@
 	l.Crash(between(random, 100*time.Millisecond, time.Second))
 }
 
+// sendCrashing sends a request that crashes each leaf that runs it, one send after
+// another through all nodes.
+func (s *soak) sendCrashing(ctx context.Context, random *rand.Rand) {
+	service := demoGroups[random.IntN(len(demoGroups))].name
+	body := fmt.Sprintf(`{"query":{"echo":"%s-%d"}}`, crashMarker, random.Uint64())
+	for i := range soakCrashSends {
+		url, _ := s.balancer.pick(i, 0)
+		// The answer is of no interest: the leafs count what ran.
+		_, _, _ = s.balancer.caller.post(ctx, url+"/v1/services/"+service+"/query", body)
+	}
+}
+
 func (s *soak) loseReplies(ctx context.Context, random *rand.Rand) {
 	_, l := s.pick(random)
 	l.SetLostReplyShare(soakLostShare)
@@ -182,7 +198,7 @@
 // drainKnown on.
 func (s *soak) drain(ctx context.Context, random *rand.Rand) {
 	p, l := s.pick(random)
-	way, free := s.claimDrain(p)
+	way, free := s.claimDrain(p, l)
 	if !free {
 		return
 	}
@@ -200,16 +216,24 @@
 }
 
 // claimDrain reserves a place for a drain and takes the ways in turn; free is
-// false when a drain is going on there.
-func (f *soakFleet) claimDrain(p *soakPlace) (way int, free bool) {
+// false when a drain is going on there. A leaf whose manifest denied one drain
+// denies all later ones.
+func (f *soakFleet) claimDrain(p *soakPlace, l *leaf.Leaf) (way int, free bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if p.draining {
 		return 0, false
 	}
 	p.draining = true
+	way = f.drains % drainWays
 	f.drains++
-	return (f.drains - 1) % drainWays, true
+	if way == drainByManifest && p.denier == l {
+		way = drainDenied
+	}
+	if way == drainDenied {
+		p.denier = l
+	}
+	return way, true
 }
 
 func (f *soakFleet) setDraining(p *soakPlace, l *leaf.Leaf, way int, draining bool) {
