Measure and draw p99 and extra load over the hedge share

Cause: nothing showed what each hedge share buys and costs. Answers wait for every shard, so that stragglers show in p99.

--- a/cmd/hickorydock/experiment.go
+++ b/cmd/hickorydock/experiment.go
@@ -1,10 +1,12 @@
 package main
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"fmt"
 	"io"
+	"os"
 
 	"github.com/integrii/flaggy"
 
@@ -20,6 +22,7 @@
   hickorydock experiment --list
   hickorydock experiment tail --seed 7
   hickorydock experiment slopes --markdown
+  hickorydock experiment hedge-curve --svg curve.svg
   hickorydock experiment --all`,
 	bind: bindExperiment,
 }
@@ -31,6 +34,7 @@
 	all      bool
 	seed     uint64
 	markdown bool
+	svg      string
 }
 
 // defaultSeed is the seed of experiments when none is given.
@@ -43,6 +47,7 @@
 	flags.Bool(&opts.all, "a", "all", "Run every experiment.")
 	flags.UInt64(&opts.seed, "s", "seed", "Seed of everything random.")
 	flags.Bool(&opts.markdown, "m", "markdown", "With slopes: print docs/CAPACITY.md.")
+	flags.String(&opts.svg, "", "svg", "With an experiment that draws: file to write its plot to.")
 	return func(ctx context.Context, out, errOut io.Writer) error {
 		return runExperiment(ctx, opts, out, errOut)
 	}
@@ -53,6 +58,8 @@
 
 func runExperiment(ctx context.Context, opts experimentOptions, out, errOut io.Writer) error {
 	switch {
+	case opts.svg != "":
+		return drawExperiment(ctx, opts, out)
 	case opts.list:
 		return listExperiments(out)
 	case opts.all:
@@ -67,6 +74,37 @@
 	return runExperiments(ctx, []experiment.Experiment{e}, opts.seed, out)
 }
 
+// drawExperiment runs an experiment and writes its plot to a file, also when it
+// missed its target.
+func drawExperiment(ctx context.Context, opts experimentOptions, out io.Writer) error {
+	e, ok := experiment.Find(opts.name)
+	if !ok || !e.Draws || opts.all || opts.list || opts.markdown {
+		return usageError("--svg goes with the name of an experiment that draws, such as hedge-curve")
+	}
+	result, err := experiment.Execute(ctx, e, opts.seed)
+	if err != nil {
+		return err
+	}
+	if err := writePlot(opts.svg, result.Plot); err != nil {
+		return err
+	}
+	if err := experiment.Print(out, result); err != nil {
+		return err
+	}
+	if !result.Pass {
+		return fmt.Errorf("experiment %s: %w", e.Name, errTargetMissed)
+	}
+	return nil
+}
+
+func writePlot(path string, p *experiment.Plot) error {
+	var picture bytes.Buffer
+	if err := p.WriteSVG(&picture); err != nil {
+		return err
+	}
+	return os.WriteFile(path, picture.Bytes(), 0o644)
+}
+
 // printCapacity measures the slopes and writes the page on capacity.
 func printCapacity(ctx context.Context, name string, out io.Writer) error {
 	if name != "slopes" {
--- a/internal/experiment/experiment.go
+++ b/internal/experiment/experiment.go
@@ -50,6 +50,8 @@
 	Checks   []Check  `json:"checks"`
 	Pass     bool     `json:"pass"`
 	Seconds  float64  `json:"seconds"`
+	// Plot shows the figures; nil unless the experiment draws.
+	Plot *Plot `json:"-"`
 }
 
 // Experiment is a named measurement.
@@ -59,12 +61,15 @@
 	Target  string
 	// Run fills in Baseline, Policy and Checks.
 	Run func(ctx context.Context, seed uint64) (Result, error)
+	// Draws is true when Run also fills in Plot.
+	Draws bool
 }
 
 // All lists the experiments in the order in which they run.
 func All() []Experiment {
 	return []Experiment{
 		tailExperiment,
+		hedgeCurveExperiment,
 		commandsExperiment,
 		commandsOutageExperiment,
 		storeOutageExperiment,
--- /dev/null
+++ b/internal/experiment/plot.go
@@ -0,0 +1,103 @@
+package experiment
+
+import (
+	"io"
+
+	"gonum.org/v1/plot"
+	"gonum.org/v1/plot/font"
+	"gonum.org/v1/plot/plotter"
+	"gonum.org/v1/plot/vg"
+	"gonum.org/v1/plot/vg/draw"
+	_ "gonum.org/v1/plot/vg/vgsvg" // registers the format svg
+)
+
+// Plot is a picture of figures: panels side by side over the same quantity.
+type Plot struct {
+	Title string
+	// X names the quantity of the horizontal axes with its unit.
+	X      string
+	Panels []Panel
+}
+
+// Panel is one curve; Y names its quantity with its unit.
+type Panel struct {
+	Y      string
+	Points []Point
+}
+
+// Point is one measured point of a curve.
+type Point struct{ X, Y float64 }
+
+const (
+	panelWidth  = 11 * vg.Centimeter
+	panelHeight = 9 * vg.Centimeter
+	panelMargin = 4 * vg.Millimeter
+	// panelHeadroom is the part of the largest value left free above a curve.
+	panelHeadroom = 1.15
+	curveWidth    = 1.5 // points
+	markRadius    = 3   // points
+)
+
+// WriteSVG draws the plot as SVG.
+func (p *Plot) WriteSVG(w io.Writer) error { return p.write(w, "svg") }
+
+// write draws the plot in a format that the plot library knows.
+func (p *Plot) write(w io.Writer, format string) error {
+	count := len(p.Panels)
+	canvas, err := draw.NewFormattedCanvas(vg.Length(count)*panelWidth, panelHeight, format)
+	if err != nil {
+		return err
+	}
+	tiles := draw.Tiles{
+		Rows: 1, Cols: count, PadX: 2 * panelMargin,
+		PadLeft: panelMargin, PadRight: panelMargin, PadTop: panelMargin, PadBottom: panelMargin,
+	}
+	whole := draw.New(canvas)
+	for i, panel := range p.Panels {
+		drawn, err := p.panel(panel)
+		if err != nil {
+			return err
+		}
+		drawn.Draw(tiles.At(whole, i, 0))
+	}
+	_, err = canvas.WriteTo(w)
+	return err
+}
+
+func (p *Plot) panel(panel Panel) (*plot.Plot, error) {
+	points := make(plotter.XYs, len(panel.Points))
+	highest := 0.0
+	for i, point := range panel.Points {
+		points[i] = plotter.XY(point)
+		highest = max(highest, point.Y)
+	}
+	line, marks, err := plotter.NewLinePoints(points)
+	if err != nil {
+		return nil, err
+	}
+	line.Width = vg.Points(curveWidth)
+	marks.Radius = vg.Points(markRadius)
+	marks.Shape = draw.CircleGlyph{}
+	drawn := plot.New()
+	drawn.Title.Text = p.Title
+	drawn.X.Label.Text = p.X
+	drawn.Y.Label.Text = panel.Y
+	sansSerif(drawn)
+	drawn.Add(plotter.NewGrid(), line, marks)
+	drawn.Y.Min = 0
+	if highest > 0 {
+		drawn.Y.Max = panelHeadroom * highest
+	}
+	return drawn, nil
+}
+
+// sansSerif sets the fonts of a plot.
+func sansSerif(p *plot.Plot) {
+	for _, f := range []*font.Font{
+		&p.Title.TextStyle.Font,
+		&p.X.Label.TextStyle.Font, &p.X.Tick.Label.Font,
+		&p.Y.Label.TextStyle.Font, &p.Y.Tick.Label.Font,
+	} {
+		f.Variant = "Sans"
+	}
+}
