--- a/cmd/hickorydock/experiment.go
+++ b/cmd/hickorydock/experiment.go
@@ -1,11 +1,13 @@
 package main
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"fmt"
 	"io"
 	"time"
+	"os"
 
 	"github.com/integrii/flaggy"
 
@@ -22,6 +24,7 @@
   hickorydock experiment tail --seed 7
   hickorydock experiment slopes --markdown
   hickorydock experiment soak --for 60s --seed 7
+  hickorydock experiment hedge-curve --svg curve.svg
   hickorydock experiment --all`,
 	bind: bindExperiment,
 }
@@ -34,6 +37,7 @@
 	seed     uint64
 	markdown bool
 	duration time.Duration
+	svg      string
 }
 
 // defaultSeed is the seed of experiments when none is given.
@@ -47,6 +51,7 @@
 	flags.UInt64(&opts.seed, "s", "seed", "Seed of everything random.")
 	flags.Bool(&opts.markdown, "m", "markdown", "With slopes: print docs/CAPACITY.md.")
 	flags.Duration(&opts.duration, "", "for", "With soak: the time of the load, at least 15s.")
+	flags.String(&opts.svg, "", "svg", "With an experiment that draws: file to write its plot to.")
 	return func(ctx context.Context, out, errOut io.Writer) error {
 		return runExperiment(ctx, opts, out, errOut)
 	}
@@ -57,6 +62,8 @@
 
 func runExperiment(ctx context.Context, opts experimentOptions, out, errOut io.Writer) error {
 	switch {
+	case opts.svg != "":
+		return drawExperiment(ctx, opts, out)
 	case opts.list:
 		return listExperiments(out)
 	case opts.all:
@@ -81,6 +88,37 @@
 	return runExperiments(ctx, []experiment.Experiment{experiment.Soak(opts.duration)}, opts.seed, out)
 }
 
+// drawExperiment runs an experiment and writes its plot to a file, also when it
+// missed its target.
+func drawExperiment(ctx context.Context, opts experimentOptions, out io.Writer) error {
+	e, ok := experiment.Find(opts.name)
+	if !ok || !e.Draws || opts.all || opts.list || opts.markdown {
+		return usageError("--svg goes with the name of an experiment that draws, such as hedge-curve")
+	}
+	result, err := experiment.Execute(ctx, e, opts.seed)
+	if err != nil {
+		return err
+	}
+	if err := writePlot(opts.svg, result.Plot); err != nil {
+		return err
+	}
+	if err := experiment.Print(out, result); err != nil {
+		return err
+	}
+	if !result.Pass {
+		return fmt.Errorf("experiment %s: %w", e.Name, errTargetMissed)
+	}
+	return nil
+}
+
+func writePlot(path string, p *experiment.Plot) error {
+	var picture bytes.Buffer
+	if err := p.WriteSVG(&picture); err != nil {
+		return err
+	}
+	return os.WriteFile(path, picture.Bytes(), 0o644)
+}
+
 // printCapacity measures the slopes and writes the page on capacity.
 func printCapacity(ctx context.Context, name string, out io.Writer) error {
 	if name != "slopes" {
