--- a/cmd/hickorydock/experiment.go
+++ b/cmd/hickorydock/experiment.go
@@ -6,8 +6,8 @@
 	"errors"
 	"fmt"
 	"io"
-	"time"
 	"os"
+	"time"
 
 	"github.com/integrii/flaggy"
 
