Give calls between nodes a span, and carry the trace context to the peer

Cause: the hop between nodes had no span, so a forwarded command began a trace of its own at the answering node. Change: a call starts a peer span and carries its context in the call's metadata; the answering node starts its span under it.

--- a/internal/transport/peering/link.go
+++ b/internal/transport/peering/link.go
@@ -52,10 +52,12 @@
 		return fault.Wrap(ctx.Err(), fault.StepPeer, address, "wait for one of %d calls", callsPerNode)
 	}
 	conn := n.pool.Get(ctx, address, n.dial)
+	ctx, span := n.startCall(ctx, address)
 	hello, err := do(ctx, contract.NewDRPCControlClient(conn))
 	if err == nil {
 		_, err = n.wire.Agree(hello)
 	}
+	span.End(err)
 	if err != nil {
 		return fault.Wrap(err, fault.StepPeer, address, "call")
 	}
--- a/internal/transport/peering/module.go
+++ b/internal/transport/peering/module.go
@@ -15,6 +15,7 @@
 	"github.com/hickorydock/hickorydock/internal/transport/credentials"
 	"github.com/hickorydock/hickorydock/internal/transport/limits"
 	"github.com/hickorydock/hickorydock/internal/transport/metrics"
+	"github.com/hickorydock/hickorydock/internal/transport/tracing"
 )
 
 // Module provides the network, which listens on the peer address while the node
@@ -27,9 +28,9 @@
 // closeGrace is the longest time for the calls of other nodes to end.
 const closeGrace = time.Second
 
-func provide(s settings.Settings, self command.Incarnation, tls *credentials.Credentials, logger log.Interface, m *metrics.Metrics, lifecycle fx.Lifecycle) (*Network, error) {
+func provide(s settings.Settings, self command.Incarnation, tls *credentials.Credentials, logger log.Interface, m *metrics.Metrics, tracer *tracing.Tracer, lifecycle fx.Lifecycle) (*Network, error) {
 	dial := tls.Dialer(credentials.Nodes, new(net.Dialer).DialContext)
-	n, err := New(Config{Self: self, Bootstrap: s.Node.BootstrapPeers, Dial: DialFunc(dial), Log: logger, Metrics: m})
+	n, err := New(Config{Self: self, Bootstrap: s.Node.BootstrapPeers, Dial: DialFunc(dial), Log: logger, Metrics: m, Tracer: tracer})
 	if err != nil {
 		return nil, err
 	}
--- a/internal/transport/peering/peering.go
+++ b/internal/transport/peering/peering.go
@@ -25,6 +25,7 @@
 	contract "github.com/hickorydock/hickorydock/internal/protocol/peer"
 	"github.com/hickorydock/hickorydock/internal/protocol/platform"
 	"github.com/hickorydock/hickorydock/internal/transport/peer"
+	"github.com/hickorydock/hickorydock/internal/transport/tracing"
 )
 
 // Offer is what one node can tell another that starts while the platform is
@@ -67,6 +68,8 @@
 	MaxMessageBytes int
 	Log             log.Interface
 	Metrics         Metrics
+	// Tracer starts the spans of calls; nil records none.
+	Tracer *tracing.Tracer
 }
 
 // Bounds of connections.
@@ -115,6 +118,9 @@
 	if cfg.MaxMessageBytes > 0 {
 		wire.MaxMessageBytes = cfg.MaxMessageBytes
 	}
+	if cfg.Tracer == nil {
+		cfg.Tracer = tracing.Off()
+	}
 	n := &Network{
 		cfg:    cfg,
 		wire:   wire,
--- a/internal/transport/peering/service.go
+++ b/internal/transport/peering/service.go
@@ -114,7 +114,9 @@
 	if err := json.Unmarshal(request.Command, &f); err != nil {
 		return nil, fault.Wrap(err, fault.StepDecode, request.Hello.Node, "forwarded command")
 	}
+	ctx, span := s.network.startServed(ctx, request.Hello.Node)
 	result, err := forward(ctx, f)
+	span.End(err)
 	if err != nil {
 		return nil, err
 	}
