Let losers run out, and speak HTTP/2 to leafs, where asked

Cause: on HTTP/1.1 a cancelled loser costs a connection; the other ways could not be measured. Change: the relay can let losers run out once a reply came (the caller's leaving and the deadline still cancel them), and the upstream client can use HTTP/2 without TLS. The defaults are as before. The stand-in leaf speaks both. Conclusion: the ways can be compared.

--- a/internal/standin/leaf/leaf.go
+++ b/internal/standin/leaf/leaf.go
@@ -119,7 +119,10 @@
 		started:    time.Now(),
 	}
 	l.incarnation = l.random.Uint64() >> 12 // exact as a JSON number
-	l.server = &http.Server{Handler: l, ConnContext: connContext}
+	protocols := new(http.Protocols)
+	protocols.SetHTTP1(true)
+	protocols.SetUnencryptedHTTP2(true)
+	l.server = &http.Server{Handler: l, ConnContext: connContext, Protocols: protocols}
 	return l
 }
 
--- a/internal/transport/relay/relay.go
+++ b/internal/transport/relay/relay.go
@@ -75,6 +75,7 @@
 	services sync.Map // service name -> *serviceState
 	queues   *queues
 	guard    *guard.Guard
+	losers   Losers
 }
 
 // New returns a relay in an availability zone; refresh and observer may be nil.
@@ -181,6 +182,9 @@
 	task    Task
 	machine subrequest.Machine
 	ctx     context.Context
+	// wire bounds what attempts send; it ends with ctx unless losers run out.
+	wire    context.Context
+	pending sync.WaitGroup
 	results chan ended
 	first   tracing.Span
 	// timer fires when the machine has something due.
@@ -198,7 +202,8 @@
 const maxReplicas = 64
 
 // Run asks the replicas of one shard until one answers, the deadline passes or
-// ctx ends. Attempts still pending at its return are cancelled.
+// ctx ends. Attempts still pending at its return are cancelled, or left to run
+// out when a reply came and SetLosers says so.
 func (r *Relay) Run(ctx context.Context, task Task) Result {
 	ctx, cancel := context.WithDeadline(ctx, task.Deadline)
 	defer cancel()
@@ -219,8 +224,12 @@
 		task:    task,
 		machine: subrequest.New(cfg, state.extra),
 		ctx:     ctx,
+		wire:    ctx,
 		results: make(chan ended, min(len(task.Replicas), maxReplicas)+subrequest.MaxHedges),
 	}
+	if r.losers == RunOut {
+		return u.loopRunOut()
+	}
 	return u.loop()
 }
 
@@ -339,7 +348,7 @@
 	u.count++
 	target.Record.Begin(time.Now())
 	ctx, span := u.span(attempt, target)
-	go u.attempt(ctx, span, attempt, target, sub)
+	u.pending.Go(func() { u.attempt(ctx, span, attempt, target, sub) })
 }
 
 // span starts the span of an attempt; those after the first link to it.
@@ -347,9 +356,9 @@
 	leafID := attribute.String("leaf", target.VM.ID)
 	shard := attribute.Int("shard", u.task.Shard)
 	if attempt.Kind != subrequest.First {
-		return u.relay.tracer.StartLinked(u.ctx, tracing.HopAttempt, u.first, leafID, shard)
+		return u.relay.tracer.StartLinked(u.wire, tracing.HopAttempt, u.first, leafID, shard)
 	}
-	ctx, span := u.relay.tracer.Start(u.ctx, tracing.HopAttempt, leafID, shard)
+	ctx, span := u.relay.tracer.Start(u.wire, tracing.HopAttempt, leafID, shard)
 	u.first = span
 	return ctx, span
 }
--- a/internal/transport/upstream/client.go
+++ b/internal/transport/upstream/client.go
@@ -1,5 +1,6 @@
 // Package upstream sends subrequests to leafs over HTTP/1.1 with kept
-// connections and fetches their manifests. Replies are verified before use.
+// connections, or over HTTP/2, and fetches their manifests. Replies are verified
+// before use.
 package upstream
 
 import (
@@ -39,6 +40,30 @@
 	Dial credentials.DialFunc
 	// ManifestTimeout bounds fetching a manifest.
 	ManifestTimeout time.Duration
+	// Protocol is what the client speaks to leafs.
+	Protocol Protocol
+}
+
+// Protocol is a version of HTTP.
+type Protocol int
+
+const (
+	// HTTP1 is HTTP/1.1 with one request at a time on each kept connection.
+	HTTP1 Protocol = iota
+	// HTTP2 is HTTP/2 without TLS from the first byte, with a stream for each
+	// request. Leafs must speak it too. A connection of a share carries one request
+	// at a time all the same.
+	HTTP2
+)
+
+// protocols is the form of p for net/http; nil keeps its default.
+func (p Protocol) protocols() *http.Protocols {
+	if p == HTTP1 {
+		return nil
+	}
+	protocols := new(http.Protocols)
+	protocols.SetUnencryptedHTTP2(true)
+	return protocols
 }
 
 // defaultConnectionsPerLeaf bounds connections to a leaf where no share is known.
@@ -87,6 +112,7 @@
 		IdleConnTimeout:        time.Minute,
 		DisableCompression:     true,
 		MaxResponseHeaderBytes: cfg.MaxReplyHeaderBytes,
+		Protocols:              cfg.Protocol.protocols(),
 	}
 	c.shares = newShares(transport, cfg.ManifestTimeout)
 	c.http = &http.Client{
