Measure what the losers of hedging cost, in three ways

Cause: closing connections, running out and streams were not compared. Change: the experiment cancel-cost runs the relay against leafs that charge 6 ms of a cap of 25, and 1 ms of 100.

--- /dev/null
+++ b/internal/experiment/cancelcost.go
@@ -0,0 +1,256 @@
+package experiment
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"sync"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"github.com/hickorydock/hickorydock/internal/coordination/replica"
+	"github.com/hickorydock/hickorydock/internal/protocol/upstream"
+	"github.com/hickorydock/hickorydock/internal/standin/leaf"
+	stateleaf "github.com/hickorydock/hickorydock/internal/state/leaf"
+	"github.com/hickorydock/hickorydock/internal/state/shardmap"
+	"github.com/hickorydock/hickorydock/internal/transport/relay"
+	"github.com/hickorydock/hickorydock/internal/transport/tracing"
+	client "github.com/hickorydock/hickorydock/internal/transport/upstream"
+)
+
+var cancelCostExperiment = Experiment{
+	Name:    "cancel-cost",
+	Summary: "three ways to end the losers of hedging, where a connection costs 6 ms of a cap of 25, and 1 ms of 100",
+	Target:  "every query answered; cancelled losers go on nowhere; cancelling by a stream opens at most 0.01 connections a query",
+	Run:     runCancelCost,
+}
+
+const (
+	cancelCostShards  = 10
+	cancelCostRate    = 240.0
+	cancelCostQueries = 700
+	cancelCostWarmup  = 200
+	cancelCostWait    = 2 * time.Second
+	// cancelCostSettle is the time that losers have to run out.
+	cancelCostSettle = 300 * time.Millisecond
+)
+
+// loserMode is a way to end the losers.
+type loserMode struct {
+	name     string
+	losers   relay.Losers
+	protocol client.Protocol
+}
+
+var loserModes = []loserMode{
+	{"close", relay.Cancel, client.HTTP1},
+	{"run_out", relay.RunOut, client.HTTP1},
+	{"stream", relay.Cancel, client.HTTP2},
+}
+
+// connectSetting is what connections cost at the stand-in leafs.
+type connectSetting struct {
+	name string
+	cost time.Duration
+	most int
+}
+
+var connectSettings = []connectSetting{
+	{"6ms_of_25", 6 * time.Millisecond, 25},
+	{"1ms_of_100", time.Millisecond, 100},
+}
+
+// cancelCost is what one way costs in one setting.
+type cancelCost struct {
+	latency  *hdrhistogram.Histogram // microseconds
+	answered int
+	// opened is connections a query, extra runs beyond one a subrequest, goneOn
+	// runs a subrequest that were there cancelGrace after a reply to it.
+	opened, goneOn, extra float64
+	// processor is the time of both sides a subrequest, in microseconds.
+	processor float64
+}
+
+func (c *cancelCost) figures(prefix string) []Figure {
+	return []Figure{
+		{prefix + "_p50_ms", float64(c.latency.ValueAtQuantile(50)) / 1000},
+		{prefix + "_p99_ms", float64(c.latency.ValueAtQuantile(99)) / 1000},
+		{prefix + "_answered", float64(c.answered)},
+		{prefix + "_connections_per_query", c.opened},
+		{prefix + "_extra_load", c.extra},
+		{prefix + "_went_on_per_subrequest", c.goneOn},
+		{prefix + "_processor_us_per_subrequest", c.processor},
+	}
+}
+
+func runCancelCost(ctx context.Context, seed uint64) (Result, error) {
+	var result Result
+	for _, setting := range connectSettings {
+		for _, mode := range loserModes {
+			cost, err := measureCancelCost(ctx, seed, setting, mode)
+			if err != nil {
+				return Result{}, err
+			}
+			prefix := setting.name + "_" + mode.name
+			result.Policy = append(result.Policy, cost.figures(prefix)...)
+			result.Checks = append(result.Checks, AtLeast(prefix+"_answered", float64(cost.answered), cancelCostQueries))
+			if mode.losers == relay.Cancel {
+				result.Checks = append(result.Checks, AtMost(prefix+"_went_on", cost.goneOn, 0))
+			}
+			if mode.protocol == client.HTTP2 {
+				result.Checks = append(result.Checks, AtMost(prefix+"_connections_per_query", cost.opened, 0.01))
+			}
+		}
+	}
+	return result, ctx.Err()
+}
+
+// cancelRig is a relay with leafs, without the rest of a node.
+type cancelRig struct {
+	leafs    []*leaf.Leaf
+	replicas [][]shardmap.Replica // by shard
+	client   *client.Client
+	relay    *relay.Relay
+}
+
+func newCancelRig(seed uint64, setting connectSetting, mode loserMode) (*cancelRig, error) {
+	cfg := client.DefaultConfig()
+	cfg.ConnectionsPerLeaf = setting.most
+	cfg.Protocol = mode.protocol
+	r := &cancelRig{client: client.New(cfg, nil)}
+	starter := &rig{options: tailRig(seed, hedgeCurveDefault, tailServiceTime)}
+	starter.options.shards = cancelCostShards
+	starter.options.leaf.ConnectCost = setting.cost
+	starter.options.leaf.ConnectionCap = setting.most
+	for shard := range cancelCostShards {
+		var replicas []shardmap.Replica
+		for i := range tailReplicas {
+			l, err := starter.startLeaf(shard, i)
+			if err != nil {
+				r.close()
+				return nil, err
+			}
+			r.leafs = append(r.leafs, l)
+			vm := starter.vms[len(starter.vms)-1]
+			replicas = append(replicas, shardmap.Replica{VM: vm, Record: &stateleaf.Record{}})
+		}
+		r.replicas = append(r.replicas, replicas)
+	}
+	store := shardmap.NewStore(stateleaf.NewTable())
+	r.relay = relay.New(r.client, store, nil, zones[0], replica.Choose, nil, tracing.Off())
+	r.relay.SetLosers(mode.losers)
+	return r, nil
+}
+
+func (r *cancelRig) close() {
+	r.client.Close()
+	for _, l := range r.leafs {
+		l.Close()
+	}
+}
+
+// query asks every shard and reports whether all answered.
+func (r *cancelRig) query(ctx context.Context, id string) bool {
+	service := experimentService(hedgeCurveDefault)
+	body, err := json.Marshal(upstream.RunRequest{Query: json.RawMessage(`{}`)})
+	if err != nil {
+		return false
+	}
+	deadline := time.Now().Add(cancelCostWait)
+	answered := make([]bool, len(r.replicas))
+	var running sync.WaitGroup
+	for shard, replicas := range r.replicas {
+		running.Go(func() {
+			result := r.relay.Run(ctx, relay.Task{
+				Service: &service, RequestID: id, Restart: 1, Shard: shard,
+				Snapshot: firstSnapshot, Replicas: replicas, Deadline: deadline, Body: body,
+			})
+			answered[shard] = result.OK
+		})
+	}
+	running.Wait()
+	for _, ok := range answered {
+		if !ok {
+			return false
+		}
+	}
+	return true
+}
+
+func (r *cancelRig) drive(ctx context.Context, seed uint64, name string, count int) *cancelCost {
+	c := &cancelCost{latency: hdrhistogram.New(1, int64(time.Minute/time.Microsecond), histogramDigits)}
+	var mu sync.Mutex
+	poisson(ctx, seed, cancelCostRate, count, func(i int, at time.Time) {
+		ok := r.query(ctx, fmt.Sprintf("%s-%d", name, i))
+		mu.Lock()
+		defer mu.Unlock()
+		if ok {
+			c.answered++
+		}
+		// RecordValue fails only above its bound, which the deadline rules out.
+		_ = c.latency.RecordValue(max(time.Since(at).Microseconds(), 1))
+	})
+	return c
+}
+
+func measureCancelCost(ctx context.Context, seed uint64, setting connectSetting, mode loserMode) (*cancelCost, error) {
+	r, err := newCancelRig(seed, setting, mode)
+	if err != nil {
+		return nil, err
+	}
+	defer r.close()
+	r.drive(ctx, seed, "warm-up", cancelCostWarmup)
+	sleepUntil(ctx, time.Now().Add(cancelCostSettle))
+	for _, l := range r.leafs {
+		l.ResetRuns()
+	}
+	opened := r.client.ConnectionsOpened()
+	var c *cancelCost
+	processor, err := processorOf(func() error {
+		c = r.drive(ctx, seed, "counted", cancelCostQueries)
+		sleepUntil(ctx, time.Now().Add(cancelCostSettle))
+		return ctx.Err()
+	})
+	if err != nil {
+		return nil, err
+	}
+	subrequests := float64(cancelCostQueries * cancelCostShards)
+	c.processor = processor / subrequests
+	c.opened = float64(r.client.ConnectionsOpened()-opened) / cancelCostQueries
+	runs, goneOn := r.count()
+	c.extra = float64(runs)/subrequests - 1
+	c.goneOn = float64(goneOn) / subrequests
+	return c, nil
+}
+
+// count returns the runs that began, and those that were there cancelGrace after
+// the first reply to their subrequest.
+func (r *cancelRig) count() (runs, goneOn int) {
+	type subrequest struct {
+		id    string
+		shard int
+	}
+	all := make(map[subrequest][]leaf.Run)
+	for _, l := range r.leafs {
+		for _, run := range l.AllRuns() {
+			runs++
+			key := subrequest{run.RequestID, run.Shard}
+			all[key] = append(all[key], run)
+		}
+	}
+	for _, attempts := range all {
+		first := time.Now()
+		for _, run := range attempts {
+			if run.Replied && run.Finished.Before(first) {
+				first = run.Finished
+			}
+		}
+		for _, run := range attempts {
+			if run.Finished.IsZero() || run.Finished.After(first.Add(cancelGrace)) {
+				goneOn++
+			}
+		}
+	}
+	return runs, goneOn
+}
--- a/internal/experiment/experiment.go
+++ b/internal/experiment/experiment.go
@@ -78,6 +78,7 @@
 		versionsExperiment,
 		coverageExperiment,
 		cancelExperiment,
+		cancelCostExperiment,
 		returnExperiment,
 		ownershipExperiment,
 		sharesExperiment,
