--- a/internal/experiment/experiment.go
+++ b/internal/experiment/experiment.go
@@ -80,6 +80,7 @@
 		versionsExperiment,
 		coverageExperiment,
 		cancelExperiment,
+		cancelCostExperiment,
 		returnExperiment,
 		ownershipExperiment,
 		sharesExperiment,
