Let shares be required, and drop them without a wait

Cause: a leaf without a share was reached through a transport of its own with up to 16 connections, so a request before the first share, or after the leaf left the list, opened connections that no share counted. Dropping a share waited up to the warm timeout for a connection that was being opened.

Change: Client.RequireShares makes leafs without a share unreachable; such a request fails as one that was never sent. DropShare ends the pool at once, and Close waits for what it was opening.

Conclusion: all connections of a client that requires shares lie within them.

--- a/internal/transport/upstream/client.go
+++ b/internal/transport/upstream/client.go
@@ -114,6 +114,10 @@
 // requests wait for a free one. Without a share a leaf has ConnectionsPerLeaf.
 func (c *Client) SetShare(vm platform.VM, count int) { c.shares.set(vm.Address, count) }
 
+// RequireShares makes leafs without a share unreachable. It is called before the
+// first request, so that no connection is outside the shares.
+func (c *Client) RequireShares() { c.shares.require() }
+
 // DropShare closes the connections to a leaf that is gone and forgets its share.
 func (c *Client) DropShare(vm platform.VM) { c.shares.drop(vm.Address) }
 
--- a/internal/transport/upstream/pool.go
+++ b/internal/transport/upstream/pool.go
@@ -362,9 +362,15 @@
 	return err
 }
 
-// close closes idle connections at once and those in use when they are free, and
-// waits for the pool's goroutines.
+// close ends the pool and waits for its goroutines.
 func (p *pool) close() {
+	p.end()
+	p.workers.Wait()
+}
+
+// end closes idle connections at once and those in use when they are free. It
+// does not wait for connections that are being opened.
+func (p *pool) end() {
 	p.mu.Lock()
 	p.closed = true
 	p.allowed = 0
@@ -376,5 +382,4 @@
 	}
 	p.mu.Unlock()
 	close(p.done)
-	p.workers.Wait()
 }
--- a/internal/transport/upstream/shares.go
+++ b/internal/transport/upstream/shares.go
@@ -1,22 +1,31 @@
 package upstream
 
 import (
+	"errors"
+	"net"
 	"net/http"
 	"sync"
 	"time"
 )
 
+// errNoShare means that the node has no share of a leaf's connections.
+var errNoShare = errors.New("no share of the leaf's connections")
+
 // shares is a round tripper that keeps connections to leafs within their shares.
-// Leafs without a share are reached through base without a bound. It is safe for
-// concurrent use; its mutex guards the table of pools only.
+// Leafs without a share are reached through base without a bound, or not at all
+// when shares are required. It is safe for concurrent use; its mutex guards the
+// fields below it only.
 type shares struct {
 	base *http.Transport
 	// warmTimeout bounds the first exchange on a new connection.
 	warmTimeout time.Duration
+	ended       sync.WaitGroup // pools that were dropped
 
 	mu     sync.Mutex
 	pools  map[string]*pool // by host:port
 	closed bool
+	// required refuses requests to leafs without a share.
+	required bool
 }
 
 func newShares(base *http.Transport, warmTimeout time.Duration) *shares {
@@ -28,13 +37,23 @@
 func (s *shares) RoundTrip(request *http.Request) (*http.Response, error) {
 	s.mu.Lock()
 	p := s.pools[request.URL.Host]
+	required := s.required
 	s.mu.Unlock()
+	if p == nil && required {
+		return nil, &net.OpError{Op: "dial", Net: "tcp", Err: errNoShare}
+	}
 	if p == nil {
 		return s.base.RoundTrip(request)
 	}
 	return p.roundTrip(request)
 }
 
+func (s *shares) require() {
+	s.mu.Lock()
+	s.required = true
+	s.mu.Unlock()
+}
+
 // set changes the number of connections to an address.
 func (s *shares) set(address string, count int) {
 	s.mu.Lock()
@@ -53,11 +72,12 @@
 // drop closes the connections to an address and forgets its share.
 func (s *shares) drop(address string) {
 	s.mu.Lock()
+	defer s.mu.Unlock()
 	p := s.pools[address]
 	delete(s.pools, address)
-	s.mu.Unlock()
 	if p != nil {
-		p.close()
+		p.end()
+		s.ended.Go(p.workers.Wait)
 	}
 }
 
@@ -70,5 +90,6 @@
 	for _, p := range all {
 		p.close()
 	}
+	s.ended.Wait()
 	s.base.CloseIdleConnections()
 }
