Keep each node's connections to leafs within its share

Cause: serve did not use the shares. Each node opened up to 16 connections to a leaf, bounded in use by the relay alone and by its present view of the nodes, and kept them idle for a minute while other nodes came.

Change: transport/connections computes the share of each upstream group from the platform's list of nodes and the lowest connection cap of its services, passes it through share.Window (3 s) and sets it on the client, again on each change of nodes, leafs or catalogue. Nodes that leave still count. A node takes nothing until the platform lists it, and one connection of the reserve if that takes over 5 s. Manifests are fetched on the same connections. The relay's limit follows the same share in place of a division of its own; its test now takes the shares as given, and the table of 25 connections over 7 and more nodes is held in connections. A node is not ready before it has a share.

The price is a start that takes 3 s longer.

--- a/internal/node/control/module.go
+++ b/internal/node/control/module.go
@@ -10,10 +10,10 @@
 	"github.com/hickorydock/hickorydock/internal/protocol/settings"
 	"github.com/hickorydock/hickorydock/internal/state/catalogue"
 	"github.com/hickorydock/hickorydock/internal/transport/command"
+	"github.com/hickorydock/hickorydock/internal/transport/connections"
 	"github.com/hickorydock/hickorydock/internal/transport/discovery"
 	"github.com/hickorydock/hickorydock/internal/transport/metrics"
 	"github.com/hickorydock/hickorydock/internal/transport/peering"
-	"github.com/hickorydock/hickorydock/internal/transport/relay"
 	"github.com/hickorydock/hickorydock/internal/transport/server"
 )
 
@@ -31,8 +31,8 @@
 	Client    platform.Client
 	Store     *catalogue.Store
 	Discovery *discovery.Discovery
-	Relay     *relay.Relay    `optional:"true"`
-	Budget    *command.Budget `optional:"true"`
+	Shares    *connections.Shares `optional:"true"`
+	Budget    *command.Budget     `optional:"true"`
 	Logger    log.Interface
 	Metrics   *metrics.Metrics
 	Peers     Peers            `optional:"true"`
@@ -62,10 +62,10 @@
 
 // setVMs hands the platform's list to those who follow it.
 func (p params) setVMs(vms []platform.VM) {
-	p.Discovery.SetVMs(vms)
-	if p.Relay != nil {
-		p.Relay.SetVMs(vms)
+	if p.Shares != nil {
+		p.Shares.SetVMs(vms)
 	}
+	p.Discovery.SetVMs(vms)
 	if p.Budget != nil {
 		p.Budget.SetVMs(vms)
 	}
@@ -76,4 +76,19 @@
 
 func services(store *catalogue.Store) server.Services { return store }
 
-func readiness(c *Control) server.Readiness { return c.Ready }
+// readyParams are what a node's readiness depends on.
+type readyParams struct {
+	fx.In
+	Control *Control
+	Shares  *connections.Shares `optional:"true"`
+}
+
+func readiness(p readyParams) server.Readiness {
+	return func() error {
+		err := p.Control.Ready()
+		if err == nil && p.Shares != nil {
+			err = p.Shares.Ready()
+		}
+		return err
+	}
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -21,6 +21,7 @@
 	"github.com/hickorydock/hickorydock/internal/state/catalogue"
 	"github.com/hickorydock/hickorydock/internal/transport/admin"
 	"github.com/hickorydock/hickorydock/internal/transport/command"
+	"github.com/hickorydock/hickorydock/internal/transport/connections"
 	"github.com/hickorydock/hickorydock/internal/transport/credentials"
 	"github.com/hickorydock/hickorydock/internal/transport/discovery"
 	"github.com/hickorydock/hickorydock/internal/transport/entry"
@@ -51,7 +52,7 @@
 // PlatformControl keeps a node in line with a platform and lets it run commands.
 func PlatformControl(c platform.Client) fx.Option {
 	connect := func(m *metrics.Metrics) platform.Client { return client.Metered(c, m.PlatformCall) }
-	return fx.Options(fx.Provide(connect), control.Module, command.Module, peers)
+	return fx.Options(fx.Provide(connect), control.Module, connections.Module, command.Module, peers)
 }
 
 // SettingsPlatform keeps a node in line with the platform that its settings name.
@@ -59,7 +60,7 @@
 	connect := func(s settings.Settings, tls *credentials.Credentials, m *metrics.Metrics) platform.Client {
 		return client.Metered(NewPlatformClient(s, tls), m.PlatformCall)
 	}
-	return fx.Options(fx.Provide(connect), control.Module, command.Module, peers)
+	return fx.Options(fx.Provide(connect), control.Module, connections.Module, command.Module, peers)
 }
 
 // NewPlatformClient reaches the platform that the settings name, over TLS when
--- a/internal/transport/relay/queue.go
+++ b/internal/transport/relay/queue.go
@@ -7,11 +7,9 @@
 	"github.com/hickorydock/hickorydock/internal/coordination/admission"
 	"github.com/hickorydock/hickorydock/internal/coordination/limit"
 	"github.com/hickorydock/hickorydock/internal/coordination/quarantine"
-	"github.com/hickorydock/hickorydock/internal/coordination/share"
 	"github.com/hickorydock/hickorydock/internal/coordination/subrequest"
 	"github.com/hickorydock/hickorydock/internal/protocol/fault"
 	"github.com/hickorydock/hickorydock/internal/protocol/note"
-	"github.com/hickorydock/hickorydock/internal/protocol/platform"
 	"github.com/hickorydock/hickorydock/internal/state/shardmap"
 	"github.com/hickorydock/hickorydock/internal/transport/throttle"
 	"github.com/hickorydock/hickorydock/internal/transport/upstream"
@@ -32,13 +30,19 @@
 	idleQueueTTL = 10 * time.Minute
 )
 
+// Shares says how many connections this node may hold to each leaf of an upstream
+// group; it is met by connections.Shares.
+type Shares interface {
+	Allowed(group string) (count int, known bool)
+}
+
 // queues holds the queue of each leaf. It is safe for concurrent use.
 type queues struct {
 	maxQueue int
 	leafs    sync.Map // leaf identifier -> *leafQueue
 	mu       sync.Mutex
 	swept    time.Time
-	nodes    int
+	shares   Shares // nil means no bound
 }
 
 // leafQueue is the queue of one leaf. Its limit lies within the leaf's slots
@@ -49,7 +53,7 @@
 	used time.Time
 }
 
-func newQueues(maxQueue int) *queues { return &queues{maxQueue: maxQueue, nodes: 1} }
+func newQueues(maxQueue int) *queues { return &queues{maxQueue: maxQueue} }
 
 // of returns the queue of a leaf, adapted to what the service states of it.
 func (q *queues) of(leafID string, service *note.Service) *leafQueue {
@@ -75,27 +79,19 @@
 // ceiling is the largest number of subrequests in flight to a leaf: its slots
 // and spareRuns, and at most this node's share of its connections.
 func (q *queues) ceiling(service *note.Service) int {
-	q.mu.Lock()
-	nodes := q.nodes
-	q.mu.Unlock()
 	ceiling := unknownSlots
 	if service.LeafSlots > 0 {
 		ceiling = service.LeafSlots + spareRuns
 	}
-	connections := service.LeafConnections
-	if divided, err := share.DirectShare(connections, nodes, share.Reserve(connections)); err == nil {
-		ceiling = min(ceiling, divided.Each)
+	if q.shares == nil {
+		return ceiling
+	}
+	if allowed, known := q.shares.Allowed(service.UpstreamGroup); known {
+		ceiling = min(ceiling, allowed)
 	}
 	return max(ceiling, 1)
 }
 
-// setNodes changes the number of nodes that share the connections of each leaf.
-func (q *queues) setNodes(nodes int) {
-	q.mu.Lock()
-	q.nodes = max(nodes, 1)
-	q.mu.Unlock()
-}
-
 // sweep drops the queues of leafs that were not used for long.
 func (q *queues) sweep(now time.Time) {
 	q.mu.Lock()
@@ -124,17 +120,9 @@
 	return now.Sub(l.used) > idleQueueTTL
 }
 
-// SetVMs takes the number of nodes that share the connections of each leaf from
-// the platform's list.
-func (r *Relay) SetVMs(vms []platform.VM) {
-	nodes := 0
-	for _, vm := range vms {
-		if vm.Group == platform.NodeGroup && vm.State == platform.VMLive {
-			nodes++
-		}
-	}
-	r.queues.setNodes(nodes)
-}
+// SetShares bounds the subrequests in flight to each leaf by the node's share of
+// its connections. It is called before the first subrequest.
+func (r *Relay) SetShares(s Shares) { r.queues.shares = s }
 
 // priorities of attempts at a leaf's queue: a retry has the least time left.
 var attemptPriorities = map[subrequest.Kind]int{subrequest.First: 1, subrequest.Retry: 2, subrequest.Hedge: 0}
