--- a/internal/transport/connections/connections.go
+++ b/internal/transport/connections/connections.go
@@ -17,7 +17,7 @@
 const (
 	// Settle is the longest time that a change of the nodes, the leafs or the
 	// catalogue may need to reach every node.
-	Settle = 3 * time.Second
+	Settle = 2 * time.Second
 	// UnlistedPause is how long a node waits for the platform to list it before it
 	// takes unlistedShare all the same.
 	UnlistedPause = 5 * time.Second
