Keep ready nodes in the experiments' balancer

With the ready nodes out, requests went to a stopping one until its connections closed.

The first look at /readyz comes at once, so that only a node that is not ready stays out.

--- a/internal/experiment/balancer.go
+++ b/internal/experiment/balancer.go
@@ -85,7 +85,9 @@
 	return b.urls[(i+try)%len(b.urls)], len(b.urls)
 }
 
-// passOver takes a node that refused out until it is ready.
+// passOver takes a node that refused out until it is ready. A node that is ready
+// and refused for want of the platform stays in: with all nodes out, requests
+// would go to stopping ones.
 func (b *balancer) passOver(url string) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -94,7 +96,7 @@
 	}
 	b.out[url] = true
 	b.probing.Go(func() {
-		for sleepUntil(b.closing, time.Now().Add(probeEvery)) && !b.isReady(url) {
+		for !b.isReady(url) && sleepUntil(b.closing, time.Now().Add(probeEvery)) {
 		}
 		b.mu.Lock()
 		defer b.mu.Unlock()
--- a/internal/experiment/soakfleet.go
+++ b/internal/experiment/soakfleet.go
@@ -47,7 +47,7 @@
 	holdings []upstream.Holding
 	draining bool
 	denier   *leaf.Leaf // its manifest denies that it drains
-	number   int // of replacements
+	number   int        // of replacements
 }
 
 // soakIndex is the index of a service and all its layouts so far.
