Send no new work to a leaving leaf, whoever else is left

The choice of replicas fell back to leaving leafs when no other was left, and TestDrainingOnlyAsLastResort held that, against the users' promise. Ruled out: wrong evidence of draining (the node knew). Change: a leaving leaf is never chosen; the shard is then missing as no_replica.

--- a/internal/coordination/replica/replica.go
+++ b/internal/coordination/replica/replica.go
@@ -48,23 +48,18 @@
 
 // Random takes any replica; it is the baseline of measurements.
 func Random(_ time.Time, replicas []shardmap.Replica, tried Set, _ string, random uint64) int {
-	return pick(replicas, tried, uint32(random), true).index
+	return pick(replicas, tried, uint32(random)).index
 }
 
 // Choose compares two random replicas outside tried and returns the index of
 // the cheaper one, or None. A much dearer one is chosen when a probe is due at
 // now; a zero now asks for no probes.
 func Choose(now time.Time, replicas []shardmap.Replica, tried Set, availabilityZone string, random uint64) int {
-	// Draining leafs are used only when no other is left.
-	first := pick(replicas, tried, uint32(random), false)
-	draining := first.index == None
-	if draining {
-		first = pick(replicas, tried, uint32(random), true)
-	}
+	first := pick(replicas, tried, uint32(random))
 	if first.index == None {
 		return None
 	}
-	second := pick(replicas, tried.With(first.index), uint32(random>>32), draining)
+	second := pick(replicas, tried.With(first.index), uint32(random>>32))
 	if second.index == None {
 		return first.index
 	}
@@ -112,8 +107,8 @@
 }
 
 // pick returns a random replica outside tried; its index is None when there is
-// none. Draining leafs count only when draining is true.
-func pick(replicas []shardmap.Replica, tried Set, random uint32, draining bool) candidate {
+// none. Draining leafs get no new work, whoever else is left.
+func pick(replicas []shardmap.Replica, tried Set, random uint32) candidate {
 	n := min(len(replicas), 64)
 	if n == 0 {
 		return candidate{index: None}
@@ -125,7 +120,7 @@
 			continue
 		}
 		stats := replicas[i].Record.Stats()
-		if draining || !stats.Draining {
+		if !stats.Draining {
 			return candidate{i, stats}
 		}
 	}
--- a/internal/state/leaf/leaf.go
+++ b/internal/state/leaf/leaf.go
@@ -149,9 +149,9 @@
 // makes of it.
 func (r *Record) UpdateDrain(change func(Drain) Drain) {
 	r.mu.Lock()
+	defer r.mu.Unlock()
 	r.drain = change(r.drain)
 	r.stats.Draining = r.drain.IsDraining()
-	r.mu.Unlock()
 }
 
 // SetHoldings records the tag of a leaf's holdings and reports whether it changed.
--- a/internal/transport/relay/attempt.go
+++ b/internal/transport/relay/attempt.go
@@ -66,7 +66,7 @@
 	span.End(reply.Err)
 	now := time.Now()
 	elapsed := now.Sub(begun)
-	result := leafResult(u.ctx, reply)
+	result := reply.LeafResult(u.ctx)
 	u.leave(queue, sampleOf(reply.Result, elapsed))
 	u.relay.guard.Leave(trial, trialEnd(reply, result))
 	target.Record.End(now, elapsed, result)
@@ -109,19 +109,3 @@
 func isOvertaken(ctx context.Context, kind subrequest.Kind) bool {
 	return kind == subrequest.First && ctx.Err() != nil
 }
-
-func leafResult(ctx context.Context, reply upstream.Reply) leaf.Result {
-	switch reply.Result {
-	case subrequest.OK:
-		return leaf.Answered
-	case subrequest.Gone:
-		return leaf.Gone
-	case subrequest.NotRun:
-		return leaf.Shed
-	default:
-		if ctx.Err() != nil {
-			return leaf.Cancelled
-		}
-		return leaf.Broken
-	}
-}
--- a/internal/transport/relay/run.go
+++ b/internal/transport/relay/run.go
@@ -46,6 +46,9 @@
 func (u *run) loop() Result {
 	now := time.Now()
 	first, ok := u.machine.Start(now)
+	if !ok && now.Before(u.task.Deadline) {
+		return u.failed(query.ReasonNoReplica, nil)
+	}
 	if !ok {
 		return u.failed(query.ReasonDeadline, nil)
 	}
--- a/internal/transport/upstream/client.go
+++ b/internal/transport/upstream/client.go
@@ -22,6 +22,7 @@
 	"github.com/hickorydock/hickorydock/internal/protocol/platform"
 	"github.com/hickorydock/hickorydock/internal/protocol/query"
 	contract "github.com/hickorydock/hickorydock/internal/protocol/upstream"
+	"github.com/hickorydock/hickorydock/internal/state/leaf"
 	"github.com/hickorydock/hickorydock/internal/transport/credentials"
 )
 
@@ -166,6 +167,23 @@
 	Err error
 }
 
+// LeafResult says what the reply tells about its leaf; ctx is that of the attempt.
+func (r Reply) LeafResult(ctx context.Context) leaf.Result {
+	switch r.Result {
+	case subrequest.OK:
+		return leaf.Answered
+	case subrequest.Gone:
+		return leaf.Gone
+	case subrequest.NotRun:
+		return leaf.Shed
+	default:
+		if ctx.Err() != nil {
+			return leaf.Cancelled
+		}
+		return leaf.Broken
+	}
+}
+
 // Run sends one attempt to a leaf and waits for its reply or the end of ctx.
 // left is the time that the leaf is given; body is the encoded RunRequest.
 func (c *Client) Run(ctx context.Context, vm platform.VM, sub contract.Subrequest, left time.Duration, body []byte) Reply {
