Make the settling time of shares a setting, and shorten it in the demo

Cause: a node waits 2 s before it takes its share of a leaf's connections, so the demo's first answer came after 2.36 s, where 2 s are asked. Change: platform.settle_ms (default 2000) names the longest time until every node has seen a change of the platform's lists; the demo, whose nodes share a process and a list, sets 300 ms.

--- a/internal/experiment/demo.go
+++ b/internal/experiment/demo.go
@@ -25,6 +25,9 @@
 	demoNodes = 3
 	// demoRate is the rate of demo queries, per second.
 	demoRate = 150.0
+	// demoSettleMS is how far apart the nodes of one process see a change, in
+	// milliseconds, with much to spare.
+	demoSettleMS = 300
 	// demoClientTimeout bounds one call of the platform.
 	demoClientTimeout = 2 * time.Second
 )
@@ -165,6 +168,7 @@
 		s.Node.BootstrapPeers = append(s.Node.BootstrapPeers, n.PeerAddress())
 	}
 	s.Platform.URL = d.url
+	s.Platform.SettleMS = demoSettleMS
 	return s
 }
 
--- a/internal/protocol/settings/settings.go
+++ b/internal/protocol/settings/settings.go
@@ -39,6 +39,7 @@
 type Platform struct {
 	URL       string `toml:"url" env:"HICKORYDOCK_PLATFORM_URL" check:"url" doc:"Base URL of the platform's object API."`
 	TimeoutMS int64  `toml:"timeout_ms" min:"1" max:"60000" doc:"Longest wait for one platform call, in milliseconds; watches are not bounded by it."`
+	SettleMS  int64  `toml:"settle_ms" min:"100" max:"60000" doc:"Longest time until every node has seen a change of the platform's lists, in milliseconds; a node waits this long before it takes a larger share of the connections to a leaf."`
 }
 
 // Limits bounds what callers may ask for and what the node holds at once.
@@ -113,7 +114,7 @@
 			PeerAddress:    "127.0.0.1:7070",
 			BootstrapPeers: []string{},
 		},
-		Platform: Platform{URL: "http://127.0.0.1:8500", TimeoutMS: 2000},
+		Platform: Platform{URL: "http://127.0.0.1:8500", TimeoutMS: 2000, SettleMS: 2000},
 		Limits:   defaultLimits(),
 		Query:    Query{ManifestIntervalMS: 500, ReturnReserveMS: 3},
 		Stop:     Stop{LimitMS: 30_000},
@@ -148,6 +149,9 @@
 // Timeout is TimeoutMS as a duration.
 func (p Platform) Timeout() time.Duration { return Milliseconds(p.TimeoutMS) }
 
+// Settle is SettleMS as a duration.
+func (p Platform) Settle() time.Duration { return Milliseconds(p.SettleMS) }
+
 // MaxDeadline is MaxDeadlineMS as a duration.
 func (l Limits) MaxDeadline() time.Duration { return Milliseconds(l.MaxDeadlineMS) }
 
--- a/internal/transport/connections/connections.go
+++ b/internal/transport/connections/connections.go
@@ -15,9 +15,6 @@
 )
 
 const (
-	// Settle is the longest time that a change of the nodes, the leafs or the
-	// catalogue may need to reach every node.
-	Settle = 2 * time.Second
 	// UnlistedPause is how long a node waits for the platform to list it before it
 	// takes unlistedShare all the same.
 	UnlistedPause = 5 * time.Second
@@ -43,7 +40,10 @@
 type Shares struct {
 	leafs Leafs
 	self  string
-	wake  chan struct{}
+	// settle is the longest time that a change of the nodes, the leafs or the
+	// catalogue may need to reach every node.
+	settle time.Duration
+	wake   chan struct{}
 
 	mu      sync.Mutex
 	started time.Time
@@ -65,11 +65,12 @@
 
 // New returns the shares of the node with VM identifier self, which starts at now
 // without any connection. Leafs without a share are unreachable from then on.
-func New(leafs Leafs, self string, now time.Time) *Shares {
+func New(leafs Leafs, self string, settle time.Duration, now time.Time) *Shares {
 	leafs.RequireShares()
 	return &Shares{
 		leafs:   leafs,
 		self:    self,
+		settle:  settle,
 		wake:    make(chan struct{}, 1),
 		started: now,
 		vms:     make(map[string]platform.VM),
@@ -144,7 +145,7 @@
 func (s *Shares) group(name string, now time.Time) *group {
 	g, ok := s.groups[name]
 	if !ok {
-		g = &group{window: share.NewWindow(now, Settle)}
+		g = &group{window: share.NewWindow(now, s.settle)}
 		s.groups[name] = g
 	}
 	return g
--- a/internal/transport/connections/module.go
+++ b/internal/transport/connections/module.go
@@ -21,7 +21,7 @@
 )
 
 func provide(client *upstream.Client, store *catalogue.Store, s settings.Settings, lifecycle fx.Lifecycle) *Shares {
-	shares := New(client, s.Node.ID, time.Now())
+	shares := New(client, s.Node.ID, s.Platform.Settle(), time.Now())
 	ctx, cancel := context.WithCancel(context.Background())
 	var running sync.WaitGroup
 	lifecycle.Append(fx.StartStopHook(
