Start no span when tracing is off

Change: a tracer without a collector starts none; a caller's trace context is still passed on, as its test holds.

--- a/internal/transport/tracing/tracing.go
+++ b/internal/transport/tracing/tracing.go
@@ -17,7 +17,6 @@
 	"go.opentelemetry.io/otel/sdk/resource"
 	sdktrace "go.opentelemetry.io/otel/sdk/trace"
 	"go.opentelemetry.io/otel/trace"
-	"go.opentelemetry.io/otel/trace/noop"
 
 	"github.com/hickorydock/hickorydock/internal/protocol/fault"
 )
@@ -54,6 +53,7 @@
 
 // Tracer starts spans. It is safe for concurrent use.
 type Tracer struct {
+	// tracer is nil when nothing is recorded.
 	tracer     trace.Tracer
 	propagator propagation.TextMapPropagator
 	flush      func(context.Context) error
@@ -77,7 +77,6 @@
 func Off() *Tracer {
 	none := func(context.Context) error { return nil }
 	return &Tracer{
-		tracer:     noop.NewTracerProvider().Tracer(instrumentation),
 		propagator: propagation.TraceContext{},
 		flush:      none,
 		shutdown:   none,
@@ -117,6 +116,9 @@
 
 // Start begins the span of a hop under the span in ctx, if there is one.
 func (t *Tracer) Start(ctx context.Context, hop Hop, attrs ...attribute.KeyValue) (context.Context, Span) {
+	if t.tracer == nil {
+		return ctx, Span{}
+	}
 	ctx, span := t.tracer.Start(ctx, string(hop), trace.WithSpanKind(hopKinds[hop]), trace.WithAttributes(attrs...))
 	return ctx, Span{span: span}
 }
@@ -124,6 +126,9 @@
 // StartLinked begins the span of a hop with a link to another span, such as
 // that of a hedge to its first attempt.
 func (t *Tracer) StartLinked(ctx context.Context, hop Hop, to Span, attrs ...attribute.KeyValue) (context.Context, Span) {
+	if t.tracer == nil {
+		return ctx, Span{}
+	}
 	options := []trace.SpanStartOption{trace.WithSpanKind(hopKinds[hop]), trace.WithAttributes(attrs...)}
 	if to.span != nil {
 		options = append(options, trace.WithLinks(trace.Link{SpanContext: to.span.SpanContext()}))
