--- a/internal/transport/connections/connections.go
+++ b/internal/transport/connections/connections.go
@@ -17,7 +17,7 @@
 const (
 	// UnlistedPause is how long a node waits for the platform to list it before it
 	// takes unlistedShare all the same.
-	UnlistedPause = 5 * time.Second
+	UnlistedPause = 500 * time.Millisecond
 	// unlistedShare is what a node that others do not count takes of the reserve.
 	unlistedShare = 1
 	// idleLook is the wait when no share is due to rise; a change ends it earlier.
