--- a/internal/coordination/membership/probe.go
+++ b/internal/coordination/membership/probe.go
@@ -116,8 +116,8 @@
 		acc.since = now
 	}
 	subject := membership.Subject{ID: id, Start: e.Start}
-	for _, helper := range m.helpers(id) {
-		m.send(helper, membership.Message{Kind: membership.Accuse, Subject: subject}, a)
+	for _, witness := range m.witnesses(id) {
+		m.send(witness, membership.Message{Kind: membership.Accuse, Subject: subject}, a)
 	}
 }
 
--- a/internal/coordination/membership/ring.go
+++ b/internal/coordination/membership/ring.go
@@ -99,9 +99,9 @@
 	return chosen
 }
 
-// helpers returns the other present nodes that should know whether a member
+// witnesses returns the other present nodes that should know whether a member
 // lives: its monitors, and one node picked at random.
-func (m *Membership) helpers(id string) []string {
+func (m *Membership) witnesses(id string) []string {
 	m.refresh()
 	target := slices.IndexFunc(m.ring, func(p place) bool { return p.id == id })
 	if target < 0 {
