--- /dev/null
+++ b/cmd/hickorydock/adapters.go
@@ -0,0 +1,4 @@
+package main
+
+// Adapters to platforms register themselves.
+import _ "github.com/hickorydock/hickorydock/platform"
--- a/cmd/hickorydock/main.go
+++ b/cmd/hickorydock/main.go
@@ -32,6 +32,7 @@
 // commands holds every subcommand in the order of the help.
 var commands = []command{
 	serveCommand,
+	gatewayCommand,
 	demoCommand,
 	standinCommand,
 	checkCommand,
--- a/internal/coordination/backoff/backoff.go
+++ b/internal/coordination/backoff/backoff.go
@@ -49,3 +49,11 @@
 	b.bound = min(2*b.bound, b.policy.Most)
 	return wait
 }
+
+// PlatformFollow is for the few connections by which a gateway follows the
+// platform's lists, which must be current soon after an outage.
+var PlatformFollow = Policy{
+	First:   200 * time.Millisecond,
+	Most:    1 * time.Second,
+	Settled: 5 * time.Second,
+}
--- a/internal/coordination/budget/budget.go
+++ b/internal/coordination/budget/budget.go
@@ -15,12 +15,19 @@
 type Budget struct {
 	mu     sync.Mutex
 	share  float64
+	most   float64
 	tokens float64
 }
 
 // New returns a budget of share extra subrequests for each first one.
 func New(share float64) *Budget {
-	return &Budget{share: share, tokens: 1}
+	return NewBounded(share, maxTokens)
+}
+
+// NewBounded returns a budget that a quiet period fills up to most tokens, at
+// least 1. The sum of most over all nodes bounds a burst of the whole system.
+func NewBounded(share, most float64) *Budget {
+	return &Budget{share: share, most: max(most, 1), tokens: 1}
 }
 
 // SetShare changes the share.
@@ -33,7 +40,7 @@
 // Earn counts n first subrequests.
 func (b *Budget) Earn(n int) {
 	b.mu.Lock()
-	b.tokens = min(b.tokens+b.share*float64(n), maxTokens)
+	b.tokens = min(b.tokens+b.share*float64(n), b.most)
 	b.mu.Unlock()
 }
 
@@ -54,7 +61,7 @@
 func (b *Budget) SpendSpare() bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if b.tokens < maxTokens/2+1 {
+	if b.tokens < b.most/2+1 {
 		return false
 	}
 	b.tokens--
--- a/internal/coordination/gather/bench_test.go
+++ b/internal/coordination/gather/bench_test.go
@@ -41,7 +41,7 @@
 	}
 	b.ReportAllocs()
 	for b.Loop() {
-		q := New(cfg, snapshot.Choose(view, nil))
+		q := New[[]query.Item](cfg, snapshot.Choose(view, nil))
 		for _, replicas := range q.View().Replicas {
 			sub.Replicas = replicas
 			m := subrequest.New(sub, &noExtra{})
@@ -70,7 +70,7 @@
 	service := note.Service{Merge: note.MergeTopK, MergeField: "score", TopK: benchItems}
 	b.ReportAllocs()
 	for b.Loop() {
-		q := New(Config{Deadline: start.Add(time.Second)}, view)
+		q := New[[]query.Item](Config{Deadline: start.Add(time.Second)}, view)
 		for shard, items := range replies {
 			if _, err := q.Reply(start, 1, shard, view.Snapshot, items); err != nil {
 				b.Fatal(err)
--- a/internal/coordination/gather/gather.go
+++ b/internal/coordination/gather/gather.go
@@ -33,24 +33,27 @@
 	Begun time.Time
 	// Deadline is when the answer has to leave.
 	Deadline time.Time
+	// Target is when an answer with MinCoverage leaves although shards are late;
+	// zero means that only the policy and the deadline decide.
+	Target time.Time
 	// RestartReserve is the time that must be left for a restart to be worth it.
 	RestartReserve time.Duration
 }
 
 // slot is the state of one shard in the current attempt.
-type slot struct {
+type slot[R any] struct {
 	answered bool
 	failed   bool
 	reason   query.Reason
-	items    []query.Item
+	reply    R
 }
 
-// Query is the state of one query.
-type Query struct {
+// Query is the state of one query whose shards reply with an R.
+type Query[R any] struct {
 	cfg      Config
 	view     *shardmap.SnapshotView
 	attempt  int
-	slots    []slot
+	slots    []slot[R]
 	pending  int
 	sent     int
 	excluded []query.Snapshot
@@ -60,26 +63,26 @@
 }
 
 // New returns a query that reads the snapshot of view in attempt 1.
-func New(cfg Config, view *shardmap.SnapshotView) *Query {
-	q := &Query{cfg: cfg, leaveAt: cfg.Deadline}
+func New[R any](cfg Config, view *shardmap.SnapshotView) *Query[R] {
+	q := &Query[R]{cfg: cfg, leaveAt: cfg.Deadline}
 	q.begin(view)
 	return q
 }
 
-func (q *Query) begin(view *shardmap.SnapshotView) {
+func (q *Query[R]) begin(view *shardmap.SnapshotView) {
 	if q.pending > 0 {
 		// The end of the abandoned subrequests is not awaited, so they may have run.
 		q.sent += q.pending
 	}
 	q.view = view
 	q.attempt++
-	q.slots = make([]slot, view.ShardCount())
+	q.slots = make([]slot[R], view.ShardCount())
 	q.pending = 0
 	q.covered = 0
 	q.leaveAt = q.cfg.Deadline
 	for shard, replicas := range view.Replicas {
 		if len(replicas) == 0 {
-			q.slots[shard] = slot{failed: true, reason: query.ReasonNoReplica}
+			q.slots[shard] = slot[R]{failed: true, reason: query.ReasonNoReplica}
 			continue
 		}
 		q.pending++
@@ -87,16 +90,16 @@
 }
 
 // View is the snapshot that the current attempt reads.
-func (q *Query) View() *shardmap.SnapshotView { return q.view }
+func (q *Query[R]) View() *shardmap.SnapshotView { return q.view }
 
 // Attempt is the number of the current attempt, from 1.
-func (q *Query) Attempt() int { return q.attempt }
+func (q *Query[R]) Attempt() int { return q.attempt }
 
 // Excluded lists the snapshots that a restart must not choose.
-func (q *Query) Excluded() []query.Snapshot { return q.excluded }
+func (q *Query[R]) Excluded() []query.Snapshot { return q.excluded }
 
 // Sent counts a subrequest of which a byte may have reached an upstream.
-func (q *Query) Sent() { q.sent++ }
+func (q *Query[R]) Sent() { q.sent++ }
 
 // Progress says whether the query goes on after an event.
 type Progress int
@@ -113,11 +116,15 @@
 
 // LeaveAt is when the answer leaves although shards are late: the deadline, or
 // earlier under the tail policy.
-func (q *Query) LeaveAt() time.Time { return q.leaveAt }
+func (q *Query[R]) LeaveAt() time.Time { return q.leaveAt }
 
-// setLeaveAt gives late shards a multiple of the time that the others took, once
-// the tail policy's quorum is met.
-func (q *Query) setLeaveAt(now time.Time) {
+// setLeaveAt lets the answer leave at the target once its coverage is met. Under
+// the tail policy it gives late shards a multiple of the time that the others
+// took, once the quorum is met.
+func (q *Query[R]) setLeaveAt(now time.Time) {
+	if !q.cfg.Target.IsZero() && q.leaveAt == q.cfg.Deadline && q.isEnough(q.covered) {
+		q.leaveAt = later(q.cfg.Target, now)
+	}
 	if q.cfg.Policy != note.PolicyTail || q.leaveAt != q.cfg.Deadline {
 		return
 	}
@@ -131,8 +138,25 @@
 	}
 }
 
-// Reply records a shard's items. Replies of older attempts are dropped.
-func (q *Query) Reply(now time.Time, attempt, shard int, snapshot query.Snapshot, items []query.Item) (Progress, error) {
+// isEnough reports whether a number of covered shards reaches MinCoverage.
+func (q *Query[R]) isEnough(covered int) bool {
+	return float64(covered) >= q.cfg.MinCoverage*float64(len(q.slots))
+}
+
+// IsHopeless reports whether the shards that failed leave less than MinCoverage.
+func (q *Query[R]) IsHopeless() bool {
+	return !q.isEnough(q.covered + q.pending)
+}
+
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
+// Reply records a shard's reply. Replies of older attempts are dropped.
+func (q *Query[R]) Reply(now time.Time, attempt, shard int, snapshot query.Snapshot, reply R) (Progress, error) {
 	if attempt != q.attempt {
 		return q.Progress(), nil
 	}
@@ -144,7 +168,7 @@
 		return q.Progress(), err
 	}
 	s.answered = true
-	s.items = items
+	s.reply = reply
 	q.pending--
 	q.covered++
 	q.setLeaveAt(now)
@@ -152,7 +176,7 @@
 }
 
 // Fail records that a shard has no reply in this attempt.
-func (q *Query) Fail(now time.Time, attempt, shard int, reason query.Reason) (Progress, error) {
+func (q *Query[R]) Fail(now time.Time, attempt, shard int, reason query.Reason) (Progress, error) {
 	if attempt != q.attempt {
 		return q.Progress(), nil
 	}
@@ -170,7 +194,7 @@
 }
 
 // open returns the slot of a shard that has no reply yet.
-func (q *Query) open(shard int) (*slot, error) {
+func (q *Query[R]) open(shard int) (*slot[R], error) {
 	if shard < 0 || shard >= len(q.slots) {
 		return nil, fmt.Errorf("reply of shard %d, but the snapshot has %d shards", shard, len(q.slots))
 	}
@@ -182,19 +206,19 @@
 }
 
 // Progress says whether replies are outstanding.
-func (q *Query) Progress() Progress {
+func (q *Query[R]) Progress() Progress {
 	if q.pending > 0 {
 		return Collecting
 	}
 	return Complete
 }
 
-func (q *Query) mayRestart(now time.Time) bool {
+func (q *Query[R]) mayRestart(now time.Time) bool {
 	return q.attempt < maxAttempts && now.Add(q.cfg.RestartReserve).Before(q.cfg.Deadline)
 }
 
 // expectedShare is the share of shards that the current attempt can still cover.
-func (q *Query) expectedShare() float64 {
+func (q *Query[R]) expectedShare() float64 {
 	failed := 0
 	for i := range q.slots {
 		if q.slots[i].failed {
@@ -206,7 +230,7 @@
 
 // Restart begins another attempt in the snapshot of next and reports whether it
 // did; it declines when next promises no better coverage than the current attempt.
-func (q *Query) Restart(next *shardmap.SnapshotView) bool {
+func (q *Query[R]) Restart(next *shardmap.SnapshotView) bool {
 	if next == nil || next.Snapshot == q.view.Snapshot {
 		return false
 	}
@@ -219,12 +243,12 @@
 	return true
 }
 
-// Replies returns the items of each answered shard, in shard order.
-func (q *Query) Replies() [][]query.Item {
-	replies := make([][]query.Item, 0, len(q.slots))
+// Replies returns the reply of each answered shard, in shard order.
+func (q *Query[R]) Replies() []R {
+	replies := make([]R, 0, len(q.slots))
 	for i := range q.slots {
 		if q.slots[i].answered {
-			replies = append(replies, q.slots[i].items)
+			replies = append(replies, q.slots[i].reply)
 		}
 	}
 	return replies
@@ -232,13 +256,13 @@
 
 // Discard takes back the reply at a position of Replies, which turned out to be
 // unusable; its shard is then missing for reason.
-func (q *Query) Discard(position int, reason query.Reason) error {
+func (q *Query[R]) Discard(position int, reason query.Reason) error {
 	for i := range q.slots {
 		if !q.slots[i].answered {
 			continue
 		}
 		if position == 0 {
-			q.slots[i] = slot{failed: true, reason: reason}
+			q.slots[i] = slot[R]{failed: true, reason: reason}
 			q.covered--
 			return nil
 		}
@@ -249,7 +273,7 @@
 
 // Check returns an error when the coverage counter differs from the replies held
 // or a subrequest is unaccounted for.
-func (q *Query) Check() error {
+func (q *Query[R]) Check() error {
 	answered, failed := 0, 0
 	for i := range q.slots {
 		if q.slots[i].answered {
@@ -267,7 +291,7 @@
 
 // Coverage states which shards of the current snapshot are covered. Shards
 // without a reply count as late.
-func (q *Query) Coverage() query.Coverage {
+func (q *Query[R]) Coverage() query.Coverage {
 	c := query.Coverage{Total: len(q.slots)}
 	for shard := range q.slots {
 		s := &q.slots[shard]
@@ -284,7 +308,7 @@
 }
 
 // Outcome is the outcome of an answer with coverage c.
-func (q *Query) Outcome(c query.Coverage) query.Outcome {
+func (q *Query[R]) Outcome(c query.Coverage) query.Outcome {
 	switch {
 	case c.Covered == c.Total:
 		return query.Done
--- a/internal/coordination/gather/gather_test.go
+++ b/internal/coordination/gather/gather_test.go
@@ -58,7 +58,7 @@
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
-			q := New(Config{MinCoverage: test.min, Deadline: start.Add(time.Second)}, viewOf(1, 1, 2, 2))
+			q := New[[]query.Item](Config{MinCoverage: test.min, Deadline: start.Add(time.Second)}, viewOf(1, 1, 2, 2))
 			for _, shard := range test.replies {
 				if _, err := q.Reply(start, 1, shard, q.View().Snapshot, nil); err != nil {
 					t.Fatal(err)
@@ -80,7 +80,7 @@
 }
 
 func TestRestartAfterPendingIsNotNotRun(t *testing.T) {
-	q := New(Config{Deadline: start.Add(time.Second)}, viewOf(1, 1, 1, 1))
+	q := New[[]query.Item](Config{Deadline: start.Add(time.Second)}, viewOf(1, 1, 1, 1))
 	if progress, _ := q.Fail(start, 1, 0, query.ReasonSnapshotGone); progress != SnapshotLost {
 		t.Fatalf("progress %v, want SnapshotLost", progress)
 	}
@@ -103,7 +103,7 @@
 	rapid.Check(t, func(t *rapid.T) {
 		version := uint64(1)
 		shards := rapid.IntRange(1, 6).Draw(t, "shards")
-		q := New(Config{Deadline: start.Add(time.Second)}, randomView(t, version, shards))
+		q := New[[]query.Item](Config{Deadline: start.Add(time.Second)}, randomView(t, version, shards))
 		steps := rapid.IntRange(1, 40).Draw(t, "steps")
 		for range steps {
 			attempt := rapid.IntRange(1, q.Attempt()).Draw(t, "attempt")
@@ -145,7 +145,7 @@
 	return viewOf(1, version, counts...)
 }
 
-func checkAnswer(t *rapid.T, q *Query) {
+func checkAnswer(t *rapid.T, q *Query[[]query.Item]) {
 	coverage := q.Coverage()
 	replies := q.Replies()
 	if len(replies) != coverage.Covered || coverage.Covered+len(coverage.Missing) != coverage.Total {
@@ -159,8 +159,8 @@
 			continue
 		}
 		want := itemOf(q.View().Snapshot, q.Attempt(), shard)
-		if string(q.slots[shard].items[0]) != string(want) {
-			t.Fatalf("shard %d holds %s, want %s", shard, q.slots[shard].items[0], want)
+		if string(q.slots[shard].reply[0]) != string(want) {
+			t.Fatalf("shard %d holds %s, want %s", shard, q.slots[shard].reply[0], want)
 		}
 	}
 }
@@ -185,7 +185,7 @@
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
 			cfg := Config{Policy: test.policy, MinCoverage: test.min, Begun: start, Deadline: deadline}
-			q := New(cfg, viewOf(1, 1, 1, 1, 1, 1, 1, 1, 1, 1, 1, 1))
+			q := New[[]query.Item](cfg, viewOf(1, 1, 1, 1, 1, 1, 1, 1, 1, 1, 1, 1))
 			for shard, took := range test.took {
 				if _, err := q.Reply(start.Add(took), 1, shard, q.View().Snapshot, nil); err != nil {
 					t.Fatal(err)
@@ -199,7 +199,7 @@
 }
 
 func TestBrokenReplies(t *testing.T) {
-	q := New(Config{Deadline: start.Add(time.Second)}, viewOf(1, 1, 1, 1))
+	q := New[[]query.Item](Config{Deadline: start.Add(time.Second)}, viewOf(1, 1, 1, 1))
 	if _, err := q.Reply(start, 1, 0, query.Snapshot{Generation: 1, Version: 2}, nil); err == nil {
 		t.Error("reply of another snapshot was taken")
 	}
--- a/internal/coordination/subrequest/subrequest.go
+++ b/internal/coordination/subrequest/subrequest.go
@@ -87,6 +87,11 @@
 	Deadline time.Time
 	// HedgeDelay is the wait before a hedge; 0 disables hedging.
 	HedgeDelay time.Duration
+	// MaxAttempts bounds the attempts, hedges included; 0 means no bound.
+	MaxAttempts int
+	// Once allows another attempt only after a leaf declared that it did not run
+	// the one before, as a request that is not idempotent demands.
+	Once bool
 	// Persist keeps trying in rounds over all replicas until the deadline.
 	Persist bool
 	// Choose picks the replica of each attempt.
@@ -102,6 +107,7 @@
 	tried   replica.Set
 	newest  int // replica of the newest attempt
 	pending int
+	sent    int // attempts taken so far
 	done    bool
 	last    Result
 	hedges  int
@@ -122,7 +128,7 @@
 
 // HedgeAt is when to call Due, if hedging makes sense at all.
 func (m *Machine) HedgeAt(now time.Time) (time.Time, bool) {
-	if m.cfg.HedgeDelay <= 0 || len(m.cfg.Replicas) < 2 {
+	if m.cfg.HedgeDelay <= 0 || len(m.cfg.Replicas) < 2 || m.cfg.Once || m.isSpent() {
 		return time.Time{}, false
 	}
 	at := now.Add(m.cfg.HedgeDelay)
@@ -151,7 +157,7 @@
 // replica was asked, the second hedge goes to one that was asked before the last,
 // since a straggler says little about the next run of the same leaf.
 func (m *Machine) hedgeDue(now time.Time) (attempt Attempt, send bool, again time.Time) {
-	if m.hedges >= MaxHedges || len(m.cfg.Replicas) < 2 {
+	if m.hedges >= MaxHedges || len(m.cfg.Replicas) < 2 || m.cfg.Once || m.isSpent() {
 		return Attempt{}, false, time.Time{}
 	}
 	avoid := m.tried
@@ -243,6 +249,9 @@
 // retry sends an attempt to another replica when the budget allows it. A replica
 // that keeps failing is worth spare tokens only.
 func (m *Machine) retry(now time.Time) (Attempt, bool) {
+	if m.isSpent() || m.cfg.Once && m.last != NotRun {
+		return Attempt{}, false
+	}
 	i := m.choose(now, m.tried)
 	if i == replica.None || !now.Before(m.cfg.Deadline) {
 		return Attempt{}, false
@@ -260,7 +269,7 @@
 // startRound puts another round off and reports whether there will be one. No
 // round helps when the snapshot is gone.
 func (m *Machine) startRound(now time.Time, result Result) bool {
-	if !m.cfg.Persist || result == Gone {
+	if !m.cfg.Persist || result == Gone || m.isSpent() || m.cfg.Once && result != NotRun {
 		return false
 	}
 	m.round = min(max(2*m.round, firstRound), longestRound)
@@ -277,6 +286,11 @@
 // Reason says why the last attempt failed; it is valid after GiveUp and Later.
 func (m *Machine) Reason() query.Reason { return reasons[m.last] }
 
+// isSpent reports whether the bound on attempts is reached.
+func (m *Machine) isSpent() bool {
+	return m.cfg.MaxAttempts > 0 && m.sent >= m.cfg.MaxAttempts
+}
+
 func (m *Machine) canTryAnother() bool {
 	return m.tried != replica.Set(0).With(len(m.cfg.Replicas))-1
 }
@@ -300,6 +314,7 @@
 func (m *Machine) take(i int, kind Kind) Attempt {
 	m.tried = m.tried.With(i)
 	m.newest = i
+	m.sent++
 	m.pending++
 	return Attempt{Kind: kind, Replica: i}
 }
--- a/internal/node/control/catalogue.go
+++ b/internal/node/control/catalogue.go
@@ -11,6 +11,7 @@
 	"github.com/hickorydock/hickorydock/internal/coordination/reconcile"
 	"github.com/hickorydock/hickorydock/internal/protocol/note"
 	"github.com/hickorydock/hickorydock/internal/protocol/platform"
+	"github.com/hickorydock/hickorydock/internal/transport/follow"
 )
 
 // undoPolicy spreads the attempts of all nodes to undo the same drift; the
@@ -99,7 +100,7 @@
 func (c *Control) undoDrift(ctx context.Context, version uint64, drifted note.Catalogue) {
 	wait := backoff.New(undoPolicy)
 	for {
-		sleep(ctx, wait.Next(0, rand.Float64()))
+		follow.Sleep(ctx, wait.Next(0, rand.Float64()))
 		if ctx.Err() != nil {
 			return
 		}
--- a/internal/node/control/control.go
+++ b/internal/node/control/control.go
@@ -13,10 +13,12 @@
 
 	"github.com/apex/log"
 
+	"github.com/hickorydock/hickorydock/internal/coordination/backoff"
 	"github.com/hickorydock/hickorydock/internal/coordination/reconcile"
 	"github.com/hickorydock/hickorydock/internal/protocol/note"
 	"github.com/hickorydock/hickorydock/internal/protocol/platform"
 	"github.com/hickorydock/hickorydock/internal/state/catalogue"
+	"github.com/hickorydock/hickorydock/internal/transport/follow"
 	"github.com/hickorydock/hickorydock/internal/transport/peering"
 )
 
@@ -67,22 +69,24 @@
 
 // Run follows the platform until ctx ends, then tells it that the node leaves.
 func (c *Control) Run(ctx context.Context) {
-	catalogues := &follower{
-		client:  c.cfg.Client,
-		kind:    platform.KindCatalogue,
-		listed:  func(l platform.Listing) { c.catalogueListed(ctx, l) },
-		changed: func(e platform.Event) { c.catalogueChanged(ctx, e) },
-		failed:  func(err error) { c.logFailure(platform.KindCatalogue, err) },
+	catalogues := &follow.Follower{
+		Client:  c.cfg.Client,
+		Kind:    platform.KindCatalogue,
+		Backoff: backoff.PlatformReturn,
+		Listed:  func(l platform.Listing) { c.catalogueListed(ctx, l) },
+		Changed: func(e platform.Event) { c.catalogueChanged(ctx, e) },
+		Failed:  func(err error) { c.logFailure(platform.KindCatalogue, err) },
 	}
-	vms := &follower{
-		client:  c.cfg.Client,
-		kind:    platform.KindVM,
-		listed:  c.vms.replace,
-		changed: c.vms.change,
-		failed:  func(err error) { c.logFailure(platform.KindVM, err) },
+	vms := &follow.Follower{
+		Client:  c.cfg.Client,
+		Kind:    platform.KindVM,
+		Backoff: backoff.PlatformReturn,
+		Listed:  c.vms.replace,
+		Changed: c.vms.change,
+		Failed:  func(err error) { c.logFailure(platform.KindVM, err) },
 	}
-	c.running.Go(func() { catalogues.run(ctx) })
-	c.running.Go(func() { vms.run(ctx) })
+	c.running.Go(func() { catalogues.Run(ctx) })
+	c.running.Go(func() { vms.Run(ctx) })
 	c.running.Go(func() { c.report(ctx) })
 	if c.cfg.Peers != nil {
 		c.running.Go(func() { c.bootstrap(ctx) })
@@ -126,10 +130,10 @@
 // bootstrap asks the peers until the node is ready, by their answers or by the
 // platform's.
 func (c *Control) bootstrap(ctx context.Context) {
-	sleep(ctx, bootstrapDelay)
+	follow.Sleep(ctx, bootstrapDelay)
 	for ctx.Err() == nil && c.Ready() != nil {
 		c.askPeers(ctx)
-		sleep(ctx, time.Duration((0.5+0.5*rand.Float64())*float64(bootstrapPause)))
+		follow.Sleep(ctx, time.Duration((0.5+0.5*rand.Float64())*float64(bootstrapPause)))
 	}
 }
 
--- a/internal/node/control/report.go
+++ b/internal/node/control/report.go
@@ -9,6 +9,7 @@
 	"github.com/hickorydock/hickorydock/internal/coordination/backoff"
 	"github.com/hickorydock/hickorydock/internal/coordination/reconcile"
 	"github.com/hickorydock/hickorydock/internal/protocol/platform"
+	"github.com/hickorydock/hickorydock/internal/transport/follow"
 )
 
 const (
@@ -28,10 +29,10 @@
 			break
 		}
 		if err := c.Ready(); err != nil {
-			sleep(ctx, reportGap)
+			follow.Sleep(ctx, reportGap)
 			continue
 		}
-		sleep(ctx, time.Duration(rand.Float64()*float64(reconcile.ReportSpread(nodes))))
+		follow.Sleep(ctx, time.Duration(rand.Float64()*float64(reconcile.ReportSpread(nodes))))
 		if ctx.Err() != nil {
 			break
 		}
@@ -40,10 +41,10 @@
 		written = written || err == nil
 		if err != nil {
 			c.cfg.Log.WithError(err).Warn("status not reported")
-			sleep(ctx, backoff.PlatformReturn.Most)
+			follow.Sleep(ctx, backoff.PlatformReturn.Most)
 			continue
 		}
-		sleep(ctx, reportGap)
+		follow.Sleep(ctx, reportGap)
 		c.sweepOnce(ctx, nodes, interval)
 		jitter := 0.5 + 0.5*rand.Float64()
 		next, cancel := context.WithTimeout(ctx, time.Duration(jitter*float64(interval)))
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -108,7 +108,7 @@
 		fx.StopTimeout(cfg.Settings.Stop.Limit()),
 		fx.Supply(cfg.Settings, choose),
 		fx.Provide(func() (log.Interface, error) { return newLogger(logs, cfg.Settings.Log) }),
-		fx.Provide(metrics.New, newTracer),
+		fx.Provide(metrics.New, newTracer, func(s *server.Server) admin.Prober { return s }),
 		cfg.Control,
 		credentials.Module,
 		admin.Module,
--- a/internal/protocol/platform/platform.go
+++ b/internal/protocol/platform/platform.go
@@ -24,6 +24,8 @@
 	KindVM Kind = "vm"
 	// KindClaim holds one object for each claimed command.
 	KindClaim Kind = "claim"
+	// KindRouting holds the routing table in force, in the object RoutingName.
+	KindRouting Kind = "routing"
 	// KindNode holds one object for each node, with its status.
 	KindNode Kind = "node"
 )
@@ -31,6 +33,9 @@
 // CatalogueName is the name of the single object of KindCatalogue.
 const CatalogueName = "current"
 
+// RoutingName is the name of the single object of KindRouting.
+const RoutingName = "current"
+
 // Object is one stored value.
 type Object struct {
 	Kind Kind   `json:"kind"`
@@ -52,6 +57,9 @@
 	// Deleted is true when the object was removed; Object then holds its last value.
 	Deleted bool   `json:"deleted,omitempty"`
 	Object  Object `json:"object"`
+	// Progress is true when nothing changed and only Object.Version is set: a
+	// watch may resume there.
+	Progress bool `json:"-"`
 }
 
 // Client is the platform's object API. Implementations are safe for concurrent
--- /dev/null
+++ b/internal/protocol/route/route.go
@@ -0,0 +1,123 @@
+// Package route defines the routing table by which a node passes callers'
+// requests on without opening them: which requests go to which upstream group,
+// and what is allowed for them on the way.
+package route
+
+import (
+	"errors"
+	"fmt"
+	"time"
+
+	"github.com/hickorydock/hickorydock/internal/protocol/platform"
+)
+
+// Limits bound what a caller may send and how long its connection may rest. A
+// zero field sets no bound.
+type Limits struct {
+	// HeaderBytes and BodyBytes are the largest header and body, in bytes.
+	HeaderBytes, BodyBytes int64
+	// HeaderTimeout is the longest time to send a header.
+	HeaderTimeout time.Duration
+	// IdleTimeout is the longest time without a request on a kept connection.
+	IdleTimeout time.Duration
+}
+
+// Share is one upstream group of a route with its part of the route's requests.
+type Share struct {
+	Group  string
+	Weight float64
+}
+
+// Route says what becomes of the requests of a host whose path begins with Prefix.
+type Route struct {
+	Name string
+	Host string
+	// Prefix begins and ends with a slash.
+	Prefix string
+	// Idempotent requests may run more than once.
+	Idempotent bool
+	// Timeout is the longest time that a caller is kept waiting.
+	Timeout time.Duration
+	// Target is the time within which an answer is worth most; 0 means Timeout.
+	Target time.Duration
+	// Priority orders routes when load has to be refused; 0 is the most urgent.
+	Priority int
+	// Attempts bounds the leafs that one request may be sent to, for each shard; 0
+	// sets no bound.
+	Attempts int
+	// Groups share the requests of a route whose requests run on one leaf.
+	Groups []Share
+	// Shards are the groups of a route whose requests run on one leaf of each.
+	Shards []string
+	// Top is the number of records in the answer of a route with Shards.
+	Top int
+	// MinCoverage is the least share of shards in an answer, in [0, 1].
+	MinCoverage float64
+}
+
+// IsQuery reports whether requests run on one leaf of each shard.
+func (r *Route) IsQuery() bool { return len(r.Shards) > 0 }
+
+// Check says what makes the route unusable, or returns nil.
+func (r *Route) Check() error {
+	switch {
+	case r.Host == "":
+		return errors.New("no host")
+	case len(r.Prefix) == 0 || r.Prefix[0] != '/' || r.Prefix[len(r.Prefix)-1] != '/':
+		return fmt.Errorf("path prefix %q does not begin and end with a slash", r.Prefix)
+	case len(r.Groups) == 0 && len(r.Shards) == 0:
+		return errors.New("no upstream group")
+	case r.Timeout <= 0:
+		return fmt.Errorf("timeout is %v", r.Timeout)
+	case r.MinCoverage < 0 || r.MinCoverage > 1:
+		return fmt.Errorf("least coverage is %v", r.MinCoverage)
+	}
+	return nil
+}
+
+// Group is what a table says of an upstream group.
+type Group struct {
+	// Connections is the number of connections that each leaf accepts from all
+	// callers; 0 means that it is not known.
+	Connections int
+	// HealthPath is the path of a leaf's health check.
+	HealthPath string
+}
+
+// Table is the routing of one version. It is not changed after it is made.
+type Table struct {
+	Version uint64
+	Routes  []Route
+	Groups  map[string]Group
+	Limits  Limits
+}
+
+// Leaf is one leaf as the platform's list describes it.
+type Leaf struct {
+	VM platform.VM
+	// Slots is the number of requests that it runs at the same time.
+	Slots int
+	// WarmUp is how much longer it is slow after its start.
+	WarmUp time.Duration
+	// Born tells one start of a leaf from another under the same identifier.
+	Born int64
+}
+
+// HeaderNames are the names of the headers by which opaque requests are passed
+// on, in canonical form. They are the only part of a message that a node reads.
+type HeaderNames struct {
+	// RequestID names one request of a caller; leafs echo it.
+	RequestID string
+	// TimeLeft holds the time that the sender waits, in milliseconds.
+	TimeLeft string
+	// Target names the leaf that a request is meant for.
+	Target string
+	// Receipt holds a leaf's proof that it ran the request.
+	Receipt string
+	// Receipts lists the receipts of the replies in an answer.
+	Receipts string
+	// Missing holds the number of shards that an answer leaves out.
+	Missing string
+	// NotRun is present on a reply that declares that nothing ran.
+	NotRun string
+}
--- a/internal/protocol/settings/settings.go
+++ b/internal/protocol/settings/settings.go
@@ -23,6 +23,7 @@
 	Trace    Trace    `toml:"trace"`
 	Commands Commands `toml:"commands"`
 	TLS      TLS      `toml:"tls"`
+	Forward  Forward  `toml:"forward"`
 }
 
 // Node says who the node is and where it listens.
@@ -104,6 +105,19 @@
 	UpstreamName string `toml:"upstream_name" env:"HICKORYDOCK_TLS_UPSTREAM_NAME" doc:"DNS name that each upstream's certificate must hold; empty takes the host that is called."`
 }
 
+// Forward configures a gateway, which passes opaque requests on by a routing
+// table.
+type Forward struct {
+	Adapter        string  `toml:"adapter" doc:"Name of the adapter to the platform that holds the routing table and lists the leafs."`
+	CallerTripMS   float64 `toml:"caller_trip_ms" min:"0" max:"1000" doc:"Time of a message between a caller and this VM, in milliseconds; it is kept back from the time that a caller waits."`
+	MergeReserveMS float64 `toml:"merge_reserve_ms" min:"0" max:"1000" doc:"Time kept for merging and writing an answer, in milliseconds."`
+	ExtraShare     float64 `toml:"extra_share" min:"0" max:"1" doc:"Hedges and retries that the upstreams allow for each first attempt of a group, by all VMs together."`
+	ExtraSlack     float64 `toml:"extra_slack" min:"0" max:"100000" doc:"Hedges and retries that the upstreams allow a group beyond extra_share, by all VMs together."`
+	ExpectedNodes  int64   `toml:"expected_nodes" min:"1" max:"10000" doc:"Number of VMs among which extra_slack and the connections of a leaf are divided."`
+	LingerMS       float64 `toml:"linger_ms" min:"0" max:"10000" doc:"Time that an attempt which is no longer needed may run on, in milliseconds, so that its connection is kept."`
+	GraceS         float64 `toml:"grace_s" min:"0.1" max:"3600" doc:"Time between SIGTERM and the end of the process that the platform allows, in seconds."`
+}
+
 // Default returns the settings that hold where the operator says nothing. The
 // node's id and availability zone have no default.
 func Default() Settings {
@@ -120,6 +134,7 @@
 		Stop:     Stop{LimitMS: 30_000},
 		Log:      Log{Level: "info"},
 		Trace:    Trace{SampleShare: 0.01},
+		Forward:  Forward{CallerTripMS: 3, MergeReserveMS: 4, ExtraShare: 0.2, ExtraSlack: 10, ExpectedNodes: 8, LingerMS: 200, GraceS: 10},
 		Commands: Commands{RetentionS: 24 * 3600, WritesPerSecond: 20, FleetWritesPerSecond: 200},
 	}
 }
--- /dev/null
+++ b/internal/state/group/group.go
@@ -0,0 +1,131 @@
+// Package group keeps the leafs of each upstream group as the platform's list
+// names them. Readers take an immutable list of replicas; the groups lie in
+// shards, each under its own lock.
+package group
+
+import (
+	"maps"
+	"slices"
+	"strings"
+	"sync"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/hickorydock/hickorydock/internal/protocol/route"
+	"github.com/hickorydock/hickorydock/internal/state/leaf"
+	"github.com/hickorydock/hickorydock/internal/state/shardmap"
+)
+
+// storeShards is the number of locks of a Store; a power of two.
+const storeShards = 16
+
+// Store holds the leafs by group. It is safe for concurrent use.
+type Store struct {
+	table  *leaf.Table
+	shards [storeShards]shard
+
+	mu    sync.Mutex            // guards leafs
+	leafs map[string]route.Leaf // by identifier
+}
+
+type shard struct {
+	mu       sync.RWMutex
+	replicas map[string][]shardmap.Replica
+}
+
+// NewStore returns an empty store whose replicas share the records of table.
+func NewStore(table *leaf.Table) *Store {
+	s := &Store{table: table, leafs: make(map[string]route.Leaf)}
+	for i := range s.shards {
+		s.shards[i].replicas = make(map[string][]shardmap.Replica)
+	}
+	return s
+}
+
+func (s *Store) shard(group string) *shard {
+	return &s.shards[xxhash.Sum64String(group)%storeShards]
+}
+
+// Replicas returns the leafs of a group, ordered by identifier. Callers must not
+// change the list.
+func (s *Store) Replicas(group string) []shardmap.Replica {
+	sh := s.shard(group)
+	sh.mu.RLock()
+	defer sh.mu.RUnlock()
+	return sh.replicas[group]
+}
+
+// Find returns a leaf by its identifier.
+func (s *Store) Find(id string) (route.Leaf, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	l, ok := s.leafs[id]
+	return l, ok
+}
+
+// All returns every leaf, ordered by identifier.
+func (s *Store) All() []route.Leaf {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	all := make([]route.Leaf, 0, len(s.leafs))
+	for _, id := range slices.Sorted(maps.Keys(s.leafs)) {
+		all = append(all, s.leafs[id])
+	}
+	return all
+}
+
+// Put adds a leaf or replaces what is known of it, and returns its record. A leaf
+// that was born again, or that moved, starts with an empty record.
+func (s *Store) Put(l route.Leaf) *leaf.Record {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	old, known := s.leafs[l.VM.ID]
+	if known && (old.Born != l.Born || old.VM.Address != l.VM.Address || old.VM.Group != l.VM.Group) {
+		s.remove(old)
+	}
+	s.leafs[l.VM.ID] = l
+	record := s.table.Record(l.VM.ID)
+	s.edit(l.VM.Group, func(list []shardmap.Replica) []shardmap.Replica {
+		return append(without(list, l.VM.ID), shardmap.Replica{VM: l.VM, Record: record})
+	})
+	return record
+}
+
+// Remove drops a leaf and returns what was known of it.
+func (s *Store) Remove(id string) (route.Leaf, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	old, known := s.leafs[id]
+	if known {
+		s.remove(old)
+	}
+	return old, known
+}
+
+// remove requires mu.
+func (s *Store) remove(l route.Leaf) {
+	delete(s.leafs, l.VM.ID)
+	s.table.Forget(l.VM.ID)
+	s.edit(l.VM.Group, func(list []shardmap.Replica) []shardmap.Replica { return without(list, l.VM.ID) })
+}
+
+// edit replaces the list of a group by a changed copy.
+func (s *Store) edit(group string, change func([]shardmap.Replica) []shardmap.Replica) {
+	sh := s.shard(group)
+	sh.mu.Lock()
+	defer sh.mu.Unlock()
+	list := change(slices.Clone(sh.replicas[group]))
+	if len(list) == 0 {
+		delete(sh.replicas, group)
+		return
+	}
+	slices.SortFunc(list, func(a, b shardmap.Replica) int { return strings.Compare(a.VM.ID, b.VM.ID) })
+	sh.replicas[group] = list
+}
+
+func without(list []shardmap.Replica, id string) []shardmap.Replica {
+	return slices.DeleteFunc(list, func(r shardmap.Replica) bool { return r.VM.ID == id })
+}
+
+// Record returns the measurements of a leaf.
+func (s *Store) Record(id string) *leaf.Record { return s.table.Record(id) }
--- a/internal/transport/admin/admin.go
+++ b/internal/transport/admin/admin.go
@@ -16,7 +16,6 @@
 	"github.com/hickorydock/hickorydock/internal/protocol/fault"
 	"github.com/hickorydock/hickorydock/internal/protocol/settings"
 	"github.com/hickorydock/hickorydock/internal/transport/metrics"
-	"github.com/hickorydock/hickorydock/internal/transport/server"
 )
 
 // Module provides the admin listener.
@@ -25,6 +24,11 @@
 // headerTimeout bounds reading a request's header.
 const headerTimeout = 5 * time.Second
 
+// Prober says why the process must not be given work, or returns nil.
+type Prober interface {
+	Ready() error
+}
+
 // Listener serves operators on the admin address.
 type Listener struct {
 	mux     *http.ServeMux
@@ -38,7 +42,7 @@
 func (l *Listener) Handle(pattern string, handler http.Handler) { l.mux.Handle(pattern, handler) }
 
 // Listen binds the admin address when the node starts and closes it last.
-func Listen(s settings.Settings, m *metrics.Metrics, callers *server.Server, logger log.Interface, lifecycle fx.Lifecycle) *Listener {
+func Listen(s settings.Settings, m *metrics.Metrics, callers Prober, logger log.Interface, lifecycle fx.Lifecycle) *Listener {
 	l := &Listener{mux: http.NewServeMux()}
 	l.Handle("GET /metrics", m.Handler())
 	l.Handle("GET /livez", http.HandlerFunc(live))
@@ -69,7 +73,7 @@
 	fmt.Fprintln(w, "ok")
 }
 
-func ready(callers *server.Server) http.Handler {
+func ready(callers Prober) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
 		if err := callers.Ready(); err != nil {
 			http.Error(w, err.Error(), http.StatusServiceUnavailable)
--- a/internal/transport/entry/entry.go
+++ b/internal/transport/entry/entry.go
@@ -87,7 +87,7 @@
 type collection struct {
 	entry    *Entry
 	service  *note.Service
-	query    *gather.Query
+	query    *gather.Query[[]query.Item]
 	id       string
 	body     []byte
 	mark     quarantine.Fingerprint
@@ -132,7 +132,7 @@
 	c := &collection{
 		entry:    e,
 		service:  &service,
-		query:    gather.New(cfg, view),
+		query:    gather.New[[]query.Item](cfg, view),
 		id:       uuid.NewString(),
 		body:     body,
 		mark:     fingerprint,
--- /dev/null
+++ b/internal/transport/forward/exchange.go
@@ -0,0 +1,320 @@
+package forward
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"github.com/hickorydock/hickorydock/internal/coordination/budget"
+	"github.com/hickorydock/hickorydock/internal/coordination/gather"
+	"github.com/hickorydock/hickorydock/internal/coordination/latency"
+	"github.com/hickorydock/hickorydock/internal/coordination/replica"
+	"github.com/hickorydock/hickorydock/internal/coordination/subrequest"
+	"github.com/hickorydock/hickorydock/internal/protocol/note"
+	"github.com/hickorydock/hickorydock/internal/protocol/query"
+	"github.com/hickorydock/hickorydock/internal/state/leaf"
+	"github.com/hickorydock/hickorydock/internal/state/shardmap"
+	"github.com/hickorydock/hickorydock/internal/transport/leafwire"
+)
+
+const (
+	// hedgeFloor is the shortest wait before a hedge.
+	hedgeFloor = time.Millisecond
+	// untestedHedge is the part of the target after which a hedge is sent while
+	// the latency of a route is not known.
+	untestedHedge = 0.35
+)
+
+// shardRun is the state of one shard of a request.
+type shardRun struct {
+	group   string
+	machine subrequest.Machine
+	budget  *budget.Budget
+	// due is when the machine wants to be asked; zero means never.
+	due  time.Time
+	last *leafwire.Call
+}
+
+// exchange is one request in progress. It belongs to one goroutine.
+type exchange struct {
+	f       *Forwarder
+	req     *request
+	message *leafwire.Message
+	window  *latency.Window
+	view    *shardmap.SnapshotView
+	query   *gather.Query[*leafwire.Call]
+	shards  []shardRun
+	done    chan *leafwire.Call
+	pending map[*leafwire.Call]struct{}
+	// ran is true once a leaf may have run the request.
+	ran bool
+	// sends counts the attempts.
+	sends int
+}
+
+func newExchange(f *Forwarder, req *request) *exchange {
+	x := &exchange{f: f, req: req, window: f.window(req.route.Name)}
+	groups := req.route.Shards
+	if !req.route.IsQuery() {
+		groups = []string{f.splitGroup(req.route)}
+	}
+	x.view = &shardmap.SnapshotView{
+		Snapshot: query.Snapshot{Generation: req.version},
+		Replicas: make([][]shardmap.Replica, len(groups)),
+	}
+	x.shards = make([]shardRun, len(groups))
+	most := 0
+	for i, group := range groups {
+		replicas := f.groups.Replicas(group)
+		x.view.Replicas[i] = replicas
+		if len(replicas) > 0 {
+			x.view.Covered++
+		}
+		x.shards[i].group = group
+		most += x.attemptsOf(len(replicas))
+	}
+	x.done = make(chan *leafwire.Call, most)
+	x.pending = make(map[*leafwire.Call]struct{}, len(groups))
+	return x
+}
+
+// attemptsOf bounds the attempts of a shard.
+func (x *exchange) attemptsOf(replicas int) int {
+	most := replicas + subrequest.MaxHedges
+	if x.req.route.Attempts > 0 {
+		most = min(most, x.req.route.Attempts)
+	}
+	return most
+}
+
+func (x *exchange) minCoverage() float64 {
+	if x.req.route.IsQuery() {
+		return x.req.route.MinCoverage
+	}
+	return 1
+}
+
+// hedgeDelay is the wait before a second attempt of a shard.
+func (x *exchange) hedgeDelay() time.Duration {
+	if delay := x.window.Quantile(); delay > 0 {
+		return max(delay, hedgeFloor)
+	}
+	return time.Duration(untestedHedge * float64(x.req.target.Sub(x.req.arrived)))
+}
+
+// run drives the request until its answer can leave. It returns false when the
+// caller left.
+func (x *exchange) run(ctx context.Context) bool {
+	now := time.Now()
+	cfg := gather.Config{
+		Policy:      note.PolicyCoverage,
+		MinCoverage: x.minCoverage(),
+		Begun:       x.req.arrived,
+		Deadline:    x.req.deadline,
+		Target:      x.req.target,
+	}
+	x.query = gather.New[*leafwire.Call](cfg, x.view)
+	if x.query.IsHopeless() {
+		return true
+	}
+	x.message = x.f.message(x.req)
+	for shard := range x.shards {
+		x.begin(now, shard)
+	}
+	timer := time.NewTimer(time.Until(x.wakeAt()))
+	defer timer.Stop()
+	for !x.isOver(time.Now()) {
+		select {
+		case <-ctx.Done():
+			return false
+		case call := <-x.done:
+			x.ended(time.Now(), call)
+			x.drain()
+		case now := <-timer.C:
+			x.due(now)
+		}
+		timer.Reset(time.Until(x.wakeAt()))
+	}
+	return true
+}
+
+// drain takes the ends that are there already.
+func (x *exchange) drain() {
+	for {
+		select {
+		case call := <-x.done:
+			x.ended(time.Now(), call)
+		default:
+			return
+		}
+	}
+}
+
+func (x *exchange) isOver(now time.Time) bool {
+	return x.query.Progress() == gather.Complete || x.query.IsHopeless() || !now.Before(x.query.LeaveAt())
+}
+
+// wakeAt is when the next decision is due.
+func (x *exchange) wakeAt() time.Time {
+	at := x.query.LeaveAt()
+	for i := range x.shards {
+		if due := x.shards[i].due; !due.IsZero() && due.Before(at) {
+			at = due
+		}
+	}
+	return at
+}
+
+// begin sends the first attempt of a shard.
+func (x *exchange) begin(now time.Time, shard int) {
+	replicas := x.view.Replicas[shard]
+	if len(replicas) == 0 {
+		return
+	}
+	run := &x.shards[shard]
+	run.budget = x.f.budget(run.group)
+	run.budget.Earn(1)
+	run.machine = subrequest.New(subrequest.Config{
+		Replicas:         replicas,
+		AvailabilityZone: x.f.cfg.AvailabilityZone,
+		Deadline:         x.req.deadline,
+		HedgeDelay:       x.hedgeDelay(),
+		MaxAttempts:      x.attemptsOf(len(replicas)),
+		Once:             !x.req.route.Idempotent,
+		Choose:           replica.Choose,
+		Random:           rand.Uint64,
+	}, run.budget)
+	attempt, ok := run.machine.Start(now)
+	if !ok {
+		x.fail(now, shard, query.ReasonNoReplica)
+		return
+	}
+	x.send(now, shard, attempt)
+	if at, ok := run.machine.HedgeAt(now); ok {
+		run.due = at
+	}
+}
+
+func (x *exchange) send(now time.Time, shard int, attempt subrequest.Attempt) {
+	target := x.view.Replicas[shard][attempt.Replica]
+	target.Record.Begin(now)
+	call := &leafwire.Call{
+		Message: x.message,
+		Leaf:    target.VM,
+		Shard:   shard,
+		Replica: attempt.Replica,
+		Began:   now,
+		Done:    x.done,
+	}
+	x.sends++
+	x.pending[call] = struct{}{}
+	x.query.Sent()
+	x.f.observer.Attempt(x.req.route.Name, kindNames[attempt.Kind])
+	x.f.wire.Start(call)
+}
+
+// kindNames are the names of attempt kinds in metrics.
+var kindNames = map[subrequest.Kind]string{subrequest.First: "first", subrequest.Hedge: "hedge", subrequest.Retry: "retry"}
+
+// due lets the machines act whose time has come.
+func (x *exchange) due(now time.Time) {
+	for shard := range x.shards {
+		run := &x.shards[shard]
+		if run.due.IsZero() || run.due.After(now) {
+			continue
+		}
+		attempt, send, again := run.machine.Due(now)
+		run.due = again
+		if send {
+			x.send(now, shard, attempt)
+		}
+	}
+}
+
+// ended takes the end of an attempt.
+func (x *exchange) ended(now time.Time, call *leafwire.Call) {
+	delete(x.pending, call)
+	x.f.learn(x.window, now, call)
+	x.ran = x.ran || call.Reply.Sent
+	run := &x.shards[call.Shard]
+	run.last = call
+	decision, next := run.machine.Ended(now, call.Reply.Result)
+	switch decision {
+	case subrequest.Deliver:
+		run.due = time.Time{}
+		if _, err := x.query.Reply(now, x.query.Attempt(), call.Shard, x.view.Snapshot, call); err != nil {
+			x.f.broken("gather", x.req, err)
+		}
+	case subrequest.GiveUp:
+		run.due = time.Time{}
+		x.fail(now, call.Shard, run.machine.Reason())
+	case subrequest.Send:
+		x.send(now, call.Shard, next)
+	case subrequest.Later:
+		run.due = run.machine.RoundAt()
+	case subrequest.Wait:
+	}
+}
+
+func (x *exchange) fail(now time.Time, shard int, reason query.Reason) {
+	if _, err := x.query.Fail(now, x.query.Attempt(), shard, reason); err != nil {
+		x.f.broken("gather", x.req, err)
+	}
+}
+
+// learn takes over what the end of an attempt says about its leaf.
+func (f *Forwarder) learn(window *latency.Window, now time.Time, call *leafwire.Call) {
+	elapsed := now.Sub(call.Began)
+	reply := &call.Reply
+	f.groups.Record(call.Leaf.ID).End(now, elapsed, leafResult(call))
+	if reply.Result == subrequest.OK {
+		window.Observe(now, elapsed)
+	}
+	if reply.Misdirected && f.Misdirected != nil {
+		f.Misdirected(call.Leaf.ID)
+	}
+}
+
+// leafResult says what an attempt tells about its leaf.
+func leafResult(call *leafwire.Call) leaf.Result {
+	switch {
+	case call.Reply.Result == subrequest.OK:
+		return leaf.Answered
+	case call.IsCancelled():
+		return leaf.Cancelled
+	case call.Reply.Status != 0 && call.Reply.Result == subrequest.NotRun:
+		return leaf.Shed
+	default:
+		return leaf.Broken
+	}
+}
+
+// abandon gives up what is still pending once the answer left. Attempts may run
+// on for Linger, since breaking them costs their connections.
+func (x *exchange) abandon() {
+	if len(x.pending) == 0 {
+		return
+	}
+	linger := x.f.cfg.Linger
+	if !x.req.route.Idempotent && x.ran {
+		linger = max(linger, time.Until(x.req.deadline))
+	}
+	go x.awaitRest(linger)
+}
+
+// awaitRest waits for the attempts that are pending and cancels them after a time.
+func (x *exchange) awaitRest(linger time.Duration) {
+	timer := time.NewTimer(linger)
+	defer timer.Stop()
+	for len(x.pending) > 0 {
+		select {
+		case call := <-x.done:
+			delete(x.pending, call)
+			x.f.learn(x.window, time.Now(), call)
+		case <-timer.C:
+			for call := range x.pending {
+				x.f.wire.Cancel(call)
+			}
+		}
+	}
+}
--- /dev/null
+++ b/internal/transport/forward/forward.go
@@ -0,0 +1,293 @@
+// Package forward passes opaque requests of callers on by a routing table: to one
+// leaf of an upstream group, or to one leaf of each shard, whose records it
+// merges. It carries out the decisions of the coordination layer; each request is
+// driven by one goroutine that takes the events of all its attempts.
+package forward
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"math/rand/v2"
+
+	"github.com/apex/log"
+
+	"github.com/hickorydock/hickorydock/internal/coordination/budget"
+	"github.com/hickorydock/hickorydock/internal/coordination/latency"
+	"github.com/hickorydock/hickorydock/internal/coordination/split"
+	"github.com/hickorydock/hickorydock/internal/protocol/route"
+	"github.com/hickorydock/hickorydock/internal/state/group"
+	"github.com/hickorydock/hickorydock/internal/state/routing"
+	"github.com/hickorydock/hickorydock/internal/transport/guard"
+	"github.com/hickorydock/hickorydock/internal/transport/leafwire"
+)
+
+// Advice to callers whose request ran nowhere.
+const (
+	// startingRetryAfter is for a node that knows no routing table yet.
+	startingRetryAfter = 500 * time.Millisecond
+	// refusedRetryAfter is for a request that every leaf tried refused.
+	refusedRetryAfter = 100 * time.Millisecond
+	// absentRetryAfter is for a request whose leafs are not there.
+	absentRetryAfter = 300 * time.Millisecond
+)
+
+// Config bounds forwarded requests.
+type Config struct {
+	AvailabilityZone string
+	Names            route.HeaderNames
+	// CallerTrip is the time that a message takes between a caller and a node.
+	CallerTrip time.Duration
+	// MergeReserve is the time kept for merging and writing an answer.
+	MergeReserve time.Duration
+	// ExtraShare is the number of hedges and retries for each first attempt of a
+	// group, and ExtraBurst what a quiet period saves up on this node.
+	ExtraShare, ExtraBurst float64
+	// Linger is how long attempts that are no longer needed may run on, so that
+	// their connections are kept.
+	Linger time.Duration
+	// DefaultWait bounds a request without a deadline on a route without a timeout.
+	DefaultWait time.Duration
+}
+
+// Observer receives counts; it is met by the metrics.
+type Observer interface {
+	// Forwarded counts an answered request by route and outcome.
+	Forwarded(route, outcome string, elapsed time.Duration, covered, total int)
+	// Attempt counts an attempt at a leaf.
+	Attempt(route, kind string)
+	// InvariantBroken counts a broken invariant.
+	InvariantViolated(name string)
+}
+
+// Wire sends calls to leafs; it is met by leafwire.Client.
+type Wire interface {
+	Start(call *leafwire.Call)
+	Cancel(call *leafwire.Call)
+}
+
+// Forwarder serves callers. It is safe for concurrent use.
+type Forwarder struct {
+	cfg       Config
+	routing   *routing.Store
+	groups    *group.Store
+	wire      Wire
+	guard     *guard.Guard
+	observer  Observer
+	log       log.Interface
+	stopping  atomic.Bool
+	budgets   sync.Map // group -> *budget.Budget
+	windows   sync.Map // route name -> *latency.Window
+	splitters sync.Map // route name -> *split.Splitter
+	// Leaving is told of a leaf whose address another one has; may be nil.
+	Misdirected func(id string)
+}
+
+// New returns a forwarder.
+func New(cfg Config, routes *routing.Store, groups *group.Store, wire Wire, g *guard.Guard, observer Observer, logger log.Interface) *Forwarder {
+	return &Forwarder{cfg: cfg, routing: routes, groups: groups, wire: wire, guard: g, observer: observer, log: logger}
+}
+
+// Stop makes further answers end their connections.
+func (f *Forwarder) Stop() { f.stopping.Store(true) }
+
+// hopByHop are the headers that concern one connection only.
+var hopByHop = []string{
+	"Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization",
+	"Proxy-Connection", "Te", "Trailer", "Transfer-Encoding", "Upgrade",
+	"Content-Length", "Expect",
+}
+
+// request is one request of a caller.
+type request struct {
+	http    *http.Request
+	id      string
+	arrived time.Time
+	// deadline is when the final answer has to leave.
+	deadline time.Time
+	// target is when a partial answer may leave.
+	target  time.Time
+	route   *route.Route
+	version uint64
+	body    []byte
+}
+
+// firstOnConnection marks the first request of a connection.
+type connectionKey struct{}
+
+// TrackConnection is an http.Server's ConnContext; it lets the forwarder tell the
+// first request of a connection, whose caller has waited for the handshake too.
+func TrackConnection(ctx context.Context) context.Context {
+	return context.WithValue(ctx, connectionKey{}, new(atomic.Bool))
+}
+
+func isFirst(ctx context.Context) bool {
+	seen, ok := ctx.Value(connectionKey{}).(*atomic.Bool)
+	return ok && !seen.Swap(true)
+}
+
+// ServeHTTP answers one request.
+func (f *Forwarder) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	arrived := time.Now()
+	if f.stopping.Load() {
+		w.Header().Set("Connection", "close")
+	}
+	index := f.routing.Current()
+	if index == nil {
+		f.refuse(w, "", http.StatusServiceUnavailable, startingRetryAfter)
+		return
+	}
+	rt := index.Find(r.Host, r.URL.Path)
+	if rt == nil {
+		f.log.WithFields(log.Fields{"host": r.Host, "path": r.URL.Path, "version": index.Table.Version, "outcome": "no_route"}).Info("request has no route")
+		f.refuse(w, "", http.StatusNotFound, 0)
+		return
+	}
+	req := &request{http: r, id: r.Header.Get(f.cfg.Names.RequestID), arrived: arrived, route: rt, version: index.Table.Version}
+	f.setTimes(req)
+	if !f.readBody(w, req, index.Table.Limits.BodyBytes) {
+		return
+	}
+	newExchange(f, req).serve(w)
+}
+
+// setTimes fixes when the answer has to leave.
+func (f *Forwarder) setTimes(req *request) {
+	wait := req.route.Timeout
+	if ms, err := strconv.ParseInt(req.http.Header.Get(f.cfg.Names.TimeLeft), 10, 64); err == nil && ms > 0 {
+		wait = min(wait, time.Duration(ms)*time.Millisecond)
+	}
+	req.deadline = req.arrived.Add(wait)
+	target := req.route.Target
+	if target <= 0 || target > wait {
+		target = wait
+	}
+	trips := 2 * f.cfg.CallerTrip
+	if isFirst(req.http.Context()) {
+		trips *= 2
+	}
+	req.target = req.arrived.Add(target - min(trips+f.cfg.MergeReserve, target/2))
+}
+
+// readBody reads a bounded body. It answers the request itself when it cannot.
+func (f *Forwarder) readBody(w http.ResponseWriter, req *request, most int64) bool {
+	r := req.http
+	if r.Body == nil || r.Body == http.NoBody {
+		return true
+	}
+	if most > 0 {
+		r.Body = http.MaxBytesReader(w, r.Body, most)
+	}
+	body, err := io.ReadAll(r.Body)
+	var tooLong *http.MaxBytesError
+	switch {
+	case errors.As(err, &tooLong):
+		f.refuse(w, req.id, http.StatusRequestEntityTooLarge, 0)
+		return false
+	case err != nil:
+		f.log.WithFields(log.Fields{"request": req.id, "route": req.route.Name}).WithError(err).Info("request body not read")
+		f.refuse(w, req.id, http.StatusBadRequest, 0)
+		return false
+	}
+	req.body = body
+	return true
+}
+
+// refuse writes an answer of the node's own.
+func (f *Forwarder) refuse(w http.ResponseWriter, id string, status int, retryAfter time.Duration) {
+	h := w.Header()
+	if retryAfter > 0 {
+		h.Set("Retry-After", strconv.FormatFloat(retryAfter.Seconds(), 'f', -1, 64))
+	}
+	if id != "" {
+		h.Set(f.cfg.Names.RequestID, id)
+	}
+	h["Content-Type"] = nil
+	h.Set("Content-Length", "0")
+	w.WriteHeader(status)
+}
+
+// message encodes a request for leafs.
+func (f *Forwarder) message(req *request) *leafwire.Message {
+	r := req.http
+	head := make([]byte, 0, 512)
+	head = append(head, r.Method...)
+	head = append(head, ' ')
+	head = append(head, r.RequestURI...)
+	head = append(head, " HTTP/1.1\r\nHost: "...)
+	head = append(head, r.Host...)
+	head = append(head, "\r\n"...)
+	dropped := connectionOptions(r.Header)
+	for name, values := range r.Header {
+		if f.isOwn(name) || slices.Contains(dropped, name) {
+			continue
+		}
+		for _, value := range values {
+			head = append(head, name...)
+			head = append(head, ": "...)
+			head = append(head, value...)
+			head = append(head, "\r\n"...)
+		}
+	}
+	if len(req.body) > 0 || r.Method == http.MethodPost || r.Method == http.MethodPut || r.Method == http.MethodPatch {
+		head = append(head, "Content-Length: "...)
+		head = strconv.AppendInt(head, int64(len(req.body)), 10)
+		head = append(head, "\r\n"...)
+	}
+	return &leafwire.Message{Method: r.Method, Head: head, Body: req.body, ID: req.id, Deadline: req.deadline}
+}
+
+// isOwn reports whether the node sets or drops a header itself.
+func (f *Forwarder) isOwn(name string) bool {
+	return name == f.cfg.Names.TimeLeft || name == f.cfg.Names.Target || slices.Contains(hopByHop, name)
+}
+
+// connectionOptions lists the headers that a Connection header names.
+func connectionOptions(h http.Header) []string {
+	var names []string
+	for _, value := range h["Connection"] {
+		for name := range strings.SplitSeq(value, ",") {
+			names = append(names, http.CanonicalHeaderKey(strings.TrimSpace(name)))
+		}
+	}
+	return names
+}
+
+func (f *Forwarder) budget(group string) *budget.Budget {
+	if b, ok := f.budgets.Load(group); ok {
+		return b.(*budget.Budget)
+	}
+	b, _ := f.budgets.LoadOrStore(group, budget.NewBounded(f.cfg.ExtraShare, f.cfg.ExtraBurst))
+	return b.(*budget.Budget)
+}
+
+// hedgeUse is the share of ExtraShare that late subrequests may claim; the rest
+// is left for retries.
+const hedgeUse = 0.8
+
+func (f *Forwarder) window(route string) *latency.Window {
+	if w, ok := f.windows.Load(route); ok {
+		return w.(*latency.Window)
+	}
+	w, _ := f.windows.LoadOrStore(route, latency.NewWindow(1-hedgeUse*f.cfg.ExtraShare))
+	return w.(*latency.Window)
+}
+
+func (f *Forwarder) splitGroup(r *route.Route) string {
+	if len(r.Groups) == 1 {
+		return r.Groups[0].Group
+	}
+	s, ok := f.splitters.Load(r.Name)
+	if !ok {
+		s, _ = f.splitters.LoadOrStore(r.Name, split.New(r.Groups, rand.Float64))
+	}
+	return s.(*split.Splitter).Next(r.Groups)
+}
--- a/internal/transport/metrics/metrics.go
+++ b/internal/transport/metrics/metrics.go
@@ -66,6 +66,11 @@
 	opened        prometheus.Counter
 	quarantine    prometheus.Gauge
 	peers         prometheus.Gauge
+	forwarded     *prometheus.HistogramVec
+	forwardCover  *prometheus.HistogramVec
+	forwardSends  *prometheus.CounterVec
+	tableVersion  prometheus.Gauge
+	leafsListed   prometheus.Gauge
 }
 
 // latencyBuckets are seconds, close around the answers of tens of milliseconds.
@@ -98,10 +103,16 @@
 		quarantine:    gauge("quarantine_entries", "Requests in quarantine."),
 		peers:         gauge("peers", "Nodes that this node has a stream to."),
 	}
+	m.forwarded = histogram("forward_duration_seconds", "Time from a forwarded request's header to its answer, by route and outcome.", latencyBuckets, "route", "outcome")
+	m.forwardCover = histogram("forward_coverage_ratio", "Share of shards that the answer to a forwarded request covers, by route.", coverageBuckets, "route")
+	m.forwardSends = counter("forward_attempts_total", "Attempts of forwarded requests at leafs, by route and kind: first, hedge or retry.", "route", "kind")
+	m.tableVersion = gauge("routing_version", "Version of the routing table in force on this node.")
+	m.leafsListed = gauge("leafs_listed", "Leafs in the platform's list.")
 	m.registry.MustRegister(
 		collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}),
 		m.queries, m.coverage, m.inFlight, m.subrequests, m.cancelled, m.refusals, m.refusedSubs, m.queryLimit, m.queryWaiting, m.invariants,
 		m.revision, m.oldRevisions, m.platformCalls, m.connections, m.opened, m.quarantine, m.peers,
+		m.forwarded, m.forwardCover, m.forwardSends, m.tableVersion, m.leafsListed,
 	)
 	return m
 }
@@ -250,3 +261,35 @@
 		m.peers.Set(float64(connected))
 	}
 }
+
+// Forwarded counts the end of a forwarded request that covered some of total shards.
+func (m *Metrics) Forwarded(route, outcome string, elapsed time.Duration, covered, total int) {
+	if m == nil {
+		return
+	}
+	m.forwarded.WithLabelValues(route, outcome).Observe(elapsed.Seconds())
+	if total > 1 {
+		m.forwardCover.WithLabelValues(route).Observe(float64(covered) / float64(total))
+	}
+}
+
+// Attempt counts an attempt of a forwarded request.
+func (m *Metrics) Attempt(route, kind string) {
+	if m != nil {
+		m.forwardSends.WithLabelValues(route, kind).Inc()
+	}
+}
+
+// RoutingVersion states the version of the routing table in force.
+func (m *Metrics) RoutingVersion(version uint64) {
+	if m != nil {
+		m.tableVersion.Set(float64(version))
+	}
+}
+
+// LeafsListed states the number of leafs in the platform's list.
+func (m *Metrics) LeafsListed(n int) {
+	if m != nil {
+		m.leafsListed.Set(float64(n))
+	}
+}
