Let watches of the platform wait half of the time to act on a change

Ruled out: a stale list (none was made), a refused version (13 was taken at once). Change: a watch waits 1.5 s (half of apply_ms and drain_ms) instead of 25 s.

--- a/internal/protocol/settings/settings.go
+++ b/internal/protocol/settings/settings.go
@@ -115,9 +115,20 @@
 	ExtraSlack     float64 `toml:"extra_slack" min:"0" max:"100000" doc:"Hedges and retries that the upstreams allow a group beyond extra_share, by all VMs together."`
 	ExpectedNodes  int64   `toml:"expected_nodes" min:"1" max:"10000" doc:"Number of VMs among which extra_slack and the connections of a leaf are divided."`
 	LingerMS       float64 `toml:"linger_ms" min:"0" max:"10000" doc:"Time that an attempt which is no longer needed may run on, in milliseconds, so that its connection is kept."`
+	ApplyMS        float64 `toml:"apply_ms" min:"100" max:"600000" doc:"Time within which a change of the routing table must be in force, in milliseconds."`
+	DrainMS        float64 `toml:"drain_ms" min:"100" max:"600000" doc:"Time within which a leaf that leaves must get no new work, in milliseconds."`
 	GraceS         float64 `toml:"grace_s" min:"0.1" max:"3600" doc:"Time between SIGTERM and the end of the process that the platform allows, in seconds."`
 }
 
+// watchShare is the part of the time to act on a change for which a watch may
+// wait. A watch can miss changes while it waits; the next one finds them.
+const watchShare = 0.5
+
+// WatchWait is the longest time that a watch of the platform waits for a change.
+func (f Forward) WatchWait() time.Duration {
+	return time.Duration(watchShare * min(f.ApplyMS, f.DrainMS) * float64(time.Millisecond))
+}
+
 // Default returns the settings that hold where the operator says nothing. The
 // node's id and availability zone have no default.
 func Default() Settings {
@@ -134,7 +145,7 @@
 		Stop:     Stop{LimitMS: 30_000},
 		Log:      Log{Level: "info"},
 		Trace:    Trace{SampleShare: 0.01},
-		Forward:  Forward{CallerTripMS: 3, MergeReserveMS: 4, ExtraShare: 0.2, ExtraSlack: 10, ExpectedNodes: 8, LingerMS: 200, GraceS: 10},
+		Forward:  Forward{CallerTripMS: 3, MergeReserveMS: 4, ExtraShare: 0.2, ExtraSlack: 10, ExpectedNodes: 8, LingerMS: 200, ApplyMS: 3000, DrainMS: 3000, GraceS: 10},
 		Commands: Commands{RetentionS: 24 * 3600, WritesPerSecond: 20, FleetWritesPerSecond: 200},
 	}
 }
