Hedge as late as its answer still counts

Change: the wait is 0.35 of the time up to the target, bounded by the usual latency below and by the time that the hedge needs above.

--- /dev/null
+++ b/internal/coordination/hedge/hedge.go
@@ -0,0 +1,27 @@
+// Package hedge decides how long an attempt may take before another one is sent
+// beside it. A hedge that is sent as late as its answer still counts leaves the
+// budget to attempts that are stuck rather than slow.
+package hedge
+
+import "time"
+
+const (
+	// patience is the part of the time up to the target after which an attempt
+	// counts as stuck.
+	patience = 0.35
+	// finish is the time that a hedge needs, in units of the usual latency.
+	finish = 2
+	// floor is the shortest wait.
+	floor = time.Millisecond
+)
+
+// Delay returns the wait before a hedge. usual is a high quantile of the latency
+// of attempts, 0 while it is not known; left is the time up to the target.
+func Delay(usual, left time.Duration) time.Duration {
+	stuck := time.Duration(patience * float64(left))
+	if usual <= 0 {
+		return max(stuck, floor)
+	}
+	latest := left - finish*usual
+	return max(usual, min(stuck, latest), floor)
+}
--- a/internal/transport/forward/exchange.go
+++ b/internal/transport/forward/exchange.go
@@ -7,6 +7,7 @@
 
 	"github.com/hickorydock/hickorydock/internal/coordination/budget"
 	"github.com/hickorydock/hickorydock/internal/coordination/gather"
+	"github.com/hickorydock/hickorydock/internal/coordination/hedge"
 	"github.com/hickorydock/hickorydock/internal/coordination/latency"
 	"github.com/hickorydock/hickorydock/internal/coordination/replica"
 	"github.com/hickorydock/hickorydock/internal/coordination/subrequest"
@@ -17,14 +18,6 @@
 	"github.com/hickorydock/hickorydock/internal/transport/leafwire"
 )
 
-const (
-	// hedgeFloor is the shortest wait before a hedge.
-	hedgeFloor = time.Millisecond
-	// untestedHedge is the part of the target after which a hedge is sent while
-	// the latency of a route is not known.
-	untestedHedge = 0.35
-)
-
 // shardRun is the state of one shard of a request.
 type shardRun struct {
 	group   string
@@ -94,14 +87,6 @@
 	return 1
 }
 
-// hedgeDelay is the wait before a second attempt of a shard.
-func (x *exchange) hedgeDelay() time.Duration {
-	if delay := x.window.Quantile(); delay > 0 {
-		return max(delay, hedgeFloor)
-	}
-	return time.Duration(untestedHedge * float64(x.req.target.Sub(x.req.arrived)))
-}
-
 // run drives the request until its answer can leave. It returns false when the
 // caller left.
 func (x *exchange) run(ctx context.Context) bool {
@@ -178,7 +163,7 @@
 		Replicas:         replicas,
 		AvailabilityZone: x.f.cfg.AvailabilityZone,
 		Deadline:         x.req.deadline,
-		HedgeDelay:       x.hedgeDelay(),
+		HedgeDelay:       hedge.Delay(x.window.Quantile(), x.req.target.Sub(now)),
 		MaxAttempts:      x.attemptsOf(len(replicas)),
 		Once:             !x.req.route.Idempotent,
 		Choose:           replica.Choose,
