--- a/internal/coordination/subrequest/subrequest.go
+++ b/internal/coordination/subrequest/subrequest.go
@@ -100,6 +100,26 @@
 	Random func() uint64
 }
 
+// Held says why a second attempt was not sent.
+type Held int
+
+// Reasons against a second attempt.
+const (
+	// HeldNot means that nothing stood against it.
+	HeldNot Held = iota
+	// HeldBudget means that the budget was empty.
+	HeldBudget
+	// HeldReplica means that no other replica was likely to answer earlier.
+	HeldReplica
+	// HeldAttempts means that the bound on attempts was reached.
+	HeldAttempts
+)
+
+// String names the reason.
+func (h Held) String() string {
+	return [...]string{"none", "budget", "replica", "attempts"}[h]
+}
+
 // Machine is the state of one subrequest.
 type Machine struct {
 	cfg     Config
@@ -109,6 +129,7 @@
 	pending int
 	sent    int // attempts taken so far
 	done    bool
+	held    Held
 	last    Result
 	hedges  int
 	round   time.Duration
@@ -166,12 +187,15 @@
 	}
 	i := m.choose(time.Time{}, avoid)
 	if i == replica.None || !now.Before(m.cfg.Deadline) || !replica.IsWorthHedging(m.cfg.Replicas[i], m.cfg.HedgeDelay) {
+		m.held = HeldReplica
 		m.hedges = MaxHedges
 		return Attempt{}, false, time.Time{}
 	}
 	if !m.extra.Spend() {
+		m.held = HeldBudget
 		return Attempt{}, false, m.recheckAt(now)
 	}
+	m.held = HeldNot
 	m.hedges++
 	again, _ = m.HedgeAt(now)
 	return m.take(i, Hedge), true, again
@@ -250,6 +274,7 @@
 // that keeps failing is worth spare tokens only.
 func (m *Machine) retry(now time.Time) (Attempt, bool) {
 	if m.isSpent() || m.cfg.Once && m.last != NotRun {
+		m.held = HeldAttempts
 		return Attempt{}, false
 	}
 	i := m.choose(now, m.tried)
@@ -261,8 +286,10 @@
 		spend = m.extra.SpendSpare
 	}
 	if !spend() {
+		m.held = HeldBudget
 		return Attempt{}, false
 	}
+	m.held = HeldNot
 	return m.take(i, Retry), true
 }
 
@@ -277,6 +304,9 @@
 	return m.roundAt.Before(m.cfg.Deadline)
 }
 
+// Held says why the last look sent no second attempt.
+func (m *Machine) Held() Held { return m.held }
+
 // RoundAt is when to call Due; it is valid after Later.
 func (m *Machine) RoundAt() time.Time { return m.roundAt }
 
--- a/internal/transport/forward/answer.go
+++ b/internal/transport/forward/answer.go
@@ -9,6 +9,7 @@
 
 	"github.com/apex/log"
 
+	"github.com/hickorydock/hickorydock/internal/coordination/subrequest"
 	"github.com/hickorydock/hickorydock/internal/coordination/topk"
 	"github.com/hickorydock/hickorydock/internal/protocol/query"
 	"github.com/hickorydock/hickorydock/internal/transport/leafwire"
@@ -193,6 +194,9 @@
 		if run.last != nil {
 			text.WriteString("@" + run.last.Leaf.ID)
 		}
+		if held := run.machine.Held(); held != subrequest.HeldNot {
+			text.WriteString(",held:" + held.String())
+		}
 	}
 	return text.String()
 }
