Let gateways know each other and share what the platform says

Weighed: leases on the reader's role in the store (calls again, and lost with it); the seeds as readers (may be stale or down); readers by hash over the members that each node knows (chosen: no message at all). Change: members join through the seeds by datagrams (coordination/membership, not carried by a transport so far); two readers follow the platform, the others follow them over drpc, by version and age, and read it themselves when no source is fresh.

--- /dev/null
+++ b/internal/coordination/reader/reader.go
@@ -0,0 +1,103 @@
+// Package reader decides which nodes read the platform and from whom the others
+// learn what those read, so that the calls to the platform do not grow with the
+// number of nodes. The functions are pure and every node that knows the same
+// members comes to the same readers.
+package reader
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/hickorydock/hickorydock/internal/protocol/membership"
+)
+
+const (
+	// Count is the number of nodes that read the platform: one, and one more in
+	// case that the platform turns the first away or the first stops.
+	Count = 2
+	// JoinTime is how long a node that starts waits to hear of others before it
+	// reads the platform itself.
+	JoinTime = 700 * time.Millisecond
+	// soloShare is the share of looks at which a node whose sources are all stale
+	// reads the platform itself.
+	soloShare = 0.25
+)
+
+// Readers returns the ids of the nodes that read the platform, of those that are
+// alive: those with the highest hashes, in different availability zones where
+// that is possible.
+func Readers(members []membership.Member) []string {
+	alive := slices.DeleteFunc(slices.Clone(members), func(m membership.Member) bool { return m.State != membership.Alive })
+	slices.SortFunc(alive, func(a, b membership.Member) int {
+		return cmp.Compare(xxhash.Sum64String(b.ID), xxhash.Sum64String(a.ID))
+	})
+	var chosen []string
+	zones := make(map[string]bool)
+	for pass := range 2 {
+		for _, m := range alive {
+			if len(chosen) >= Count || slices.Contains(chosen, m.ID) || pass == 0 && zones[m.AvailabilityZone] {
+				continue
+			}
+			zones[m.AvailabilityZone] = true
+			chosen = append(chosen, m.ID)
+		}
+	}
+	return chosen
+}
+
+// Look is what a node knows when it needs a source.
+type Look struct {
+	Self    string
+	Members []membership.Member // the node itself included
+	// Sinceup is the time since the node started.
+	SinceStart time.Duration
+	// Seeded is true when the node knows addresses of others to begin with, and
+	// IsSeed when its own is among them.
+	Seeded, IsSeed bool
+	// Stale lists the sources that lately failed or knew nothing fresh.
+	Stale []string
+	// Draw is a random number in [0, 1).
+	Draw float64
+}
+
+// Source says from where to learn.
+type Source struct {
+	// Platform is true when the node reads the platform itself.
+	Platform bool
+	// Peer is the id of another node to follow; empty with Platform, or when the
+	// node has to wait.
+	Peer string
+}
+
+// Choose returns the source of a node.
+func Choose(look Look) Source {
+	readers := Readers(look.Members)
+	if slices.Contains(readers, look.Self) && !isJoining(look) {
+		return Source{Platform: true}
+	}
+	var fresh []string
+	for _, id := range readers {
+		if id != look.Self && !slices.Contains(look.Stale, id) {
+			fresh = append(fresh, id)
+		}
+	}
+	switch {
+	case len(fresh) > 0 && len(look.Members) > 1:
+		return Source{Peer: fresh[int(look.Draw*float64(len(fresh)))]}
+	case isJoining(look):
+		return Source{}
+	case len(look.Members) <= 1 || look.Draw < soloShare:
+		return Source{Platform: true}
+	default:
+		return Source{}
+	}
+}
+
+// isJoining reports whether the node still waits to hear of others. Seeds read
+// the platform at once, so that the others have somebody to follow.
+func isJoining(look Look) bool {
+	return look.Seeded && !look.IsSeed && len(look.Members) <= 1 && look.SinceStart < JoinTime
+}
--- /dev/null
+++ b/internal/coordination/reader/reader_test.go
@@ -0,0 +1,97 @@
+package reader
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/hickorydock/hickorydock/internal/protocol/membership"
+)
+
+func fleet(n int) []membership.Member {
+	members := make([]membership.Member, n)
+	for i := range members {
+		members[i] = membership.Member{ID: fmt.Sprintf("n%03d", i), AvailabilityZone: fmt.Sprintf("az-%d", i%4), State: membership.Alive}
+	}
+	return members
+}
+
+// TestReadersDoNotGrowWithTheFleet answers the pattern of many nodes that each
+// page through the platform's lists.
+func TestReadersDoNotGrowWithTheFleet(t *testing.T) {
+	for _, n := range []int{1, 7, 70, 610} {
+		members := fleet(n)
+		reading := 0
+		for _, m := range members {
+			if Choose(Look{Self: m.ID, Members: members, SinceStart: time.Minute, Draw: 0.5}).Platform {
+				reading++
+			}
+		}
+		if want := min(n, Count); reading != want {
+			t.Errorf("%d of %d nodes read the platform, want %d", reading, n, want)
+		}
+	}
+}
+
+func TestReadersLieInDifferentZones(t *testing.T) {
+	members := fleet(70)
+	readers := Readers(members)
+	zones := map[string]bool{}
+	for _, m := range members {
+		if slices.Contains(readers, m.ID) {
+			zones[m.AvailabilityZone] = true
+		}
+	}
+	if len(zones) != Count {
+		t.Errorf("readers %v lie in %d zones", readers, len(zones))
+	}
+	for i := range members {
+		if members[i].ID == readers[0] {
+			members[i].State = membership.Leaving
+		}
+	}
+	if slices.Contains(Readers(members), readers[0]) {
+		t.Error("a node that leaves reads")
+	}
+}
+
+func TestStaleSources(t *testing.T) {
+	members := fleet(70)
+	readers := Readers(members)
+	self := ""
+	for _, m := range members {
+		if !slices.Contains(readers, m.ID) {
+			self = m.ID
+		}
+	}
+	look := Look{Self: self, Members: members, SinceStart: time.Minute, Stale: readers[:1], Draw: 0.9}
+	if got := Choose(look); got.Peer != readers[1] {
+		t.Errorf("with one stale source: %+v, want the other", got)
+	}
+	look.Stale = readers
+	if got := Choose(look); got != (Source{}) {
+		t.Errorf("with stale sources most looks wait, got %+v", got)
+	}
+	look.Draw = soloShare / 2
+	if got := Choose(look); !got.Platform {
+		t.Errorf("with stale sources some looks read the platform, got %+v", got)
+	}
+}
+
+func TestStart(t *testing.T) {
+	alone := fleet(1)
+	look := Look{Self: alone[0].ID, Members: alone, Seeded: true}
+	if got := Choose(look); got != (Source{}) {
+		t.Errorf("a node that has just started: %+v, want to wait", got)
+	}
+	look.IsSeed = true
+	if got := Choose(look); !got.Platform {
+		t.Errorf("a seed: %+v, want the platform", got)
+	}
+	look.IsSeed = false
+	look.SinceStart = JoinTime
+	if got := Choose(look); !got.Platform {
+		t.Errorf("a node that hears of nobody: %+v, want the platform", got)
+	}
+}
--- a/internal/node/gateway/gateway.go
+++ b/internal/node/gateway/gateway.go
@@ -24,12 +24,14 @@
 	"github.com/hickorydock/hickorydock/internal/protocol/settings"
 	"github.com/hickorydock/hickorydock/internal/state/group"
 	"github.com/hickorydock/hickorydock/internal/state/leaf"
+	"github.com/hickorydock/hickorydock/internal/state/mirror"
 	"github.com/hickorydock/hickorydock/internal/state/routing"
 	"github.com/hickorydock/hickorydock/internal/transport/admin"
 	"github.com/hickorydock/hickorydock/internal/transport/forward"
 	"github.com/hickorydock/hickorydock/internal/transport/guard"
 	"github.com/hickorydock/hickorydock/internal/transport/leafwire"
 	"github.com/hickorydock/hickorydock/internal/transport/logging"
+	"github.com/hickorydock/hickorydock/internal/transport/mesh"
 	"github.com/hickorydock/hickorydock/internal/transport/metrics"
 )
 
@@ -84,7 +86,7 @@
 		fx.Provide(
 			func() log.Interface { return g.logger },
 			func() Adapter { return adapter },
-			metrics.New, leaf.NewTable, group.NewStore, newRouting, newWire, newForwarder, newController, newFront,
+			metrics.New, leaf.NewTable, group.NewStore, mirror.New, newRouting, newMesh, newWire, newForwarder, newController, newFront,
 			func(f *front) admin.Prober { return f },
 		),
 		guard.Module,
@@ -130,6 +132,25 @@
 
 func seconds(n float64) time.Duration { return time.Duration(n * float64(time.Second)) }
 
+// newMesh joins the other gateways at the node's peer address.
+func newMesh(s settings.Settings, known *mirror.Mirror, g *guard.Guard, logger log.Interface, lifecycle fx.Lifecycle) (*mesh.Mesh, error) {
+	m, err := mesh.New(mesh.Config{
+		Node:             s.Node.ID,
+		AvailabilityZone: s.Node.AvailabilityZone,
+		Address:          s.Node.PeerAddress,
+		Seeds:            s.Node.BootstrapPeers,
+		Mirror:           known,
+		Hear:             g.Hear,
+		Log:              logger,
+	})
+	if err != nil {
+		return nil, err
+	}
+	g.SetPeers(m)
+	lifecycle.Append(fx.StartStopHook(m.Start, m.Close))
+	return m, nil
+}
+
 // connectionsPerLeaf bounds this node's connections to a leaf whatever its share.
 const connectionsPerLeaf = 8
 
@@ -160,10 +181,11 @@
 	}, routes, groups, wire, g, m, logger)
 }
 
-func newController(s settings.Settings, a Adapter, routes *routing.Store, groups *group.Store, wire *leafwire.Client, f *forward.Forwarder, m *metrics.Metrics, logger log.Interface, lifecycle fx.Lifecycle) *controller {
+func newController(s settings.Settings, a Adapter, net *mesh.Mesh, routes *routing.Store, groups *group.Store, wire *leafwire.Client, f *forward.Forwarder, m *metrics.Metrics, logger log.Interface, lifecycle fx.Lifecycle) *controller {
+	client := mesh.NewClient(a.Client(s), net, s.Forward.WatchWait())
 	c := &controller{
 		adapter: a,
-		client:  a.Client(s),
+		client:  client,
 		routing: routes,
 		groups:  groups,
 		wire:    wire,
@@ -176,7 +198,7 @@
 	done := make(chan struct{})
 	lifecycle.Append(fx.StartStopHook(
 		func() { go func() { defer close(done); c.run(ctx) }() },
-		func() { cancel(); <-done },
+		func() { cancel(); client.Close(); <-done },
 	))
 	return c
 }
--- /dev/null
+++ b/internal/state/mirror/mirror.go
@@ -0,0 +1,184 @@
+// Package mirror keeps what a node knows of the platform's objects, with the
+// latest changes, so that other nodes can follow them here. Each kind lies under
+// its own lock.
+package mirror
+
+import (
+	"context"
+	"maps"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/hickorydock/hickorydock/internal/protocol/platform"
+)
+
+// keptChanges is the number of changes kept for each kind.
+const keptChanges = 2000
+
+// Mirror holds the objects of several kinds. It is safe for concurrent use.
+type Mirror struct {
+	mu    sync.Mutex // guards kinds
+	kinds map[platform.Kind]*kind
+}
+
+// kind is the state of one kind.
+type kind struct {
+	mu      sync.Mutex
+	known   bool
+	objects map[string]platform.Object
+	changes []platform.Event // with rising versions
+	// oldest is the version after which all changes are kept.
+	oldest  uint64
+	version uint64
+	// confirmed is when the platform last said that this is its state.
+	confirmed time.Time
+	wake      chan struct{} // closed at the next change
+}
+
+// New returns an empty mirror.
+func New() *Mirror { return &Mirror{kinds: make(map[platform.Kind]*kind)} }
+
+func (m *Mirror) kind(name platform.Kind) *kind {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	k, ok := m.kinds[name]
+	if !ok {
+		k = &kind{objects: make(map[string]platform.Object), wake: make(chan struct{})}
+		m.kinds[name] = k
+	}
+	return k
+}
+
+// Replace takes a list that the platform confirmed at a time. One that is older
+// than what is known is dropped.
+func (m *Mirror) Replace(name platform.Kind, listing platform.Listing, confirmed time.Time) {
+	k := m.kind(name)
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if k.known && listing.Version < k.version {
+		return
+	}
+	k.objects = make(map[string]platform.Object, len(listing.Objects))
+	for _, object := range listing.Objects {
+		k.objects[object.Name] = object
+	}
+	k.changes = nil
+	k.oldest = listing.Version
+	k.known = true
+	k.advance(listing.Version, confirmed)
+}
+
+// Apply takes the changes up to a version, none for mere progress, that the
+// platform confirmed at a time.
+func (m *Mirror) Apply(name platform.Kind, changes []platform.Event, version uint64, confirmed time.Time) {
+	k := m.kind(name)
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if !k.known || version < k.version {
+		return
+	}
+	if version > k.version {
+		for _, event := range changes {
+			k.apply(event, version)
+		}
+	}
+	k.advance(version, confirmed)
+}
+
+// apply requires mu. All changes of one version go together.
+func (k *kind) apply(event platform.Event, version uint64) {
+	if event.Deleted {
+		delete(k.objects, event.Object.Name)
+	} else {
+		k.objects[event.Object.Name] = event.Object
+	}
+	event.Object.Version = version
+	k.keep(event)
+}
+
+// keep requires mu.
+func (k *kind) keep(event platform.Event) {
+	k.changes = append(k.changes, event)
+	if excess := len(k.changes) - keptChanges; excess > 0 {
+		k.oldest = k.changes[excess-1].Object.Version
+		k.changes = slices.Delete(k.changes, 0, excess)
+	}
+}
+
+// advance requires mu.
+func (k *kind) advance(version uint64, confirmed time.Time) {
+	if version > k.version {
+		k.version = version
+		close(k.wake)
+		k.wake = make(chan struct{})
+	}
+	if confirmed.After(k.confirmed) {
+		k.confirmed = confirmed
+	}
+}
+
+// Confirmed is when the platform last confirmed a kind; zero when it is unknown.
+func (m *Mirror) Confirmed(name platform.Kind) time.Time {
+	k := m.kind(name)
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.confirmed
+}
+
+// List returns all objects of a kind, sorted by name. ok is false while the kind
+// is unknown.
+func (m *Mirror) List(name platform.Kind) (listing platform.Listing, confirmed time.Time, ok bool) {
+	k := m.kind(name)
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if !k.known {
+		return platform.Listing{}, time.Time{}, false
+	}
+	objects := slices.SortedFunc(maps.Values(k.objects), func(a, b platform.Object) int {
+		return strings.Compare(a.Name, b.Name)
+	})
+	return platform.Listing{Objects: objects, Version: k.version}, k.confirmed, true
+}
+
+// Changes waits until a kind has changes after a version, or wait is over. It
+// returns the changes and the version to go on from. It fails with ErrTooOld when
+// they are no longer kept and with ErrUnavailable while the kind is unknown.
+func (m *Mirror) Changes(ctx context.Context, name platform.Kind, from uint64, wait time.Duration) (changes []platform.Event, version uint64, confirmed time.Time, err error) {
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	k := m.kind(name)
+	for {
+		k.mu.Lock()
+		known, oldest, wake := k.known, k.oldest, k.wake
+		changes, version, confirmed = k.since(from), max(k.version, from), k.confirmed
+		k.mu.Unlock()
+		switch {
+		case !known:
+			return nil, 0, time.Time{}, platform.ErrUnavailable
+		case from < oldest:
+			return nil, 0, time.Time{}, platform.ErrTooOld
+		case len(changes) > 0:
+			return changes, version, confirmed, nil
+		}
+		select {
+		case <-ctx.Done():
+			return nil, 0, time.Time{}, ctx.Err()
+		case <-timer.C:
+			return nil, version, confirmed, nil
+		case <-wake:
+		}
+	}
+}
+
+// since requires mu.
+func (k *kind) since(from uint64) []platform.Event {
+	first, _ := slices.BinarySearchFunc(k.changes, from+1, func(e platform.Event, version uint64) int {
+		if e.Object.Version < version {
+			return -1
+		}
+		return 1
+	})
+	return slices.Clone(k.changes[first:])
+}
