--- a/internal/coordination/budget/budget.go
+++ b/internal/coordination/budget/budget.go
@@ -37,6 +37,14 @@
 	b.mu.Unlock()
 }
 
+// SetMost changes what a quiet period may save up.
+func (b *Budget) SetMost(most float64) {
+	b.mu.Lock()
+	b.most = max(most, 1)
+	b.tokens = min(b.tokens, b.most)
+	b.mu.Unlock()
+}
+
 // Earn counts n first subrequests.
 func (b *Budget) Earn(n int) {
 	b.mu.Lock()
--- a/internal/coordination/hedge/hedge.go
+++ b/internal/coordination/hedge/hedge.go
@@ -15,6 +15,16 @@
 	floor = time.Millisecond
 )
 
+// relayPatience is the part of the time up to the target after which a relay
+// without any reply counts as stuck; its own hedges come first.
+const relayPatience = 0.55
+
+// RelayDelay returns the wait before a second relay is asked. left is the time up
+// to the target.
+func RelayDelay(left time.Duration) time.Duration {
+	return max(time.Duration(relayPatience*float64(left)), floor)
+}
+
 // Delay returns the wait before a hedge. usual is a high quantile of the latency
 // of attempts, 0 while it is not known; left is the time up to the target.
 func Delay(usual, left time.Duration) time.Duration {
--- a/internal/node/gateway/control.go
+++ b/internal/node/gateway/control.go
@@ -28,6 +28,7 @@
 	routing *routing.Store
 	groups  *group.Store
 	wire    *leafwire.Client
+	relays  *relays
 	metrics *metrics.Metrics
 	log     log.Interface
 
@@ -159,7 +160,7 @@
 	}
 	fields := log.Fields{"leaf": next.VM.ID, "group": next.VM.Group, "state": string(next.VM.State), "revision": object.Version, "born": next.Born}
 	c.log.WithFields(fields).Info("leaf listed")
-	if !leaving {
+	if !leaving && c.relays.connectsTo(next.VM.Group) {
 		c.wire.Warm(next.VM)
 	}
 }
--- a/internal/node/gateway/gateway.go
+++ b/internal/node/gateway/gateway.go
@@ -19,6 +19,7 @@
 	"go.uber.org/fx"
 
 	"github.com/hickorydock/hickorydock/internal/protocol/fault"
+	"github.com/hickorydock/hickorydock/internal/protocol/membership"
 	"github.com/hickorydock/hickorydock/internal/protocol/platform"
 	"github.com/hickorydock/hickorydock/internal/protocol/route"
 	"github.com/hickorydock/hickorydock/internal/protocol/settings"
@@ -86,7 +87,7 @@
 		fx.Provide(
 			func() log.Interface { return g.logger },
 			func() Adapter { return adapter },
-			metrics.New, leaf.NewTable, group.NewStore, mirror.New, newRouting, newMesh, newWire, newForwarder, newController, newFront,
+			metrics.New, leaf.NewTable, group.NewStore, mirror.New, newRouting, newRelays, newMesh, newWire, newForwarder, newController, newFront,
 			func(f *front) admin.Prober { return f },
 		),
 		guard.Module,
@@ -133,7 +134,7 @@
 func seconds(n float64) time.Duration { return time.Duration(n * float64(time.Second)) }
 
 // newMesh joins the other gateways at the node's peer address.
-func newMesh(s settings.Settings, known *mirror.Mirror, g *guard.Guard, logger log.Interface, lifecycle fx.Lifecycle) (*mesh.Mesh, error) {
+func newMesh(s settings.Settings, known *mirror.Mirror, f *forward.Forwarder, r *relays, g *guard.Guard, logger log.Interface, lifecycle fx.Lifecycle) (*mesh.Mesh, error) {
 	m, err := mesh.New(mesh.Config{
 		Node:             s.Node.ID,
 		AvailabilityZone: s.Node.AvailabilityZone,
@@ -142,10 +143,16 @@
 		Mirror:           known,
 		Hear:             g.Hear,
 		Log:              logger,
-	})
+		Changed: func(members []membership.Member) {
+			r.setMembers(members)
+			f.SetNodes(max(len(members), int(s.Forward.ExpectedNodes)))
+		},
+	}, f)
 	if err != nil {
 		return nil, err
 	}
+	r.mesh = m
+	f.Relays = r
 	g.SetPeers(m)
 	lifecycle.Append(fx.StartStopHook(m.Start, m.Close))
 	return m, nil
@@ -154,34 +161,33 @@
 // connectionsPerLeaf bounds this node's connections to a leaf whatever its share.
 const connectionsPerLeaf = 8
 
-func newWire(s settings.Settings, a Adapter, routes *routing.Store, m *metrics.Metrics) *leafwire.Client {
-	nodes := int(s.Forward.ExpectedNodes)
+func newRelays(s settings.Settings, routes *routing.Store, logger log.Interface) *relays {
+	return &relays{node: s.Node.ID, zone: s.Node.AvailabilityZone, routing: routes, records: leaf.NewTable(), log: logger}
+}
+
+func newWire(s settings.Settings, a Adapter, r *relays, m *metrics.Metrics) *leafwire.Client {
 	return leafwire.New(leafwire.Config{
 		Names:     a.Names(),
 		Connected: m.LeafConnected,
-		Limit: func(group string) int {
-			index := routes.Current()
-			if index == nil {
-				return 1
-			}
-			return min(max(index.Table.Groups[group].Connections/nodes, 1), connectionsPerLeaf)
-		},
+		Limit:     func(group string) int { return r.connections(group, int(s.Forward.ExpectedNodes)) },
 	})
 }
 
 func newForwarder(s settings.Settings, a Adapter, routes *routing.Store, groups *group.Store, wire *leafwire.Client, g *guard.Guard, m *metrics.Metrics, logger log.Interface) *forward.Forwarder {
-	return forward.New(forward.Config{
+	f := forward.New(forward.Config{
 		AvailabilityZone: s.Node.AvailabilityZone,
 		Names:            a.Names(),
 		CallerTrip:       milliseconds(s.Forward.CallerTripMS),
 		MergeReserve:     milliseconds(s.Forward.MergeReserveMS),
 		ExtraShare:       s.Forward.ExtraShare,
-		ExtraBurst:       s.Forward.ExtraSlack / float64(s.Forward.ExpectedNodes),
+		ExtraSlack:       s.Forward.ExtraSlack,
 		Linger:           milliseconds(s.Forward.LingerMS),
 	}, routes, groups, wire, g, m, logger)
+	f.SetNodes(int(s.Forward.ExpectedNodes))
+	return f
 }
 
-func newController(s settings.Settings, a Adapter, net *mesh.Mesh, routes *routing.Store, groups *group.Store, wire *leafwire.Client, f *forward.Forwarder, m *metrics.Metrics, logger log.Interface, lifecycle fx.Lifecycle) *controller {
+func newController(s settings.Settings, a Adapter, net *mesh.Mesh, routes *routing.Store, groups *group.Store, wire *leafwire.Client, r *relays, f *forward.Forwarder, m *metrics.Metrics, logger log.Interface, lifecycle fx.Lifecycle) *controller {
 	client := mesh.NewClient(a.Client(s), net, s.Forward.WatchWait())
 	c := &controller{
 		adapter: a,
@@ -189,6 +195,7 @@
 		routing: routes,
 		groups:  groups,
 		wire:    wire,
+		relays:  r,
 		metrics: m,
 		log:     logger,
 		holds:   make(map[string]*time.Timer),
--- /dev/null
+++ b/internal/node/gateway/relays.go
@@ -0,0 +1,188 @@
+package gateway
+
+import (
+	"context"
+	"slices"
+	"sync/atomic"
+
+	"github.com/apex/log"
+
+	"github.com/hickorydock/hickorydock/internal/coordination/ownership"
+	"github.com/hickorydock/hickorydock/internal/coordination/share"
+	"github.com/hickorydock/hickorydock/internal/protocol/membership"
+	contract "github.com/hickorydock/hickorydock/internal/protocol/peer"
+	"github.com/hickorydock/hickorydock/internal/protocol/platform"
+	"github.com/hickorydock/hickorydock/internal/state/leaf"
+	"github.com/hickorydock/hickorydock/internal/state/routing"
+	"github.com/hickorydock/hickorydock/internal/state/shardmap"
+	"github.com/hickorydock/hickorydock/internal/transport/forward"
+	"github.com/hickorydock/hickorydock/internal/transport/mesh"
+	"github.com/hickorydock/hickorydock/internal/transport/peer"
+)
+
+// clusterGroups is the number of groups whose leafs have the same relays: a query
+// of some hundred shards then goes to about eight relays.
+const clusterGroups = 12
+
+// assignment is who relays to which groups, for one table and one membership. It
+// is immutable.
+type assignment struct {
+	members *membersList
+	index   *routing.Index
+	owners  *ownership.Assignment // nil when all nodes connect to all leafs
+}
+
+// membersList gives a list of members an identity.
+type membersList struct{ members []membership.Member }
+
+// relays divides groups among the nodes. It is safe for concurrent use.
+type relays struct {
+	node    string
+	zone    string
+	mesh    *mesh.Mesh
+	routing *routing.Store
+	records *leaf.Table // of nodes
+	log     log.Interface
+	present atomic.Pointer[membersList]
+	current atomic.Pointer[assignment]
+}
+
+// setMembers takes the present members.
+func (r *relays) setMembers(members []membership.Member) {
+	r.present.Store(&membersList{slices.DeleteFunc(slices.Clone(members), func(m membership.Member) bool {
+		return m.State != membership.Alive
+	})})
+}
+
+// assignment returns the division in force for the table and the members of now.
+func (r *relays) assignment() *assignment {
+	members, index := r.present.Load(), r.routing.Current()
+	if members == nil || index == nil {
+		return nil
+	}
+	if a := r.current.Load(); a != nil && a.members == members && a.index == index {
+		return a
+	}
+	a := &assignment{members: members, index: index, owners: r.divide(members.members, index)}
+	r.current.Store(a)
+	return a
+}
+
+// divide assigns the shards of all routes, or returns nil when each node may
+// connect to each leaf.
+func (r *relays) divide(members []membership.Member, index *routing.Index) *ownership.Assignment {
+	groups := shardGroups(index)
+	relayed := 0
+	for _, name := range groups {
+		limit := index.Table.Groups[name].Connections
+		s, err := share.ConnectionShare(limit, len(members), share.Reserve(limit))
+		if err == nil && s.Mode == share.Relayed {
+			relayed = max(relayed, s.Holders)
+		}
+	}
+	if relayed == 0 {
+		return nil
+	}
+	nodes := make([]ownership.Member, 0, len(members))
+	for _, m := range members {
+		nodes = append(nodes, ownership.Member{ID: m.ID, AvailabilityZone: m.AvailabilityZone})
+	}
+	keys := make([]ownership.Leaf, 0, len(groups))
+	for _, name := range groups {
+		keys = append(keys, ownership.Leaf{ID: name, Key: name})
+	}
+	a, err := ownership.Assign(nodes, keys, ownership.Config{Owners: relayed, ClusterSize: clusterGroups, LoadBound: ownership.DefaultLoadBound})
+	if err != nil {
+		r.log.WithError(err).Error("groups not divided among relays")
+		return nil
+	}
+	r.log.WithFields(log.Fields{"nodes": len(members), "groups": len(groups), "clusters": len(a.Clusters), "relays": relayed, "version": index.Table.Version}).Info("groups divided among relays")
+	return a
+}
+
+// shardGroups lists the groups of all routes that ask several, in order.
+func shardGroups(index *routing.Index) []string {
+	seen := make(map[string]bool)
+	for i := range index.Table.Routes {
+		for _, name := range index.Table.Routes[i].Shards {
+			seen[name] = true
+		}
+	}
+	groups := make([]string, 0, len(seen))
+	for name := range seen {
+		groups = append(groups, name)
+	}
+	slices.Sort(groups)
+	return groups
+}
+
+// Clusters meets forward.Relays.
+func (r *relays) Clusters(groups []string) []forward.Cluster {
+	a := r.assignment()
+	if a == nil || a.owners == nil {
+		return nil
+	}
+	at := make(map[int]int)
+	var clusters []forward.Cluster
+	for shard, name := range groups {
+		c := a.owners.ClusterOf(name)
+		k, ok := at[c]
+		if !ok {
+			k = len(clusters)
+			at[c] = k
+			clusters = append(clusters, r.cluster(a, name))
+		}
+		clusters[k].Shards = append(clusters[k].Shards, shard)
+	}
+	return clusters
+}
+
+// cluster describes the relays of a group.
+func (r *relays) cluster(a *assignment, group string) forward.Cluster {
+	var c forward.Cluster
+	for _, m := range a.owners.Of(group) {
+		if m.ID == r.node {
+			c.Own = true
+			continue
+		}
+		owner := shardmap.Replica{VM: platform.VM{ID: m.ID, AvailabilityZone: m.AvailabilityZone}, Record: r.records.Record(m.ID)}
+		if m.AvailabilityZone == r.zone {
+			c.Near = append(c.Near, owner)
+		} else {
+			c.Far = append(c.Far, owner)
+		}
+	}
+	return c
+}
+
+// Do meets forward.Relays.
+func (r *relays) Do(ctx context.Context, node string, batch *contract.Batch, deliver func(peer.Result)) error {
+	return r.mesh.Do(ctx, node, batch, deliver)
+}
+
+// connections is the most connections of this node to a leaf of a group.
+func (r *relays) connections(group string, expectedNodes int) int {
+	index := r.routing.Current()
+	if index == nil {
+		return 1
+	}
+	nodes := expectedNodes
+	if members := r.present.Load(); members != nil {
+		nodes = max(nodes, len(members.members))
+	}
+	limit := index.Table.Groups[group].Connections
+	s, err := share.ConnectionShare(limit, nodes, share.Reserve(limit))
+	if err != nil {
+		return 1
+	}
+	return max(min(s.Each, connectionsPerLeaf), 1)
+}
+
+// connectsTo reports whether this node itself sends to the leafs of a group.
+func (r *relays) connectsTo(group string) bool {
+	a := r.assignment()
+	if a == nil || a.owners == nil || a.owners.ClusterOf(group) < 0 {
+		return true
+	}
+	return r.cluster(a, group).Own
+}
--- a/internal/transport/forward/answer.go
+++ b/internal/transport/forward/answer.go
@@ -44,7 +44,7 @@
 // answerSingle passes the reply of the one leaf on, or says why there is none.
 func (x *exchange) answerSingle(w http.ResponseWriter) {
 	if replies := x.query.Replies(); len(replies) == 1 {
-		x.passOn(w, replies[0])
+		x.passOn(w, replies[0].call)
 		x.conclude(outcomeDone, log.DebugLevel)
 		return
 	}
@@ -89,9 +89,9 @@
 	}
 	bodies := make([][]byte, len(replies))
 	receipts := make([]string, len(replies))
-	for i, call := range replies {
-		bodies[i] = call.Reply.Body
-		receipts[i] = call.Reply.Receipt
+	for i, reply := range replies {
+		bodies[i] = reply.records
+		receipts[i] = reply.receipt
 	}
 	merged := topk.Merge(bodies, x.req.route.Top)
 	h := w.Header()
@@ -109,11 +109,11 @@
 }
 
 // distinct drops replies whose receipt stands twice, which no two runs share.
-func (x *exchange) distinct(replies []*leafwire.Call) []*leafwire.Call {
+func (x *exchange) distinct(replies []part) []part {
 	seen := make(map[string]struct{}, len(replies))
-	return slices.DeleteFunc(replies, func(call *leafwire.Call) bool {
-		_, twice := seen[call.Reply.Receipt]
-		seen[call.Reply.Receipt] = struct{}{}
+	return slices.DeleteFunc(replies, func(reply part) bool {
+		_, twice := seen[reply.receipt]
+		seen[reply.receipt] = struct{}{}
 		if twice {
 			x.f.observer.InvariantViolated("receipt_twice")
 		}
@@ -142,7 +142,7 @@
 	if x.ran {
 		return false
 	}
-	return len(x.pending) == 0
+	return len(x.pending) == 0 && len(x.bundles) == 0
 }
 
 // retryAfter advises the caller of a request that did not run.
@@ -172,6 +172,7 @@
 		"total":   coverage.Total,
 		"sends":   x.sends,
 		"pending": len(x.pending),
+		"relays":  len(x.bundles),
 	}
 	if len(coverage.Missing) > 0 {
 		fields["missing"] = x.describeMissing(coverage.Missing)
--- a/internal/transport/forward/exchange.go
+++ b/internal/transport/forward/exchange.go
@@ -18,6 +18,14 @@
 	"github.com/hickorydock/hickorydock/internal/transport/leafwire"
 )
 
+// part is the reply of one shard.
+type part struct {
+	receipt string
+	records []byte
+	// call is the attempt that got it; nil when it came through another node.
+	call *leafwire.Call
+}
+
 // shardRun is the state of one shard of a request.
 type shardRun struct {
 	group   string
@@ -26,6 +34,9 @@
 	// due is when the machine wants to be asked; zero means never.
 	due  time.Time
 	last *leafwire.Call
+	// over is true once the shard has a reply or has failed, replied only with a
+	// reply.
+	over, replied bool
 }
 
 // exchange is one request in progress. It belongs to one goroutine.
@@ -35,14 +46,19 @@
 	message *leafwire.Message
 	window  *latency.Window
 	view    *shardmap.SnapshotView
-	query   *gather.Query[*leafwire.Call]
+	query   *gather.Query[part]
 	shards  []shardRun
 	done    chan *leafwire.Call
 	pending map[*leafwire.Call]struct{}
+	// bundles are the shards that other nodes were asked for.
+	bundles []*bundle
+	passed  chan passedEvent
 	// ran is true once a leaf may have run the request.
 	ran bool
 	// sends counts the attempts.
 	sends int
+	// replied is told of each reply, once set.
+	replied func(shard int, reply part)
 }
 
 func newExchange(f *Forwarder, req *request) *exchange {
@@ -87,10 +103,8 @@
 	return 1
 }
 
-// run drives the request until its answer can leave. It returns false when the
-// caller left.
-func (x *exchange) run(ctx context.Context) bool {
-	now := time.Now()
+// start sends the first attempts. It reports false when too few shards have a leaf.
+func (x *exchange) start(now time.Time) bool {
 	cfg := gather.Config{
 		Policy:      note.PolicyCoverage,
 		MinCoverage: x.minCoverage(),
@@ -98,23 +112,45 @@
 		Deadline:    x.req.deadline,
 		Target:      x.req.target,
 	}
-	x.query = gather.New[*leafwire.Call](cfg, x.view)
+	x.query = gather.New[part](cfg, x.view)
 	if x.query.IsHopeless() {
-		return true
+		return false
 	}
-	x.message = x.f.message(x.req)
-	for shard := range x.shards {
-		x.begin(now, shard)
+	if x.message == nil {
+		x.message = x.f.message(x.req)
+	}
+	if !x.pass(now) {
+		for shard := range x.shards {
+			x.begin(now, shard)
+		}
 	}
+	return true
+}
+
+// run drives the request until its answer can leave. It returns false when the
+// caller left.
+func (x *exchange) run(ctx context.Context) bool {
+	if !x.start(time.Now()) {
+		return true
+	}
+	return x.loop(ctx, x.isOver)
+}
+
+// loop takes events until the request is over. It returns false when ctx ended
+// before.
+func (x *exchange) loop(ctx context.Context, isOver func(now time.Time) bool) bool {
 	timer := time.NewTimer(time.Until(x.wakeAt()))
 	defer timer.Stop()
-	for !x.isOver(time.Now()) {
+	for !isOver(time.Now()) {
 		select {
 		case <-ctx.Done():
 			return false
 		case call := <-x.done:
 			x.ended(time.Now(), call)
 			x.drain()
+		case e := <-x.passed:
+			x.passedEnded(time.Now(), e)
+			x.drain()
 		case now := <-timer.C:
 			x.due(now)
 		}
@@ -129,6 +165,8 @@
 		select {
 		case call := <-x.done:
 			x.ended(time.Now(), call)
+		case e := <-x.passed:
+			x.passedEnded(time.Now(), e)
 		default:
 			return
 		}
@@ -147,6 +185,11 @@
 			at = due
 		}
 	}
+	for _, b := range x.bundles {
+		if !b.hedgeAt.IsZero() && b.hedgeAt.Before(at) {
+			at = b.hedgeAt
+		}
+	}
 	return at
 }
 
@@ -159,6 +202,13 @@
 	run := &x.shards[shard]
 	run.budget = x.f.budget(run.group)
 	run.budget.Earn(1)
+	x.beginPaid(now, shard)
+}
+
+// beginPaid sends the first attempt of a shard by this node.
+func (x *exchange) beginPaid(now time.Time, shard int) {
+	replicas := x.view.Replicas[shard]
+	run := &x.shards[shard]
 	run.machine = subrequest.New(subrequest.Config{
 		Replicas:         replicas,
 		AvailabilityZone: x.f.cfg.AvailabilityZone,
@@ -214,6 +264,12 @@
 			x.send(now, shard, attempt)
 		}
 	}
+	for _, b := range x.bundles {
+		if !b.hedgeAt.IsZero() && !b.hedgeAt.After(now) {
+			b.hedgeAt = time.Time{}
+			x.hedgeBundle(now, b)
+		}
+	}
 }
 
 // ended takes the end of an attempt.
@@ -223,13 +279,14 @@
 	x.ran = x.ran || call.Reply.Sent
 	run := &x.shards[call.Shard]
 	run.last = call
+	if run.over {
+		return
+	}
 	decision, next := run.machine.Ended(now, call.Reply.Result)
 	switch decision {
 	case subrequest.Deliver:
 		run.due = time.Time{}
-		if _, err := x.query.Reply(now, x.query.Attempt(), call.Shard, x.view.Snapshot, call); err != nil {
-			x.f.broken("gather", x.req, err)
-		}
+		x.take(now, call.Shard, part{receipt: call.Reply.Receipt, records: call.Reply.Body, call: call})
 	case subrequest.GiveUp:
 		run.due = time.Time{}
 		x.fail(now, call.Shard, run.machine.Reason())
@@ -241,7 +298,27 @@
 	}
 }
 
+// take hands the reply of a shard to the gathering. One that comes after another
+// is dropped.
+func (x *exchange) take(now time.Time, shard int, reply part) {
+	if x.shards[shard].over {
+		return
+	}
+	x.shards[shard].over = true
+	x.shards[shard].replied = true
+	if _, err := x.query.Reply(now, x.query.Attempt(), shard, x.view.Snapshot, reply); err != nil {
+		x.f.broken("gather", x.req, err)
+	}
+	if x.replied != nil {
+		x.replied(shard, reply)
+	}
+}
+
 func (x *exchange) fail(now time.Time, shard int, reason query.Reason) {
+	if x.shards[shard].over {
+		return
+	}
+	x.shards[shard].over = true
 	if _, err := x.query.Fail(now, x.query.Attempt(), shard, reason); err != nil {
 		x.f.broken("gather", x.req, err)
 	}
@@ -277,6 +354,9 @@
 // abandon gives up what is still pending once the answer left. Attempts may run
 // on for Linger, since breaking them costs their connections.
 func (x *exchange) abandon() {
+	for _, b := range x.bundles {
+		b.cancel()
+	}
 	if len(x.pending) == 0 {
 		return
 	}
--- a/internal/transport/forward/forward.go
+++ b/internal/transport/forward/forward.go
@@ -49,8 +49,8 @@
 	// MergeReserve is the time kept for merging and writing an answer.
 	MergeReserve time.Duration
 	// ExtraShare is the number of hedges and retries for each first attempt of a
-	// group, and ExtraBurst what a quiet period saves up on this node.
-	ExtraShare, ExtraBurst float64
+	// group, and ExtraSlack what all nodes together may save up in a quiet period.
+	ExtraShare, ExtraSlack float64
 	// Linger is how long attempts that are no longer needed may run on, so that
 	// their connections are kept.
 	Linger time.Duration
@@ -84,11 +84,15 @@
 	observer  Observer
 	log       log.Interface
 	stopping  atomic.Bool
+	nodes     atomic.Int64
 	budgets   sync.Map // group -> *budget.Budget
 	windows   sync.Map // route name -> *latency.Window
 	splitters sync.Map // route name -> *split.Splitter
-	// Leaving is told of a leaf whose address another one has; may be nil.
+	// Misdirected is told of a leaf whose address another one has; may be nil.
 	Misdirected func(id string)
+	// Relays passes shards on to other nodes; nil means that this node sends to
+	// all leafs itself.
+	Relays Relays
 }
 
 // New returns a forwarder.
@@ -118,6 +122,8 @@
 	route   *route.Route
 	version uint64
 	body    []byte
+	// relayed is true when another node passed the request on.
+	relayed bool
 }
 
 // firstOnConnection marks the first request of a connection.
@@ -265,10 +271,24 @@
 	if b, ok := f.budgets.Load(group); ok {
 		return b.(*budget.Budget)
 	}
-	b, _ := f.budgets.LoadOrStore(group, budget.NewBounded(f.cfg.ExtraShare, f.cfg.ExtraBurst))
+	b, _ := f.budgets.LoadOrStore(group, budget.NewBounded(f.cfg.ExtraShare, f.burst()))
 	return b.(*budget.Budget)
 }
 
+// burst is what a quiet period may save up on this node: its part of ExtraSlack.
+func (f *Forwarder) burst() float64 {
+	return f.cfg.ExtraSlack / float64(max(f.nodes.Load(), 1))
+}
+
+// SetNodes tells the number of nodes that share the slack.
+func (f *Forwarder) SetNodes(n int) {
+	f.nodes.Store(int64(n))
+	f.budgets.Range(func(_, b any) bool {
+		b.(*budget.Budget).SetMost(f.burst())
+		return true
+	})
+}
+
 // hedgeUse is the share of ExtraShare that late subrequests may claim; the rest
 // is left for retries.
 const hedgeUse = 0.8
--- /dev/null
+++ b/internal/transport/forward/pass.go
@@ -0,0 +1,342 @@
+package forward
+
+import (
+	"context"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/apex/log"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/hickorydock/hickorydock/internal/coordination/hedge"
+	"github.com/hickorydock/hickorydock/internal/coordination/replica"
+	"github.com/hickorydock/hickorydock/internal/coordination/topk"
+	contract "github.com/hickorydock/hickorydock/internal/protocol/peer"
+	"github.com/hickorydock/hickorydock/internal/protocol/query"
+	"github.com/hickorydock/hickorydock/internal/protocol/route"
+	"github.com/hickorydock/hickorydock/internal/state/leaf"
+	"github.com/hickorydock/hickorydock/internal/state/shardmap"
+	"github.com/hickorydock/hickorydock/internal/transport/leafwire"
+	"github.com/hickorydock/hickorydock/internal/transport/peer"
+)
+
+// hopReserve is kept of a query's time for the way of a relay's replies.
+const hopReserve = 4 * time.Millisecond
+
+// Cluster is shards whose leafs have the same relays.
+type Cluster struct {
+	// Shards are positions in the list that was asked about.
+	Shards []int
+	// Near and Far are the nodes that relay to the leafs, in this availability zone
+	// and in others, with what was measured of them.
+	Near, Far []shardmap.Replica
+	// Own is true when this node is one of them.
+	Own bool
+}
+
+// Relays knows which nodes relay to which groups, and reaches them.
+type Relays interface {
+	// Clusters divides groups by their relays, or returns nil when this node is to
+	// send to all leafs itself.
+	Clusters(groups []string) []Cluster
+	// Do sends a batch to a node; see peer.Client.Do.
+	Do(ctx context.Context, node string, batch *contract.Batch, deliver func(peer.Result)) error
+}
+
+// bundle is the shards of a request that go to one relay.
+type bundle struct {
+	cluster Cluster
+	cancel  context.CancelFunc
+	// answered is true once a reply of any shard came.
+	answered bool
+	// hedgeAt is when another relay is asked; zero means never.
+	hedgeAt time.Time
+}
+
+// passedEvent is the reply of one shard, or the end of a batch.
+type passedEvent struct {
+	bundle *bundle
+	relay  *relayCall
+	shards []int
+	// ended is true at the end of the batch; err then says what became of shards
+	// without a reply, and got how many had one.
+	ended  bool
+	err    error
+	result peer.Result
+}
+
+// relayCall is one batch at one relay.
+type relayCall struct {
+	owner shardmap.Replica
+	began time.Time
+	once  sync.Once
+}
+
+// finish records once what the batch says about its relay.
+func (c *relayCall) finish(result leaf.Result) {
+	c.once.Do(func() {
+		now := time.Now()
+		c.owner.Record.End(now, now.Sub(c.began), result)
+	})
+}
+
+// relayResult says what the end of a batch tells about its relay.
+func relayResult(ctx context.Context, err error) leaf.Result {
+	switch {
+	case err == nil:
+		return leaf.Answered
+	case ctx.Err() != nil:
+		return leaf.Cancelled
+	default:
+		return leaf.Broken
+	}
+}
+
+// pass hands the shards to their relays and sends to those of its own. It reports
+// false when the request goes to all leafs from here.
+func (x *exchange) pass(now time.Time) bool {
+	if x.f.Relays == nil || !x.req.route.IsQuery() || x.req.relayed {
+		return false
+	}
+	clusters := x.f.Relays.Clusters(x.req.route.Shards)
+	if clusters == nil {
+		return false
+	}
+	x.passed = make(chan passedEvent, 2*(len(x.shards)+len(clusters)))
+	for _, c := range clusters {
+		if !c.Own && x.passBundle(now, c) {
+			continue
+		}
+		for _, shard := range c.Shards {
+			x.begin(now, shard)
+		}
+	}
+	return true
+}
+
+// passBundle asks one relay of a cluster. It reports false when there is none.
+func (x *exchange) passBundle(now time.Time, c Cluster) bool {
+	b := &bundle{cluster: c, cancel: func() {}}
+	shards := make([]int, 0, len(c.Shards))
+	for _, shard := range c.Shards {
+		if len(x.view.Replicas[shard]) > 0 {
+			shards = append(shards, shard)
+		}
+	}
+	if len(shards) == 0 || !x.ask(now, b, shards) {
+		return len(shards) == 0
+	}
+	b.hedgeAt = now.Add(hedge.RelayDelay(x.req.target.Sub(now)))
+	x.bundles = append(x.bundles, b)
+	return true
+}
+
+// ask sends shards to a relay of the bundle that was not tried.
+func (x *exchange) ask(now time.Time, b *bundle, shards []int) bool {
+	owner, ok := x.chooseRelay(now, b)
+	if !ok {
+		return false
+	}
+	body, err := proto.Marshal(x.passedMessage(now, shards))
+	if err != nil {
+		x.f.broken("encode", x.req, err)
+		return false
+	}
+	batch := &contract.Batch{RequestId: x.req.id, Body: body, Shards: make([]uint32, len(shards))}
+	for k := range shards {
+		batch.Shards[k] = uint32(k)
+	}
+	ctx, cancel := context.WithDeadline(context.Background(), x.req.deadline)
+	before := b.cancel
+	b.cancel = func() { before(); cancel() }
+	owner.Record.Begin(now)
+	x.sends++
+	e := passedEvent{bundle: b, relay: &relayCall{owner: owner, began: now}, shards: shards}
+	go func() {
+		defer cancel()
+		err := x.f.Relays.Do(ctx, owner.VM.ID, batch, func(r peer.Result) {
+			if r.Status == contract.Status_STATUS_OK {
+				e.relay.finish(leaf.Answered)
+			}
+			one := e
+			one.result = r
+			x.passed <- one
+		})
+		e.relay.finish(relayResult(ctx, err))
+		last := e
+		last.ended = true
+		last.err = err
+		x.passed <- last
+	}()
+	return true
+}
+
+// chooseRelay takes a relay of the bundle that was not tried, a near one first.
+func (x *exchange) chooseRelay(now time.Time, b *bundle) (shardmap.Replica, bool) {
+	for _, owners := range []*[]shardmap.Replica{&b.cluster.Near, &b.cluster.Far} {
+		i := replica.Choose(now, *owners, 0, x.f.cfg.AvailabilityZone, rand.Uint64())
+		if i == replica.None {
+			continue
+		}
+		owner := (*owners)[i]
+		*owners = slices.Delete(slices.Clone(*owners), i, i+1)
+		return owner, true
+	}
+	return shardmap.Replica{}, false
+}
+
+func (x *exchange) passedMessage(now time.Time, shards []int) *contract.Passed {
+	r := x.req.route
+	m := &contract.Passed{
+		Method:   x.message.Method,
+		Head:     x.message.Head,
+		Body:     x.message.Body,
+		Groups:   make([]string, len(shards)),
+		Route:    r.Name,
+		Version:  x.req.version,
+		Attempts: uint32(max(r.Attempts, 0)),
+		Top:      uint32(max(r.Top, 0)),
+		TargetUs: max((x.req.target.Sub(now) - hopReserve).Microseconds(), 0),
+	}
+	for k, shard := range shards {
+		m.Groups[k] = x.shards[shard].group
+	}
+	return m
+}
+
+// hedgeBundle asks another relay for what the first one has not answered. Each
+// shard is paid for, since its leafs get a second arrival.
+func (x *exchange) hedgeBundle(now time.Time, b *bundle) {
+	if b.answered {
+		return
+	}
+	var paid []int
+	for _, shard := range b.cluster.Shards {
+		if !x.shards[shard].over && len(x.view.Replicas[shard]) > 0 && x.f.budget(x.shards[shard].group).Spend() {
+			paid = append(paid, shard)
+		}
+	}
+	if len(paid) > 0 {
+		x.ask(now, b, paid)
+	}
+}
+
+// passedEnded takes the reply of a shard, or the end of a batch.
+func (x *exchange) passedEnded(now time.Time, e passedEvent) {
+	if e.ended {
+		x.bundleEnded(now, e)
+		return
+	}
+	shard := e.shards[e.result.Index]
+	if e.result.Status != contract.Status_STATUS_OK {
+		if e.result.Status != contract.Status_STATUS_NOT_RUN {
+			x.ran = true
+		}
+		x.retryHere(now, shard, e.result.Status == contract.Status_STATUS_NOT_RUN)
+		return
+	}
+	var reply contract.Part
+	if err := proto.Unmarshal(e.result.Body, &reply); err != nil || reply.Receipt == "" {
+		x.f.broken("part", x.req, err)
+		return
+	}
+	e.bundle.answered = true
+	x.ran = true
+	x.take(now, shard, part{receipt: reply.Receipt, records: reply.Records})
+}
+
+// bundleEnded takes the end of a batch: shards without a reply are asked for from
+// here, when that is allowed.
+func (x *exchange) bundleEnded(now time.Time, e passedEvent) {
+	if e.err == nil {
+		return
+	}
+	notRun := peer.IsNotRun(e.err)
+	x.ran = x.ran || !notRun
+	x.f.log.WithFields(log.Fields{"request": x.req.id, "node": e.relay.owner.VM.ID, "shards": len(e.shards), "not_run": notRun}).WithError(e.err).Info("relay failed")
+	for _, shard := range e.shards {
+		x.retryHere(now, shard, notRun)
+	}
+}
+
+// retryHere sends to the leafs of a shard from this node after a relay failed.
+func (x *exchange) retryHere(now time.Time, shard int, notRun bool) {
+	run := &x.shards[shard]
+	if run.over || run.budget != nil {
+		return
+	}
+	run.budget = x.f.budget(run.group)
+	if !notRun && !run.budget.Spend() {
+		x.fail(now, shard, query.ReasonLost)
+		return
+	}
+	x.beginPaid(now, shard)
+}
+
+// Serve runs shards for another node. Each reply goes back as it comes, with no
+// more records than an answer can hold.
+func (f *Forwarder) Serve(ctx context.Context, batch *contract.Batch, reply func(peer.Result)) {
+	var m contract.Passed
+	if err := proto.Unmarshal(batch.Body, &m); err != nil || len(m.Groups) != len(batch.Shards) {
+		f.log.WithField("request", batch.RequestId).WithError(err).Warn("batch not readable")
+		return
+	}
+	now := time.Now()
+	deadline, ok := ctx.Deadline()
+	if !ok {
+		deadline = now.Add(time.Duration(batch.TimeLeftUs) * time.Microsecond)
+	}
+	req := &request{
+		id:       batch.RequestId,
+		arrived:  now,
+		deadline: deadline,
+		target:   now.Add(time.Duration(m.TargetUs) * time.Microsecond),
+		version:  m.Version,
+		relayed:  true,
+		route:    &route.Route{Name: m.Route, Idempotent: true, Shards: m.Groups, Attempts: int(m.Attempts), Top: int(m.Top)},
+	}
+	x := newExchange(f, req)
+	x.message = &leafwire.Message{Method: m.Method, Head: m.Head, Body: m.Body, ID: req.id, Deadline: deadline}
+	defer x.abandon()
+	x.replied = func(shard int, p part) { reply(resultOf(shard, p, req.route.Top)) }
+	if !x.start(now) {
+		x.replyFailures(reply)
+		return
+	}
+	x.loop(ctx, func(now time.Time) bool { return x.isAllOver() || !now.Before(deadline) })
+	x.replyFailures(reply)
+}
+
+// isAllOver reports whether no shard has anything pending.
+func (x *exchange) isAllOver() bool {
+	for i := range x.shards {
+		if !x.shards[i].over && len(x.view.Replicas[i]) > 0 {
+			return false
+		}
+	}
+	return true
+}
+
+// replyFailures says of each shard without a reply whether it may have run.
+func (x *exchange) replyFailures(reply func(peer.Result)) {
+	status := contract.Status_STATUS_FAILED
+	if !x.ran && len(x.pending) == 0 {
+		status = contract.Status_STATUS_NOT_RUN
+	}
+	for shard := range x.shards {
+		if !x.shards[shard].replied {
+			reply(peer.Result{Index: shard, Status: status, Reason: string(query.ReasonUpstreamError)})
+		}
+	}
+}
+
+func resultOf(shard int, p part, top int) peer.Result {
+	records := topk.Merge([][]byte{p.records}, top)
+	body, err := proto.Marshal(&contract.Part{Receipt: p.receipt, Records: records})
+	if err != nil {
+		return peer.Result{Index: shard, Status: contract.Status_STATUS_FAILED, Reason: string(query.ReasonBadReply)}
+	}
+	return peer.Result{Index: shard, Status: contract.Status_STATUS_OK, Body: body}
+}
--- a/internal/transport/mesh/mesh.go
+++ b/internal/transport/mesh/mesh.go
@@ -43,8 +43,6 @@
 	// Seeds are addresses of nodes to begin with; they may be stale.
 	Seeds  []string
 	Mirror *mirror.Mirror
-	// Batches serves parts of queries for other nodes.
-	Batches peer.Handler
 	// Hear takes a quarantine report of another node; nil refuses it.
 	Hear func(quarantine.Report)
 	Log  log.Interface
@@ -65,6 +63,7 @@
 	view    *membership.Membership
 	present []messages.Member
 
+	lanes     sync.Map // node -> *lane
 	reports   chan quarantine.Report
 	datagrams net.PacketConn
 	listener  net.Listener
@@ -73,8 +72,9 @@
 	running   sync.WaitGroup
 }
 
-// New returns a mesh that listens nowhere yet.
-func New(cfg Config) (*Mesh, error) {
+// New returns a mesh that listens nowhere yet. batches serves parts of queries for
+// other nodes.
+func New(cfg Config, batches peer.Handler) (*Mesh, error) {
 	started := time.Now()
 	m := &Mesh{
 		cfg:     cfg,
@@ -93,7 +93,7 @@
 	m.present = m.view.Members()
 	m.closing, m.end = context.WithCancel(context.Background())
 	var err error
-	if m.batches, err = peer.NewServer(m.wire, cfg.Batches); err != nil {
+	if m.batches, err = peer.NewServer(m.wire, batches); err != nil {
 		return nil, err
 	}
 	mux := drpcmux.New()
@@ -137,6 +137,7 @@
 	}
 	m.act(func(now time.Time) membership.Actions { return m.view.Stop(now) })
 	m.end()
+	m.closeLanes()
 	_ = m.listener.Close()
 	_ = m.datagrams.Close()
 	m.running.Wait()
--- a/internal/transport/peer/config.go
+++ b/internal/transport/peer/config.go
@@ -66,6 +66,12 @@
 	ErrProtocol = errors.New("protocol error")
 )
 
+// IsNotRun reports whether an error of Client.Do says that no shard of the batch
+// has run.
+func IsNotRun(err error) bool {
+	return errors.Is(err, ErrNotSent) || errors.Is(err, ErrTooLarge) || errors.Is(err, ErrDraining)
+}
+
 // messageSlack is room for the fields of a message around its results.
 const messageSlack = 1 << 10
 
