Divide the shards of a query over relays

Cause: with 67 nodes a leaf of 56 connections has less than one for each; 39,761 connections were opened for 107,004 requests, and one node composed 90 requests on a fifth of a core.

--- a/internal/coordination/hedge/hedge.go
+++ b/internal/coordination/hedge/hedge.go
@@ -19,6 +19,15 @@
 // without any reply counts as stuck; its own hedges come first.
 const relayPatience = 0.55
 
+// reportPatience is the part of the time up to the target after which a relay
+// reports what it has; it lies before relayPatience.
+const reportPatience = 0.45
+
+// ReportDelay returns how long a relay collects replies before it reports them.
+func ReportDelay(left time.Duration) time.Duration {
+	return max(time.Duration(reportPatience*float64(left)), floor)
+}
+
 // RelayDelay returns the wait before a second relay is asked. left is the time up
 // to the target.
 func RelayDelay(left time.Duration) time.Duration {
--- a/internal/transport/forward/exchange.go
+++ b/internal/transport/forward/exchange.go
@@ -57,6 +57,8 @@
 	ran bool
 	// sends counts the attempts.
 	sends int
+	// alarm is a time at which the loop has to wake; zero means none.
+	alarm time.Time
 	// replied is told of each reply, once set.
 	replied func(shard int, reply part)
 }
@@ -180,6 +182,9 @@
 // wakeAt is when the next decision is due.
 func (x *exchange) wakeAt() time.Time {
 	at := x.query.LeaveAt()
+	if !x.alarm.IsZero() {
+		at = x.alarm
+	}
 	for i := range x.shards {
 		if due := x.shards[i].due; !due.IsZero() && due.Before(at) {
 			at = due
@@ -202,13 +207,6 @@
 	run := &x.shards[shard]
 	run.budget = x.f.budget(run.group)
 	run.budget.Earn(1)
-	x.beginPaid(now, shard)
-}
-
-// beginPaid sends the first attempt of a shard by this node.
-func (x *exchange) beginPaid(now time.Time, shard int) {
-	replicas := x.view.Replicas[shard]
-	run := &x.shards[shard]
 	run.machine = subrequest.New(subrequest.Config{
 		Replicas:         replicas,
 		AvailabilityZone: x.f.cfg.AvailabilityZone,
--- a/internal/transport/forward/pass.go
+++ b/internal/transport/forward/pass.go
@@ -125,21 +125,33 @@
 			shards = append(shards, shard)
 		}
 	}
-	if len(shards) == 0 || !x.ask(now, b, shards) {
+	if len(shards) == 0 || !x.ask(now, b, shards, x.req.route.Attempts-x.spareAttempts()) {
 		return len(shards) == 0
 	}
-	b.hedgeAt = now.Add(hedge.RelayDelay(x.req.target.Sub(now)))
+	if x.spareAttempts() > 0 {
+		b.hedgeAt = now.Add(hedge.RelayDelay(x.req.target.Sub(now)))
+	}
 	x.bundles = append(x.bundles, b)
 	return true
 }
 
-// ask sends shards to a relay of the bundle that was not tried.
-func (x *exchange) ask(now time.Time, b *bundle, shards []int) bool {
+// spareAttempts is the number of attempts of a shard that a relay is not given, so
+// that another one can be asked: 1 where it keeps one for its own hedge, else 0.
+func (x *exchange) spareAttempts() int {
+	if x.req.route.Attempts > 2 {
+		return 1
+	}
+	return 0
+}
+
+// ask sends shards, with a bound on the attempts of each, to a relay of the bundle
+// that was not tried.
+func (x *exchange) ask(now time.Time, b *bundle, shards []int, attempts int) bool {
 	owner, ok := x.chooseRelay(now, b)
 	if !ok {
 		return false
 	}
-	body, err := proto.Marshal(x.passedMessage(now, shards))
+	body, err := proto.Marshal(x.passedMessage(now, shards, attempts))
 	if err != nil {
 		x.f.broken("encode", x.req, err)
 		return false
@@ -187,7 +199,7 @@
 	return shardmap.Replica{}, false
 }
 
-func (x *exchange) passedMessage(now time.Time, shards []int) *contract.Passed {
+func (x *exchange) passedMessage(now time.Time, shards []int, attempts int) *contract.Passed {
 	r := x.req.route
 	m := &contract.Passed{
 		Method:   x.message.Method,
@@ -196,7 +208,7 @@
 		Groups:   make([]string, len(shards)),
 		Route:    r.Name,
 		Version:  x.req.version,
-		Attempts: uint32(max(r.Attempts, 0)),
+		Attempts: uint32(max(attempts, 0)),
 		Top:      uint32(max(r.Top, 0)),
 		TargetUs: max((x.req.target.Sub(now) - hopReserve).Microseconds(), 0),
 	}
@@ -219,7 +231,7 @@
 		}
 	}
 	if len(paid) > 0 {
-		x.ask(now, b, paid)
+		x.ask(now, b, paid, x.spareAttempts())
 	}
 }
 
@@ -261,22 +273,23 @@
 	}
 }
 
-// retryHere sends to the leafs of a shard from this node after a relay failed.
+// retryHere sends to the leafs of a shard from this node after a relay that ran
+// nothing. One that may have run the shard has used up its attempts.
 func (x *exchange) retryHere(now time.Time, shard int, notRun bool) {
 	run := &x.shards[shard]
-	if run.over || run.budget != nil {
-		return
-	}
-	run.budget = x.f.budget(run.group)
-	if !notRun && !run.budget.Spend() {
+	switch {
+	case run.over || run.budget != nil:
+	case !notRun:
 		x.fail(now, shard, query.ReasonLost)
-		return
+	default:
+		x.begin(now, shard)
 	}
-	x.beginPaid(now, shard)
 }
 
-// Serve runs shards for another node. Each reply goes back as it comes, with no
-// more records than an answer can hold.
+// Serve runs shards for another node. Replies go back together, since each message
+// costs both nodes as much as a request to a leaf: those that are there at
+// hedge.ReportDelay, then all when they are complete or the target has come, and
+// later ones as they come.
 func (f *Forwarder) Serve(ctx context.Context, batch *contract.Batch, reply func(peer.Result)) {
 	var m contract.Passed
 	if err := proto.Unmarshal(batch.Body, &m); err != nil || len(m.Groups) != len(batch.Shards) {
@@ -300,15 +313,32 @@
 	x := newExchange(f, req)
 	x.message = &leafwire.Message{Method: m.Method, Head: m.Head, Body: m.Body, ID: req.id, Deadline: deadline}
 	defer x.abandon()
-	x.replied = func(shard int, p part) { reply(resultOf(shard, p, req.route.Top)) }
-	if !x.start(now) {
-		x.replyFailures(reply)
-		return
+	var ready []peer.Result
+	x.replied = func(shard int, p part) { ready = append(ready, resultOf(shard, p, req.route.Top)) }
+	if x.start(now) {
+		flush := func() {
+			for _, r := range ready {
+				reply(r)
+			}
+			ready = ready[:0]
+		}
+		for _, at := range []time.Time{now.Add(hedge.ReportDelay(req.target.Sub(now))), req.target} {
+			x.loopUntil(ctx, at)
+			flush()
+		}
+		x.replied = func(shard int, p part) { reply(resultOf(shard, p, req.route.Top)) }
+		x.loopUntil(ctx, deadline)
 	}
-	x.loop(ctx, func(now time.Time) bool { return x.isAllOver() || !now.Before(deadline) })
 	x.replyFailures(reply)
 }
 
+// loopUntil takes events until nothing is pending, a time has come or ctx ended.
+func (x *exchange) loopUntil(ctx context.Context, at time.Time) {
+	x.alarm = at
+	x.loop(ctx, func(now time.Time) bool { return x.isAllOver() || !now.Before(at) })
+	x.alarm = time.Time{}
+}
+
 // isAllOver reports whether no shard has anything pending.
 func (x *exchange) isAllOver() bool {
 	for i := range x.shards {
