--- a/internal/coordination/replica/replica.go
+++ b/internal/coordination/replica/replica.go
@@ -21,8 +21,10 @@
 	// setAsideFactor is how much dearer than its alternative a leaf is when it is
 	// used for probes only.
 	setAsideFactor = 2
-	// probeInterval is the time between two probes of a leaf that is set aside.
-	probeInterval = 500 * time.Millisecond
+	// probeInterval is the shortest time between two probes of a leaf that is set
+	// aside. It grows with how much dearer the leaf is, up to maxProbeFactor times.
+	probeInterval  = 500 * time.Millisecond
+	maxProbeFactor = 8
 	// failingAfter is the number of failures in a row that count as chance.
 	failingAfter = 1
 	// unansweredAllowance is the number of unanswered subrequests that count as chance.
@@ -70,7 +72,7 @@
 		cheap, dear = second, first
 		cost, dearCost = dearCost, cost
 	}
-	if IsSetAside(dearCost, cost) && isProbeDue(now, &dear.stats) {
+	if IsSetAside(dearCost, cost) && isProbeDue(now, &dear.stats, dearCost/cost) {
 		return dear.index
 	}
 	return cheap.index
@@ -94,10 +96,12 @@
 	return failures(&s) > failingAfter
 }
 
-// isProbeDue reports whether a leaf that is set aside gets one subrequest to
-// find out whether it recovered.
-func isProbeDue(now time.Time, s *leaf.Stats) bool {
-	return s.InFlight == 0 && now.Sub(s.LastBegin) >= probeInterval
+// isProbeDue reports whether a leaf that is set aside gets one subrequest to find
+// out whether it recovered. ratio is its cost over that of its alternative: a
+// probe of a much slower leaf costs its query more.
+func isProbeDue(now time.Time, s *leaf.Stats, ratio float64) bool {
+	factor := min(max(ratio/setAsideFactor, 1), maxProbeFactor)
+	return s.InFlight == 0 && now.Sub(s.LastBegin) >= time.Duration(factor*float64(probeInterval))
 }
 
 // candidate is a replica with its measurements at one moment.
