Let answers leave early by as much as the node lags

Change: coordination/lag learns the delay from answers that left at their target; entry and relays plan for it.

--- a/internal/transport/forward/answer.go
+++ b/internal/transport/forward/answer.go
@@ -9,6 +9,7 @@
 
 	"github.com/apex/log"
 
+	"github.com/hickorydock/hickorydock/internal/coordination/gather"
 	"github.com/hickorydock/hickorydock/internal/coordination/subrequest"
 	"github.com/hickorydock/hickorydock/internal/coordination/topk"
 	"github.com/hickorydock/hickorydock/internal/protocol/query"
@@ -101,6 +102,7 @@
 	h["Content-Type"] = nil
 	h.Set("Content-Length", strconv.Itoa(len(merged)))
 	_, _ = w.Write(merged) // the caller may have left
+	x.observeLag()
 	if len(replies) < total {
 		x.conclude(outcomePartial, log.InfoLevel)
 		return
@@ -108,6 +110,13 @@
 	x.conclude(outcomeDone, log.DebugLevel)
 }
 
+// observeLag learns how late an answer left that was to leave at the target.
+func (x *exchange) observeLag() {
+	if leaveAt := x.query.LeaveAt(); leaveAt.Equal(x.req.target) && x.query.Progress() != gather.Complete {
+		x.f.lag.Observe(time.Since(leaveAt))
+	}
+}
+
 // distinct drops replies whose receipt stands twice, which no two runs share.
 func (x *exchange) distinct(replies []part) []part {
 	seen := make(map[string]struct{}, len(replies))
--- a/internal/transport/forward/forward.go
+++ b/internal/transport/forward/forward.go
@@ -21,6 +21,7 @@
 	"github.com/apex/log"
 
 	"github.com/hickorydock/hickorydock/internal/coordination/budget"
+	"github.com/hickorydock/hickorydock/internal/coordination/lag"
 	"github.com/hickorydock/hickorydock/internal/coordination/latency"
 	"github.com/hickorydock/hickorydock/internal/coordination/split"
 	"github.com/hickorydock/hickorydock/internal/protocol/route"
@@ -85,6 +86,7 @@
 	log       log.Interface
 	stopping  atomic.Bool
 	nodes     atomic.Int64
+	lag       lag.Lag
 	budgets   sync.Map // group -> *budget.Budget
 	windows   sync.Map // route name -> *latency.Window
 	splitters sync.Map // route name -> *split.Splitter
@@ -180,7 +182,7 @@
 	if isFirst(req.http.Context()) {
 		trips *= 2
 	}
-	req.target = req.arrived.Add(target - min(trips+f.cfg.MergeReserve, target/2))
+	req.target = req.arrived.Add(target - min(trips+f.cfg.MergeReserve+f.lag.Expected(), target/2))
 }
 
 // readBody reads a bounded body. It answers the request itself when it cannot.
--- a/internal/transport/forward/pass.go
+++ b/internal/transport/forward/pass.go
@@ -305,7 +305,7 @@
 		id:       batch.RequestId,
 		arrived:  now,
 		deadline: deadline,
-		target:   now.Add(time.Duration(m.TargetUs) * time.Microsecond),
+		target:   now.Add(time.Duration(m.TargetUs)*time.Microsecond - f.lag.Expected()),
 		version:  m.Version,
 		relayed:  true,
 		route:    &route.Route{Name: m.Route, Idempotent: true, Shards: m.Groups, Attempts: int(m.Attempts), Top: int(m.Top)},
