Hand followers what a new list changes, and read it at once

Change: a list that replaces another is kept as changes; a reader lists at once when its history is gone; watches wait 0.3 instead of 0.5 of the time to act.

--- a/internal/protocol/settings/settings.go
+++ b/internal/protocol/settings/settings.go
@@ -122,7 +122,7 @@
 
 // watchShare is the part of the time to act on a change for which a watch may
 // wait. A watch can miss changes while it waits; the next one finds them.
-const watchShare = 0.5
+const watchShare = 0.3
 
 // WatchWait is the longest time that a watch of the platform waits for a change.
 func (f Forward) WatchWait() time.Duration {
--- a/internal/state/mirror/mirror.go
+++ b/internal/state/mirror/mirror.go
@@ -4,6 +4,7 @@
 package mirror
 
 import (
+	"bytes"
 	"context"
 	"maps"
 	"slices"
@@ -51,8 +52,9 @@
 	return k
 }
 
-// Replace takes a list that the platform confirmed at a time. One that is older
-// than what is known is dropped.
+// Replace takes a list that the platform confirmed at a time. Those who follow see
+// what differs as changes of its version. A list that is older than what is known
+// is dropped.
 func (m *Mirror) Replace(name platform.Kind, listing platform.Listing, confirmed time.Time) {
 	k := m.kind(name)
 	k.mu.Lock()
@@ -60,16 +62,36 @@
 	if k.known && listing.Version < k.version {
 		return
 	}
-	k.objects = make(map[string]platform.Object, len(listing.Objects))
+	next := make(map[string]platform.Object, len(listing.Objects))
 	for _, object := range listing.Objects {
-		k.objects[object.Name] = object
+		next[object.Name] = object
 	}
-	k.changes = nil
-	k.oldest = listing.Version
+	if k.known {
+		k.keepDifference(next, listing.Version)
+	} else {
+		k.oldest = listing.Version
+	}
+	k.objects = next
 	k.known = true
 	k.advance(listing.Version, confirmed)
 }
 
+// keepDifference keeps the changes that lead to next. It requires mu.
+func (k *kind) keepDifference(next map[string]platform.Object, version uint64) {
+	for id, old := range k.objects {
+		if _, ok := next[id]; !ok {
+			old.Version = version
+			k.keep(platform.Event{Deleted: true, Object: old})
+		}
+	}
+	for id, object := range next {
+		if old, ok := k.objects[id]; !ok || !bytes.Equal(old.Value, object.Value) {
+			object.Version = version
+			k.keep(platform.Event{Object: object})
+		}
+	}
+}
+
 // Apply takes the changes up to a version, none for mere progress, that the
 // platform confirmed at a time.
 func (m *Mirror) Apply(name platform.Kind, changes []platform.Event, version uint64, confirmed time.Time) {
--- a/internal/transport/follow/follow.go
+++ b/internal/transport/follow/follow.go
@@ -45,10 +45,12 @@
 		if ctx.Err() != nil {
 			return
 		}
-		if errors.Is(err, platform.ErrTooOld) {
+		f.Failed(err)
+		if errors.Is(err, platform.ErrTooOld) && known {
+			// The platform answers, so what was missed is read at once.
 			known = false
+			continue
 		}
-		f.Failed(err)
 		Sleep(ctx, wait.Next(time.Since(start), rand.Float64()))
 	}
 }
