Replace readers that are cut off from the platform by the next ones

Change: a node that finds a source stale takes the next readers in the order that all nodes compute; staleness is noticed after 1.5 waits.

--- a/internal/coordination/reader/reader.go
+++ b/internal/coordination/reader/reader.go
@@ -21,16 +21,18 @@
 	// JoinTime is how long a node that starts waits to hear of others before it
 	// reads the platform itself.
 	JoinTime = 700 * time.Millisecond
-	// soloShare is the share of looks at which a node whose sources are all stale
-	// reads the platform itself.
+	// soloShare is the share of looks at which a node reads the platform itself when
+	// all others are stale and it does not count itself among the readers.
 	soloShare = 0.25
 )
 
 // Readers returns the ids of the nodes that read the platform, of those that are
-// alive: those with the highest hashes, in different availability zones where
-// that is possible.
-func Readers(members []membership.Member) []string {
-	alive := slices.DeleteFunc(slices.Clone(members), func(m membership.Member) bool { return m.State != membership.Alive })
+// alive and not known to be stale: those with the highest hashes, in different
+// availability zones where that is possible.
+func Readers(members []membership.Member, stale []string) []string {
+	alive := slices.DeleteFunc(slices.Clone(members), func(m membership.Member) bool {
+		return m.State != membership.Alive || slices.Contains(stale, m.ID)
+	})
 	slices.SortFunc(alive, func(a, b membership.Member) int {
 		return cmp.Compare(xxhash.Sum64String(b.ID), xxhash.Sum64String(a.ID))
 	})
@@ -52,7 +54,7 @@
 type Look struct {
 	Self    string
 	Members []membership.Member // the node itself included
-	// Sinceup is the time since the node started.
+	// SinceStart is the time since the node started.
 	SinceStart time.Duration
 	// Seeded is true when the node knows addresses of others to begin with, and
 	// IsSeed when its own is among them.
@@ -72,23 +74,18 @@
 	Peer string
 }
 
-// Choose returns the source of a node.
+// Choose returns the source of a node. Where the readers know nothing fresh, as when
+// the platform turns them away, the next ones in order take their place.
 func Choose(look Look) Source {
-	readers := Readers(look.Members)
-	if slices.Contains(readers, look.Self) && !isJoining(look) {
-		return Source{Platform: true}
-	}
-	var fresh []string
-	for _, id := range readers {
-		if id != look.Self && !slices.Contains(look.Stale, id) {
-			fresh = append(fresh, id)
-		}
-	}
+	readers := Readers(look.Members, look.Stale)
+	others := slices.DeleteFunc(slices.Clone(readers), func(id string) bool { return id == look.Self })
 	switch {
-	case len(fresh) > 0 && len(look.Members) > 1:
-		return Source{Peer: fresh[int(look.Draw*float64(len(fresh)))]}
 	case isJoining(look):
 		return Source{}
+	case len(others) < len(readers):
+		return Source{Platform: true}
+	case len(others) > 0:
+		return Source{Peer: others[int(look.Draw*float64(len(others)))]}
 	case len(look.Members) <= 1 || look.Draw < soloShare:
 		return Source{Platform: true}
 	default:
--- a/internal/coordination/reader/reader_test.go
+++ b/internal/coordination/reader/reader_test.go
@@ -36,7 +36,7 @@
 
 func TestReadersLieInDifferentZones(t *testing.T) {
 	members := fleet(70)
-	readers := Readers(members)
+	readers := Readers(members, nil)
 	zones := map[string]bool{}
 	for _, m := range members {
 		if slices.Contains(readers, m.ID) {
@@ -51,31 +51,41 @@
 			members[i].State = membership.Leaving
 		}
 	}
-	if slices.Contains(Readers(members), readers[0]) {
+	if slices.Contains(Readers(members, nil), readers[0]) {
 		t.Error("a node that leaves reads")
 	}
 }
 
-func TestStaleSources(t *testing.T) {
+// TestReadersThatAreCutOff answers the pattern of a cut between the platform and
+// some nodes, the readers among them: once their knowledge is stale, all nodes
+// agree on the next readers, which read the platform.
+func TestReadersThatAreCutOff(t *testing.T) {
 	members := fleet(70)
-	readers := Readers(members)
-	self := ""
-	for _, m := range members {
-		if !slices.Contains(readers, m.ID) {
-			self = m.ID
+	cut := Readers(members, nil)
+	next := Readers(members, cut)
+	for _, id := range next {
+		if slices.Contains(cut, id) {
+			t.Fatalf("stale node %s is a reader", id)
 		}
 	}
-	look := Look{Self: self, Members: members, SinceStart: time.Minute, Stale: readers[:1], Draw: 0.9}
-	if got := Choose(look); got.Peer != readers[1] {
-		t.Errorf("with one stale source: %+v, want the other", got)
+	for _, m := range members {
+		got := Choose(Look{Self: m.ID, Members: members, SinceStart: time.Minute, Stale: cut, Draw: 0.5})
+		isReader := slices.Contains(next, m.ID)
+		if got.Platform != isReader || !isReader && !slices.Contains(next, got.Peer) {
+			t.Errorf("node %s learns from %+v, readers %v", m.ID, got, next)
+		}
 	}
-	look.Stale = readers
+}
+
+func TestNobodyIsFresh(t *testing.T) {
+	members := fleet(3)
+	look := Look{Self: "n000", Members: members, SinceStart: time.Minute, Stale: []string{"n000", "n001", "n002"}, Draw: 0.9}
 	if got := Choose(look); got != (Source{}) {
-		t.Errorf("with stale sources most looks wait, got %+v", got)
+		t.Errorf("most looks wait, got %+v", got)
 	}
 	look.Draw = soloShare / 2
 	if got := Choose(look); !got.Platform {
-		t.Errorf("with stale sources some looks read the platform, got %+v", got)
+		t.Errorf("some looks read the platform, got %+v", got)
 	}
 }
 
--- a/internal/transport/mesh/follow.go
+++ b/internal/transport/mesh/follow.go
@@ -22,8 +22,10 @@
 	dialTimeout = 500 * time.Millisecond
 	// replyMargin is what a followed node may take beyond the wait that it was asked for.
 	replyMargin = 300 * time.Millisecond
-	// staleFor is how long a source that failed is passed over.
-	staleFor = 2 * time.Second
+	// failedFor is how long a source that failed is passed over, and staleFor one
+	// that knows nothing fresh, as while it is cut off from the platform.
+	failedFor = 2 * time.Second
+	staleFor  = 10 * time.Second
 	// sourceWait is the pause of a node that has no source yet.
 	sourceWait = 50 * time.Millisecond
 	// settle is the pause of a reader after a change, so that changes that come
@@ -200,7 +202,7 @@
 }
 
 // maxAge is how long ago the platform may have confirmed what a source knows.
-func (c *Client) maxAge() time.Duration { return 2*c.wait + replyMargin }
+func (c *Client) maxAge() time.Duration { return c.wait + c.wait/2 + replyMargin }
 
 // follow asks a node once. A node that fails or knows nothing fresh is passed
 // over for a while.
@@ -212,6 +214,7 @@
 	defer cancel()
 	reply, err := c.ask(ctx, id, kind, request)
 	confirmed := time.Now()
+	passOver := failedFor
 	switch {
 	case err != nil:
 		err = fault.Wrap(err, fault.StepPeer, id, "follow %s", kind)
@@ -220,13 +223,14 @@
 	case reply.TooOld:
 		return nil, confirmed, fault.Wrap(platform.ErrTooOld, fault.StepPeer, id, "follow %s", kind)
 	case time.Duration(reply.AgeMs)*time.Millisecond > c.maxAge():
+		passOver = staleFor
 		err = fault.Wrap(platform.ErrUnavailable, fault.StepPeer, id, "follow %s: confirmed %d ms ago", kind, reply.AgeMs)
 	default:
 		return reply, confirmed.Add(-time.Duration(reply.AgeMs) * time.Millisecond), nil
 	}
 	c.mu.Lock()
 	_, known := c.stale[id]
-	c.stale[id] = time.Now().Add(staleFor)
+	c.stale[id] = time.Now().Add(passOver)
 	c.mu.Unlock()
 	if !known {
 		c.mesh.cfg.Log.WithFields(log.Fields{"node": id, "kind": string(kind)}).WithError(err).Warn("source passed over")
