Never block on the log, bound it by rate, and serve metrics on an address of their own

Cause: a slow reader of standard output would have delayed requests; 10 lines of an event in 10 s left too few of the failed requests to explain.

--- a/internal/node/gateway/gateway.go
+++ b/internal/node/gateway/gateway.go
@@ -65,9 +65,17 @@
 type Gateway struct {
 	app    *fx.App
 	logger log.Interface
+	logs   *logging.Queue
 	front  *front
 }
 
+// logLimit bounds the lines of one event, such as requests that ended partial, so
+// that logging takes a small part of a processor.
+var logLimit = logging.Limit{Burst: 20, Interval: time.Second}
+
+// logFlush bounds writing the last lines at the end.
+const logFlush = 200 * time.Millisecond
+
 // New assembles a gateway; nothing listens before Start.
 func New(cfg Config) (*Gateway, error) {
 	adapter, ok := adapters[cfg.Settings.Forward.Adapter]
@@ -79,7 +87,8 @@
 	if err != nil {
 		return nil, fmt.Errorf("log level %q: %w", cfg.Settings.Log.Level, err)
 	}
-	g := &Gateway{logger: logging.New(cfg.Logs, level)}
+	logs := logging.NewQueue(cfg.Logs)
+	g := &Gateway{logs: logs, logger: logging.NewLimited(logs, level, logLimit)}
 	g.app = fx.New(
 		fx.NopLogger,
 		fx.StopTimeout(seconds(cfg.Settings.Forward.GraceS)),
@@ -92,7 +101,7 @@
 		),
 		guard.Module,
 		admin.Module,
-		fx.Invoke(func(*admin.Listener, *front) {}),
+		fx.Invoke(func(*admin.Listener, *front) {}, admin.ListenMetrics),
 		fx.Populate(&g.front),
 	)
 	if err := g.app.Err(); err != nil {
@@ -117,6 +126,7 @@
 	g.logger.Info("gateway stopping")
 	err := g.app.Stop(ctx)
 	g.logger.Info("gateway stopped")
+	g.logs.Close(logFlush)
 	return err
 }
 
--- a/internal/protocol/settings/check.go
+++ b/internal/protocol/settings/check.go
@@ -25,6 +25,10 @@
 		}
 	case "address":
 		l.checkAddress(f.Path, v.String())
+	case "optional_address":
+		if v.String() != "" {
+			l.checkAddress(f.Path, v.String())
+		}
 	case "addresses":
 		for i := range v.Len() {
 			l.checkAddress(f.Path, v.Index(i).String())
--- a/internal/protocol/settings/settings.go
+++ b/internal/protocol/settings/settings.go
@@ -32,6 +32,7 @@
 	AvailabilityZone string   `toml:"availability_zone" env:"HICKORYDOCK_AVAILABILITY_ZONE" check:"required" doc:"Availability zone of this VM."`
 	CallerAddress    string   `toml:"caller_address" env:"HICKORYDOCK_CALLER_ADDRESS" check:"address" doc:"Address for callers, ip:port."`
 	AdminAddress     string   `toml:"admin_address" env:"HICKORYDOCK_ADMIN_ADDRESS" check:"address" doc:"Address for metrics, health and the status page, ip:port."`
+	MetricsAddress   string   `toml:"metrics_address" env:"HICKORYDOCK_METRICS_ADDRESS" check:"optional_address" doc:"Further address for metrics alone, ip:port; empty serves them on admin_address only. Gateways use it."`
 	PeerAddress      string   `toml:"peer_address" env:"HICKORYDOCK_PEER_ADDRESS" check:"address" doc:"Address for the other nodes, ip:port."`
 	BootstrapPeers   []string `toml:"bootstrap_peers" env:"HICKORYDOCK_BOOTSTRAP_PEERS" check:"addresses" doc:"Peer addresses that are asked first when the platform is down; a comma-separated list in the environment."`
 }
--- a/internal/transport/admin/admin.go
+++ b/internal/transport/admin/admin.go
@@ -63,6 +63,27 @@
 	return l
 }
 
+// ListenMetrics serves metrics on an address of their own, when one is set.
+func ListenMetrics(s settings.Settings, m *metrics.Metrics, logger log.Interface, lifecycle fx.Lifecycle) {
+	if s.Node.MetricsAddress == "" {
+		return
+	}
+	mux := http.NewServeMux()
+	mux.Handle("GET /metrics", m.Handler())
+	server := &http.Server{Handler: mux, ReadHeaderTimeout: headerTimeout}
+	lifecycle.Append(fx.Hook{
+		OnStart: func(context.Context) error {
+			listener, err := net.Listen("tcp", s.Node.MetricsAddress)
+			if err != nil {
+				return fault.Wrap(err, fault.StepSettings, s.Node.MetricsAddress, "listen for metrics")
+			}
+			go serve(server, listener, logger)
+			return nil
+		},
+		OnStop: server.Shutdown,
+	})
+}
+
 func serve(server *http.Server, listener net.Listener, logger log.Interface) {
 	if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
 		logger.WithField("error", err.Error()).Error("admin listener failed")
--- a/internal/transport/logging/logging.go
+++ b/internal/transport/logging/logging.go
@@ -29,9 +29,23 @@
 // timeLayout is RFC 3339 with milliseconds.
 const timeLayout = "2006-01-02T15:04:05.000Z07:00"
 
+// Limit bounds how often an event is repeated.
+type Limit struct {
+	// Burst is the number of repeats written within Interval.
+	Burst    int
+	Interval time.Duration
+}
+
 // New returns a logger that writes events of a level and above to w.
 func New(w io.Writer, level log.Level) log.Interface {
-	return &log.Logger{Handler: NewHandler(w), Level: level}
+	return NewLimited(w, level, Limit{RepeatBurst, RepeatInterval})
+}
+
+// NewLimited returns a logger with its own limit on repeats.
+func NewLimited(w io.Writer, level log.Level, limit Limit) log.Interface {
+	handler := NewHandler(w)
+	handler.limit = limit
+	return &log.Logger{Handler: handler, Level: level}
 }
 
 // Handler writes one line for each event: time, level and msg first, then the
@@ -40,6 +54,7 @@
 	mu     sync.Mutex
 	w      io.Writer
 	events map[event]*window
+	limit  Limit
 }
 
 type event struct {
@@ -56,7 +71,7 @@
 
 // NewHandler returns a handler that writes to w. Writes are serialised.
 func NewHandler(w io.Writer) *Handler {
-	return &Handler{w: w, events: make(map[event]*window)}
+	return &Handler{w: w, events: make(map[event]*window), limit: Limit{RepeatBurst, RepeatInterval}}
 }
 
 // HandleLog writes one event. The first line after suppressed repeats carries
@@ -80,11 +95,11 @@
 		win = &window{start: now}
 		h.events[key] = win
 	}
-	if now.Sub(win.start) >= RepeatInterval {
+	if now.Sub(win.start) >= h.limit.Interval {
 		suppressed = win.suppressed
 		*win = window{start: now}
 	}
-	if win.written >= RepeatBurst {
+	if win.written >= h.limit.Burst {
 		win.suppressed++
 		return 0, false
 	}
@@ -99,7 +114,7 @@
 		return
 	}
 	for key, win := range h.events {
-		if now.Sub(win.start) >= RepeatInterval && win.suppressed == 0 {
+		if now.Sub(win.start) >= h.limit.Interval && win.suppressed == 0 {
 			delete(h.events, key)
 		}
 	}
