Take a reader that the platform turns away out of the readers

Ruled out: a lost link between nodes (its batches and probes went on). Change: a node whose own reads fail counts itself among the stale sources for 10 s and follows the next readers; fewer looks at the store when nobody is fresh.

--- a/internal/coordination/reader/reader.go
+++ b/internal/coordination/reader/reader.go
@@ -23,7 +23,7 @@
 	JoinTime = 700 * time.Millisecond
 	// soloShare is the share of looks at which a node reads the platform itself when
 	// all others are stale and it does not count itself among the readers.
-	soloShare = 0.25
+	soloShare = 0.1
 )
 
 // Readers returns the ids of the nodes that read the platform, of those that are
@@ -59,7 +59,8 @@
 	// Seeded is true when the node knows addresses of others to begin with, and
 	// IsSeed when its own is among them.
 	Seeded, IsSeed bool
-	// Stale lists the sources that lately failed or knew nothing fresh.
+	// Stale lists the nodes that lately failed or knew nothing fresh; this one is
+	// among them while the platform turns it away.
 	Stale []string
 	// Draw is a random number in [0, 1).
 	Draw float64
--- a/internal/coordination/reader/reader_test.go
+++ b/internal/coordination/reader/reader_test.go
@@ -77,6 +77,17 @@
 	}
 }
 
+// TestReaderThatIsTurnedAway answers the pattern of a platform that serves only
+// some nodes: a reader that it turns away learns from the others.
+func TestReaderThatIsTurnedAway(t *testing.T) {
+	members := fleet(7)
+	self := Readers(members, nil)[0]
+	got := Choose(Look{Self: self, Members: members, SinceStart: time.Minute, Stale: []string{self}, Draw: 0.5})
+	if got.Platform || got.Peer == "" || got.Peer == self {
+		t.Errorf("a reader that is turned away learns from %+v", got)
+	}
+}
+
 func TestNobodyIsFresh(t *testing.T) {
 	members := fleet(3)
 	look := Look{Self: "n000", Members: members, SinceStart: time.Minute, Stale: []string{"n000", "n001", "n002"}, Draw: 0.9}
--- a/internal/transport/mesh/follow.go
+++ b/internal/transport/mesh/follow.go
@@ -112,10 +112,12 @@
 	if source.Platform {
 		asked := time.Now()
 		listing, err := c.Client.List(ctx, kind)
-		if err == nil {
-			c.mesh.cfg.Mirror.Replace(kind, listing, asked)
+		if err != nil {
+			c.turnedAway(ctx, err)
+			return listing, err
 		}
-		return listing, err
+		c.mesh.cfg.Mirror.Replace(kind, listing, asked)
+		return listing, nil
 	}
 	reply, confirmed, err := c.follow(ctx, source.Peer, kind, &contract.FollowRequest{List: true})
 	if err != nil {
@@ -170,9 +172,23 @@
 		}
 		return nil
 	})
+	if err != nil && !errors.Is(err, errSource) {
+		c.turnedAway(ctx, err)
+	}
 	return from, err
 }
 
+// turnedAway takes this node out of the readers for a while when the platform
+// does not serve it, since it may serve others.
+func (c *Client) turnedAway(ctx context.Context, err error) {
+	if ctx.Err() != nil || errors.Is(err, platform.ErrTooOld) {
+		return
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.stale[c.mesh.cfg.Node] = time.Now().Add(staleFor)
+}
+
 // watchPeer follows another node for one reply. It returns the version to go on
 // from.
 func (c *Client) watchPeer(ctx context.Context, id string, kind platform.Kind, from uint64, each func(platform.Event) error) (uint64, error) {
