Allow for a source that follows another when judging its age

Cause: a node that is turned away follows the next reader, which does not read the platform yet; its knowledge is one wait older, so sources were passed over in turn. Change: 2.5 waits instead of 1.5.

--- a/internal/transport/mesh/follow.go
+++ b/internal/transport/mesh/follow.go
@@ -217,8 +217,9 @@
 	return platform.Object{Kind: kind, Name: o.Name, Version: o.Version, Value: o.Value}
 }
 
-// maxAge is how long ago the platform may have confirmed what a source knows.
-func (c *Client) maxAge() time.Duration { return c.wait + c.wait/2 + replyMargin }
+// maxAge is how long ago the platform may have confirmed what a source knows: a
+// source that follows another itself adds a wait of its own.
+func (c *Client) maxAge() time.Duration { return 2*c.wait + c.wait/2 + replyMargin }
 
 // follow asks a node once. A node that fails or knows nothing fresh is passed
 // over for a while.
