--- a/cmd/hickorydock/gateway.go
+++ b/cmd/hickorydock/gateway.go
@@ -35,6 +35,9 @@
 
 // runGateway writes the log to out, since the process has no other output.
 func runGateway(ctx context.Context, opts serveOptions, out io.Writer) error {
+	// Without a receiver SIGHUP ends the process, also while it starts or stops.
+	hangup := make(chan os.Signal, 1)
+	signal.Notify(hangup, syscall.SIGHUP)
 	s, err := loadSettings(opts.config)
 	if err != nil {
 		return err
@@ -49,7 +52,7 @@
 	if err := g.Start(ctx); err != nil {
 		return fmt.Errorf("start gateway: %w", err)
 	}
-	followSettings(ctx, g, opts.config)
+	followSettings(ctx, g, opts.config, hangup)
 	return g.Stop(context.WithoutCancel(ctx))
 }
 
@@ -57,11 +60,9 @@
 // change without a signal.
 const settingsLook = 2 * time.Second
 
-// followSettings checks the settings file again when it changes, until ctx ends.
-func followSettings(ctx context.Context, g *gateway.Gateway, file string) {
-	hangup := make(chan os.Signal, 1)
-	signal.Notify(hangup, syscall.SIGHUP)
-	defer signal.Stop(hangup)
+// followSettings checks the settings file again when it changes, and with each
+// hangup, until ctx ends.
+func followSettings(ctx context.Context, g *gateway.Gateway, file string, hangup <-chan os.Signal) {
 	look := time.NewTicker(settingsLook)
 	defer look.Stop()
 	last, _ := os.ReadFile(file) // it was read at the start
--- a/internal/coordination/reader/reader.go
+++ b/internal/coordination/reader/reader.go
@@ -20,7 +20,7 @@
 	Count = 2
 	// JoinTime is how long a node that starts waits to hear of others before it
 	// reads the platform itself.
-	JoinTime = 700 * time.Millisecond
+	JoinTime = 300 * time.Millisecond
 	// soloShare is the share of looks at which a node reads the platform itself when
 	// all others are stale and it does not count itself among the readers.
 	soloShare = 0.1
