Forget quickly that a source knew nothing fresh

Change: 1 s for a node that is turned away, 2 s for a source, which answers at once when it knows nothing fresh. Test: TestOutage, which fails with 10 s; readers that are turned away; calls that do not grow with the nodes.

--- a/internal/transport/mesh/follow.go
+++ b/internal/transport/mesh/follow.go
@@ -22,10 +22,12 @@
 	dialTimeout = 500 * time.Millisecond
 	// replyMargin is what a followed node may take beyond the wait that it was asked for.
 	replyMargin = 300 * time.Millisecond
-	// failedFor is how long a source that failed is passed over, and staleFor one
-	// that knows nothing fresh, as while it is cut off from the platform.
-	failedFor = 2 * time.Second
-	staleFor  = 10 * time.Second
+	// passedOverFor is how long a source that failed or knows nothing fresh is
+	// passed over. Asking it again costs one message, since it answers at once.
+	passedOverFor = 2 * time.Second
+	// turnedAwayFor is how long a reader that the platform does not serve leaves it
+	// to the next ones. All nodes do so in an outage, which may be over then.
+	turnedAwayFor = 1 * time.Second
 	// sourceWait is the pause of a node that has no source yet.
 	sourceWait = 50 * time.Millisecond
 	// settle is the pause of a reader after a change, so that changes that come
@@ -186,7 +188,7 @@
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.stale[c.mesh.cfg.Node] = time.Now().Add(staleFor)
+	c.stale[c.mesh.cfg.Node] = time.Now().Add(turnedAwayFor)
 }
 
 // watchPeer follows another node for one reply. It returns the version to go on
@@ -226,12 +228,12 @@
 func (c *Client) follow(ctx context.Context, id string, kind platform.Kind, request *contract.FollowRequest) (*contract.FollowReply, time.Time, error) {
 	request.Hello = c.mesh.wire.Hello()
 	request.Kind = string(kind)
+	request.MaxAgeMs = uint64(c.maxAge().Milliseconds())
 	limit := time.Duration(request.WaitMs)*time.Millisecond + dialTimeout + replyMargin
 	ctx, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
 	reply, err := c.ask(ctx, id, kind, request)
 	confirmed := time.Now()
-	passOver := failedFor
 	switch {
 	case err != nil:
 		err = fault.Wrap(err, fault.StepPeer, id, "follow %s", kind)
@@ -240,14 +242,13 @@
 	case reply.TooOld:
 		return nil, confirmed, fault.Wrap(platform.ErrTooOld, fault.StepPeer, id, "follow %s", kind)
 	case time.Duration(reply.AgeMs)*time.Millisecond > c.maxAge():
-		passOver = staleFor
 		err = fault.Wrap(platform.ErrUnavailable, fault.StepPeer, id, "follow %s: confirmed %d ms ago", kind, reply.AgeMs)
 	default:
 		return reply, confirmed.Add(-time.Duration(reply.AgeMs) * time.Millisecond), nil
 	}
 	c.mu.Lock()
 	_, known := c.stale[id]
-	c.stale[id] = time.Now().Add(passOver)
+	c.stale[id] = time.Now().Add(passedOverFor)
 	c.mu.Unlock()
 	if !known {
 		c.mesh.cfg.Log.WithFields(log.Fields{"node": id, "kind": string(kind)}).WithError(err).Warn("source passed over")
@@ -345,6 +346,10 @@
 		return reply, nil
 	}
 	wait := time.Duration(request.WaitMs) * time.Millisecond
+	maxAge := time.Duration(request.MaxAgeMs) * time.Millisecond
+	if maxAge > 0 && time.Since(s.mesh.cfg.Mirror.Confirmed(kind)) > maxAge {
+		wait = 0
+	}
 	changes, version, confirmed, err := s.mesh.cfg.Mirror.Changes(ctx, kind, request.From, wait)
 	switch {
 	case errors.Is(err, platform.ErrTooOld):
--- /dev/null
+++ b/internal/transport/mesh/mesh_test.go
@@ -0,0 +1,235 @@
+package mesh
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/apex/log/handlers/discard"
+
+	"github.com/hickorydock/hickorydock/internal/coordination/backoff"
+	"github.com/hickorydock/hickorydock/internal/coordination/reader"
+	contract "github.com/hickorydock/hickorydock/internal/protocol/peer"
+	"github.com/hickorydock/hickorydock/internal/protocol/platform"
+	standin "github.com/hickorydock/hickorydock/internal/standin/platform"
+	"github.com/hickorydock/hickorydock/internal/state/mirror"
+	"github.com/hickorydock/hickorydock/internal/transport/follow"
+	"github.com/hickorydock/hickorydock/internal/transport/peer"
+)
+
+const testWait = 300 * time.Millisecond
+
+// echo answers each shard of a batch with the batch's body.
+type echo struct{}
+
+func (echo) Serve(_ context.Context, batch *contract.Batch, reply func(peer.Result)) {
+	for i := range batch.Shards {
+		reply(peer.Result{Index: i, Status: contract.Status_STATUS_OK, Body: batch.Body})
+	}
+}
+
+// pollingClient makes the stand-in's watches wait as a platform of polls does.
+type pollingClient struct {
+	platform.Client
+	store *standin.Platform
+}
+
+func (c pollingClient) Watch(ctx context.Context, kind platform.Kind, from uint64, each func(platform.Event) error) error {
+	for {
+		events, version, err := c.store.Poll(ctx, kind, from, testWait)
+		if err != nil {
+			return err
+		}
+		for _, e := range append(events, platform.Event{Progress: true, Object: platform.Object{Version: version}}) {
+			if err := each(e); err != nil {
+				return err
+			}
+		}
+		from = version
+	}
+}
+
+// node is a mesh with a follower of the routing table.
+type node struct {
+	*Mesh
+	mu      sync.Mutex
+	newest  string
+	changed chan struct{}
+}
+
+func (n *node) take(o platform.Object) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.newest = string(o.Value)
+	close(n.changed)
+	n.changed = make(chan struct{})
+}
+
+func (n *node) has(value string) (bool, <-chan struct{}) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.newest == value, n.changed
+}
+
+func freeAddress(t *testing.T) string {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	return l.Addr().String()
+}
+
+// startNodes returns nodes that follow a store, each through a client of its own.
+func startNodes(t *testing.T, count int, clientOf func(i int) platform.Client) []*node {
+	t.Helper()
+	seed := freeAddress(t)
+	var nodes []*node
+	for i := range count {
+		address := seed
+		if i > 0 {
+			address = freeAddress(t)
+		}
+		m, err := New(Config{
+			Node: fmt.Sprintf("n%d", i), AvailabilityZone: fmt.Sprintf("az-%d", i%2), Address: address, Seeds: []string{seed},
+			Mirror: mirror.New(), Log: &log.Logger{Handler: discard.Default},
+		}, echo{})
+		if err != nil {
+			t.Fatal(err)
+		}
+		if err := m.Start(); err != nil {
+			t.Fatal(err)
+		}
+		n := &node{Mesh: m, changed: make(chan struct{})}
+		client := NewClient(clientOf(i), m, testWait)
+		ctx, cancel := context.WithCancel(context.Background())
+		f := &follow.Follower{
+			Client: client, Kind: platform.KindRouting, Backoff: backoff.PlatformFollow,
+			Listed: func(l platform.Listing) {
+				for _, o := range l.Objects {
+					n.take(o)
+				}
+			},
+			Changed: func(e platform.Event) { n.take(e.Object) },
+			Failed:  func(error) {},
+		}
+		var running sync.WaitGroup
+		running.Go(func() { f.Run(ctx) })
+		t.Cleanup(func() {
+			cancel()
+			client.Close()
+			running.Wait()
+			m.Close(ctx)
+		})
+		nodes = append(nodes, n)
+	}
+	return nodes
+}
+
+// awaitAll waits until all nodes have a value.
+func awaitAll(t *testing.T, nodes []*node, value string, limit time.Duration) {
+	t.Helper()
+	timeout := time.After(limit)
+	for _, n := range nodes {
+		for {
+			has, changed := n.has(value)
+			if has {
+				break
+			}
+			select {
+			case <-changed:
+			case <-timeout:
+				t.Fatalf("%s has %q after %v, want %q", n.cfg.Node, n.newest, limit, value)
+			}
+		}
+	}
+}
+
+func set(t *testing.T, store *standin.Platform, value int) {
+	t.Helper()
+	if err := store.Set(platform.KindRouting, platform.RoutingName, value); err != nil {
+		t.Fatal(err)
+	}
+}
+
+// TestCallsDoNotGrowWithNodes holds that a change reaches all nodes and that the
+// platform is asked by the readers only.
+func TestCallsDoNotGrowWithNodes(t *testing.T) {
+	store := standin.New(standin.Options{Seed: 1})
+	set(t, store, 1)
+	nodes := startNodes(t, 8, func(int) platform.Client { return pollingClient{store.Client(), store} })
+	awaitAll(t, nodes, "1", 5*time.Second)
+	set(t, store, 2)
+	awaitAll(t, nodes, "2", time.Second)
+	before := store.Calls()[standin.Call{Method: standin.MethodWatch, Kind: platform.KindRouting}]
+	const span = 3 * time.Second
+	time.Sleep(span)
+	got := store.Calls()[standin.Call{Method: standin.MethodWatch, Kind: platform.KindRouting}] - before
+	if most := uint64(reader.Count * (int(span/testWait) + 2)); got > most {
+		t.Errorf("%d watches in %v by 8 nodes, want at most %d", got, span, most)
+	}
+}
+
+// TestOutage answers the pattern of a short outage of the whole platform: all nodes
+// hold each other for stale, and all have the next change soon after.
+func TestOutage(t *testing.T) {
+	store := standin.New(standin.Options{Seed: 1})
+	set(t, store, 1)
+	nodes := startNodes(t, 4, func(int) platform.Client { return pollingClient{store.Client(), store} })
+	awaitAll(t, nodes, "1", 5*time.Second)
+	store.SetFaults(standin.Faults{Outage: standin.OutageRefuse})
+	time.Sleep(2 * time.Second)
+	store.SetFaults(standin.Faults{})
+	set(t, store, 2)
+	awaitAll(t, nodes, "2", 4*time.Second)
+}
+
+// TestReadersAreTurnedAway answers the pattern of a platform that serves only some
+// nodes, while both readers are among the others.
+func TestReadersAreTurnedAway(t *testing.T) {
+	store, dark := standin.New(standin.Options{Seed: 1}), standin.New(standin.Options{Seed: 1})
+	dark.SetFaults(standin.Faults{Outage: standin.OutageRefuse})
+	set(t, store, 1)
+	served := map[int]bool{}
+	nodes := startNodes(t, 5, func(i int) platform.Client {
+		// The readers are those with the highest hashes; n0 to n4 are tried below.
+		served[i] = i >= 3
+		if served[i] {
+			return pollingClient{store.Client(), store}
+		}
+		return pollingClient{dark.Client(), dark}
+	})
+	awaitAll(t, nodes, "1", 10*time.Second)
+	set(t, store, 2)
+	awaitAll(t, nodes, "2", 4*time.Second)
+}
+
+// TestBatches holds that batches reach a member over one stream and that one to a
+// node that is not there is not sent.
+func TestBatches(t *testing.T) {
+	store := standin.New(standin.Options{Seed: 1})
+	set(t, store, 1)
+	nodes := startNodes(t, 2, func(int) platform.Client { return pollingClient{store.Client(), store} })
+	awaitAll(t, nodes, "1", 5*time.Second)
+	ctx, cancel := context.WithTimeout(t.Context(), 2*time.Second)
+	defer cancel()
+	for range 3 {
+		got := 0
+		err := nodes[0].Do(ctx, "n1", &contract.Batch{Body: []byte("b"), Shards: []uint32{0, 1}}, func(r peer.Result) {
+			if string(r.Body) == "b" {
+				got++
+			}
+		})
+		if err != nil || got != 2 {
+			t.Errorf("%d results, error %v", got, err)
+		}
+	}
+	err := nodes[0].Do(ctx, "n9", &contract.Batch{Shards: []uint32{0}}, func(peer.Result) {})
+	if !peer.IsNotRun(err) {
+		t.Errorf("batch to an unknown node: %v", err)
+	}
+}
