--- a/internal/transport/mesh/mesh_test.go
+++ b/internal/transport/mesh/mesh_test.go
@@ -179,13 +179,13 @@
 func TestOutage(t *testing.T) {
 	store := standin.New(standin.Options{Seed: 1})
 	set(t, store, 1)
-	nodes := startNodes(t, 4, func(int) platform.Client { return pollingClient{store.Client(), store} })
+	nodes := startNodes(t, 8, func(int) platform.Client { return pollingClient{store.Client(), store} })
 	awaitAll(t, nodes, "1", 5*time.Second)
 	store.SetFaults(standin.Faults{Outage: standin.OutageRefuse})
 	time.Sleep(2 * time.Second)
 	store.SetFaults(standin.Faults{})
 	set(t, store, 2)
-	awaitAll(t, nodes, "2", 4*time.Second)
+	awaitAll(t, nodes, "2", 3*time.Second)
 }
 
 // TestReadersAreTurnedAway answers the pattern of a platform that serves only some
