Trace forwarded requests with a span a hop; test relays, control and lapses

A gateway had no spans. The tracer of a node moves to its package and is used by both. Tests: relays that are late, absent, lost or frozen; connections of leafs at 7, 70 and 610 nodes; tables that go back; foreign entries; registrations that lapse.

--- /dev/null
+++ b/internal/node/gateway/control_test.go
@@ -0,0 +1,137 @@
+package gateway
+
+import (
+	"encoding/json"
+	"errors"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/apex/log/handlers/discard"
+
+	"github.com/hickorydock/hickorydock/internal/protocol/platform"
+	"github.com/hickorydock/hickorydock/internal/protocol/route"
+	"github.com/hickorydock/hickorydock/internal/protocol/settings"
+	"github.com/hickorydock/hickorydock/internal/state/group"
+	"github.com/hickorydock/hickorydock/internal/state/leaf"
+	"github.com/hickorydock/hickorydock/internal/state/routing"
+	"github.com/hickorydock/hickorydock/internal/transport/leafwire"
+)
+
+// plainAdapter decodes objects that hold the product's types as JSON.
+type plainAdapter struct{}
+
+var errForeign = errors.New("written by somebody else")
+
+func (plainAdapter) Client(settings.Settings) platform.Client { return nil }
+func (plainAdapter) Names() route.HeaderNames                 { return route.HeaderNames{} }
+
+func (plainAdapter) Table(o platform.Object) (table route.Table, err error) {
+	err = json.Unmarshal(o.Value, &table)
+	return table, err
+}
+
+func (plainAdapter) Leaf(o platform.Object) (l route.Leaf, err error) {
+	err = json.Unmarshal(o.Value, &l)
+	if err == nil && l.VM.ID == "" {
+		err = errForeign
+	}
+	return l, err
+}
+
+func newTestController() *controller {
+	routes := &routing.Store{}
+	logger := &log.Logger{Handler: discard.Default}
+	return &controller{
+		adapter: plainAdapter{},
+		routing: routes,
+		groups:  group.NewStore(leaf.NewTable()),
+		wire:    leafwire.New(leafwire.Config{Limit: func(string) int { return 1 }}),
+		relays:  &relays{routing: routes, records: leaf.NewTable(), log: logger},
+		log:     logger,
+		holds:   map[string]*time.Timer{},
+	}
+}
+
+// leafObject is an entry of a leaf that leaves, so that no connection is opened.
+func leafObject(id string) platform.Object {
+	text, _ := json.Marshal(route.Leaf{VM: platform.VM{ID: id, Group: "g", Address: "127.0.0.1:1", State: platform.VMLeaving}})
+	return platform.Object{Kind: platform.KindVM, Name: id, Value: text}
+}
+
+func (c *controller) leafNames() (names []string) {
+	for _, l := range c.groups.All() {
+		names = append(names, l.VM.ID)
+	}
+	return names
+}
+
+// TestTablesNeverGoBack covers a watch that repeats, a list that is old and entries
+// that cannot be read.
+func TestTablesNeverGoBack(t *testing.T) {
+	c := newTestController()
+	put := func(name, value string) {
+		c.tableChanged(platform.Event{Object: platform.Object{Name: name, Value: json.RawMessage(value)}})
+	}
+	put("somebody-else", `{"Version":99}`)
+	if c.routing.Current() != nil {
+		t.Fatal("another object became the routing table")
+	}
+	put(platform.RoutingName, `{"Version":5}`)
+	put(platform.RoutingName, `{"Version":4}`)
+	put(platform.RoutingName, `{`)
+	c.tableChanged(platform.Event{Deleted: true, Object: platform.Object{Name: platform.RoutingName}})
+	c.tableListed(platform.Listing{Objects: []platform.Object{{Name: platform.RoutingName, Value: json.RawMessage(`{"Version":3}`)}}})
+	if got := c.routing.Current().Table.Version; got != 5 {
+		t.Errorf("version %d in force, want 5", got)
+	}
+}
+
+func TestForeignEntriesHarmNoLeaf(t *testing.T) {
+	c := newTestController()
+	c.leafsListed(platform.Listing{Objects: []platform.Object{leafObject("a"), {Name: "x", Value: json.RawMessage(`[]`)}, {Name: "y"}, leafObject("b")}})
+	if got := c.leafNames(); len(got) != 2 {
+		t.Errorf("leafs %v", got)
+	}
+	c.leafChanged(platform.Event{Object: platform.Object{Name: "a", Value: json.RawMessage(`"?"`)}})
+	if got := c.leafNames(); len(got) != 1 || got[0] != "b" {
+		t.Errorf("leafs %v after the entry of one became unreadable", got)
+	}
+	if c.Ready() == nil {
+		t.Error("ready without a routing table")
+	}
+}
+
+// TestLapsedRegistrations holds that a leaf whose registration is gone counts as
+// gone at once, but after an outage only when it is not back in time.
+func TestLapsedRegistrations(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newTestController()
+		all := platform.Listing{Objects: []platform.Object{leafObject("a"), leafObject("b"), leafObject("c")}}
+		c.leafsListed(all)
+		c.leafChanged(platform.Event{Deleted: true, Object: platform.Object{Name: "c"}})
+		if got := len(c.leafNames()); got != 2 {
+			t.Errorf("%d leafs after a removal, want 2", got)
+		}
+		c.lastFailure.Store(time.Now().UnixNano())
+		c.leafsListed(platform.Listing{})
+		if got := len(c.leafNames()); got != 2 {
+			t.Errorf("%d leafs just after an outage, want 2", got)
+		}
+		time.Sleep(time.Second)
+		c.leafChanged(platform.Event{Object: leafObject("a")})
+		time.Sleep(2 * time.Second)
+		if got := c.leafNames(); len(got) != 1 || got[0] != "a" {
+			t.Errorf("leafs %v after the time to come back", got)
+		}
+	})
+}
+
+func TestLeafThatDrains(t *testing.T) {
+	c := newTestController()
+	c.leafChanged(platform.Event{Object: leafObject("a")})
+	if !c.groups.Replicas("g")[0].Record.Stats().Draining {
+		t.Error("a leaf that leaves is not draining")
+	}
+}
--- a/internal/node/gateway/gateway.go
+++ b/internal/node/gateway/gateway.go
@@ -34,6 +34,7 @@
 	"github.com/hickorydock/hickorydock/internal/transport/logging"
 	"github.com/hickorydock/hickorydock/internal/transport/mesh"
 	"github.com/hickorydock/hickorydock/internal/transport/metrics"
+	"github.com/hickorydock/hickorydock/internal/transport/tracing"
 )
 
 // Adapter translates the names, formats and calls of one platform.
@@ -96,7 +97,7 @@
 		fx.Provide(
 			func() log.Interface { return g.logger },
 			func() Adapter { return adapter },
-			metrics.New, leaf.NewTable, group.NewStore, mirror.New, newRouting, newRelays, newMesh, newWire, newForwarder, newController, newFront,
+			metrics.New, tracing.FromSettings, leaf.NewTable, group.NewStore, mirror.New, newRouting, newRelays, newMesh, newWire, newForwarder, newController, newFront,
 			func(f *front) admin.Prober { return f },
 		),
 		guard.Module,
@@ -183,7 +184,7 @@
 	})
 }
 
-func newForwarder(s settings.Settings, a Adapter, routes *routing.Store, groups *group.Store, wire *leafwire.Client, g *guard.Guard, m *metrics.Metrics, logger log.Interface) *forward.Forwarder {
+func newForwarder(s settings.Settings, a Adapter, routes *routing.Store, groups *group.Store, wire *leafwire.Client, g *guard.Guard, m *metrics.Metrics, tracer *tracing.Tracer, logger log.Interface) *forward.Forwarder {
 	f := forward.New(forward.Config{
 		AvailabilityZone: s.Node.AvailabilityZone,
 		Names:            a.Names(),
@@ -193,6 +194,7 @@
 		ExtraSlack:       s.Forward.ExtraSlack,
 		Linger:           milliseconds(s.Forward.LingerMS),
 	}, routes, groups, wire, g, m, logger)
+	f.Tracer = tracer
 	f.SetNodes(int(s.Forward.ExpectedNodes))
 	return f
 }
--- /dev/null
+++ b/internal/node/gateway/relays_test.go
@@ -0,0 +1,79 @@
+package gateway
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/hickorydock/hickorydock/internal/coordination/share"
+)
+
+// TestConnectionsOfLeafs holds, at 7, 70 and 610 nodes, that no leaf gets more
+// connections than it accepts, that every group has relays and that a query goes to
+// few of them.
+func TestConnectionsOfLeafs(t *testing.T) {
+	tests := []struct {
+		nodes, shards, limit int
+		relayed              bool
+		mostRelays           int // for one query
+	}{
+		{7, 20, 26, false, 0},
+		{70, 135, 56, true, 17},
+		{610, 310, 56, true, 33},
+	}
+	for _, test := range tests {
+		t.Run(fmt.Sprint(test.nodes), func(t *testing.T) {
+			r, groups := newTestRelays(test.nodes, test.shards, test.limit)
+			clusters := r.Clusters(groups)
+			if (clusters != nil) != test.relayed {
+				t.Fatalf("%d clusters, relayed: want %t", len(clusters), test.relayed)
+			}
+			if len(clusters) > test.mostRelays {
+				t.Errorf("a query goes to %d relays, want at most %d", len(clusters), test.mostRelays)
+			}
+			covered := 0
+			for _, c := range clusters {
+				covered += len(c.Shards)
+				if len(c.Near)+len(c.Far) == 0 {
+					t.Errorf("shards %v have no relay besides this node", c.Shards)
+				}
+			}
+			if test.relayed && covered != test.shards {
+				t.Errorf("%d of %d shards in clusters", covered, test.shards)
+			}
+			connections := 0
+			for i := range test.nodes {
+				r.node = fmt.Sprintf("n%03d", i)
+				if r.connectsTo(groups[0]) {
+					connections += r.connections(groups[0], 1)
+				}
+			}
+			if most := test.limit - share.Reserve(test.limit); connections > most || connections == 0 {
+				t.Errorf("%d connections to a leaf, want at most %d", connections, most)
+			}
+		})
+	}
+}
+
+// TestUnevenKnowledge answers the pattern of nodes that learn of a new one at
+// different times: they must agree on most relays, since a leaf's connections are
+// counted by owner.
+func TestUnevenKnowledge(t *testing.T) {
+	before, groups := newTestRelays(70, 90, 56)
+	after, _ := newTestRelays(71, 90, 56)
+	moved, places := 0, 0
+	for _, g := range groups {
+		old := map[string]bool{}
+		for _, m := range before.assignment().owners.Of(g) {
+			old[m.ID] = true
+		}
+		for _, m := range after.assignment().owners.Of(g) {
+			places++
+			if !old[m.ID] {
+				moved++
+			}
+		}
+	}
+	if moved*10 > places {
+		t.Errorf("%d of %d places of relays move with one more node", moved, places)
+	}
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -108,7 +108,7 @@
 		fx.StopTimeout(cfg.Settings.Stop.Limit()),
 		fx.Supply(cfg.Settings, choose),
 		fx.Provide(func() (log.Interface, error) { return newLogger(logs, cfg.Settings.Log) }),
-		fx.Provide(metrics.New, newTracer, func(s *server.Server) admin.Prober { return s }),
+		fx.Provide(metrics.New, tracing.FromSettings, func(s *server.Server) admin.Prober { return s }),
 		cfg.Control,
 		credentials.Module,
 		admin.Module,
@@ -136,20 +136,6 @@
 	return logging.New(w, level), nil
 }
 
-func newTracer(s settings.Settings, lifecycle fx.Lifecycle) (*tracing.Tracer, error) {
-	tracer, err := tracing.New(context.Background(), tracing.Config{
-		Endpoint:         s.Trace.OTLPEndpoint,
-		SampleShare:      s.Trace.SampleShare,
-		NodeID:           s.Node.ID,
-		AvailabilityZone: s.Node.AvailabilityZone,
-	})
-	if err != nil {
-		return nil, err
-	}
-	lifecycle.Append(fx.StopHook(tracer.Shutdown))
-	return tracer, nil
-}
-
 // Start binds the node's addresses and takes up work.
 func (n *Node) Start(ctx context.Context) error {
 	return n.app.Start(ctx)
--- a/internal/transport/forward/exchange.go
+++ b/internal/transport/forward/exchange.go
@@ -5,6 +5,8 @@
 	"math/rand/v2"
 	"time"
 
+	"go.opentelemetry.io/otel/attribute"
+
 	"github.com/hickorydock/hickorydock/internal/coordination/budget"
 	"github.com/hickorydock/hickorydock/internal/coordination/gather"
 	"github.com/hickorydock/hickorydock/internal/coordination/hedge"
@@ -17,6 +19,7 @@
 	"github.com/hickorydock/hickorydock/internal/state/leaf"
 	"github.com/hickorydock/hickorydock/internal/state/shardmap"
 	"github.com/hickorydock/hickorydock/internal/transport/leafwire"
+	"github.com/hickorydock/hickorydock/internal/transport/tracing"
 )
 
 // part is the reply of one shard.
@@ -42,7 +45,9 @@
 
 // exchange is one request in progress. It belongs to one goroutine.
 type exchange struct {
-	f       *Forwarder
+	f *Forwarder
+	// ctx carries the trace of the request.
+	ctx     context.Context
 	req     *request
 	message *leafwire.Message
 	window  *latency.Window
@@ -67,7 +72,7 @@
 }
 
 func newExchange(f *Forwarder, req *request) *exchange {
-	x := &exchange{f: f, req: req, window: f.window(req.route.Name)}
+	x := &exchange{f: f, ctx: context.Background(), req: req, window: f.window(req.route.Name)}
 	groups := req.route.Shards
 	if !req.route.IsQuery() {
 		groups = []string{f.splitGroup(req.route)}
@@ -271,6 +276,7 @@
 		Done:    x.done,
 		Trial:   trial,
 	}
+	_, call.Span = x.f.Tracer.Start(x.ctx, tracing.HopAttempt, attribute.String("leaf", call.Leaf.ID), attribute.Int("shard", shard))
 	x.sends++
 	x.pending[call] = struct{}{}
 	x.query.Sent()
@@ -377,6 +383,7 @@
 	elapsed := now.Sub(call.Began)
 	reply := &call.Reply
 	f.guard.Leave(call.Trial, trialEnd(call))
+	call.Span.End(reply.Err)
 	f.groups.Record(call.Leaf.ID).End(now, elapsed, leafResult(call))
 	if reply.Result == subrequest.OK {
 		window.Observe(now, elapsed)
--- a/internal/transport/forward/forward.go
+++ b/internal/transport/forward/forward.go
@@ -8,6 +8,7 @@
 	"context"
 	"errors"
 	"io"
+	"math/rand/v2"
 	"net/http"
 	"slices"
 	"strconv"
@@ -16,9 +17,8 @@
 	"sync/atomic"
 	"time"
 
-	"math/rand/v2"
-
 	"github.com/apex/log"
+	"go.opentelemetry.io/otel/attribute"
 
 	"github.com/hickorydock/hickorydock/internal/coordination/budget"
 	"github.com/hickorydock/hickorydock/internal/coordination/lag"
@@ -30,6 +30,7 @@
 	"github.com/hickorydock/hickorydock/internal/state/routing"
 	"github.com/hickorydock/hickorydock/internal/transport/guard"
 	"github.com/hickorydock/hickorydock/internal/transport/leafwire"
+	"github.com/hickorydock/hickorydock/internal/transport/tracing"
 )
 
 // Advice to callers whose request ran nowhere.
@@ -95,6 +96,8 @@
 	splitters sync.Map // route name -> *split.Splitter
 	// Misdirected is told of a leaf whose address another one has; may be nil.
 	Misdirected func(id string)
+	// Tracer starts a span for each hop; it is off unless set.
+	Tracer *tracing.Tracer
 	// Relays passes shards on to other nodes; nil means that this node sends to
 	// all leafs itself.
 	Relays Relays
@@ -102,7 +105,7 @@
 
 // New returns a forwarder.
 func New(cfg Config, routes *routing.Store, groups *group.Store, wire Wire, g *guard.Guard, observer Observer, logger log.Interface) *Forwarder {
-	return &Forwarder{cfg: cfg, routing: routes, groups: groups, wire: wire, guard: g, observer: observer, log: logger}
+	return &Forwarder{cfg: cfg, routing: routes, groups: groups, wire: wire, guard: g, observer: observer, log: logger, Tracer: tracing.Off()}
 }
 
 // Stop makes further answers end their connections.
@@ -175,7 +178,11 @@
 		f.refuse(w, req.id, http.StatusServiceUnavailable, min(left, quarantineRetryAfter))
 		return
 	}
-	newExchange(f, req).serve(w)
+	ctx, span := f.Tracer.Start(f.Tracer.Extract(r.Context(), r.Header), tracing.HopCaller, attribute.String("route", rt.Name), attribute.String("request", req.id))
+	x := newExchange(f, req)
+	x.ctx = ctx
+	x.serve(w)
+	span.End(nil)
 }
 
 // setTimes fixes when the answer has to leave.
--- a/internal/transport/forward/pass.go
+++ b/internal/transport/forward/pass.go
@@ -3,11 +3,13 @@
 import (
 	"context"
 	"math/rand/v2"
+	"net/http"
 	"slices"
 	"sync"
 	"time"
 
 	"github.com/apex/log"
+	"go.opentelemetry.io/otel/attribute"
 	"google.golang.org/protobuf/proto"
 
 	"github.com/hickorydock/hickorydock/internal/coordination/hedge"
@@ -21,11 +23,15 @@
 	"github.com/hickorydock/hickorydock/internal/state/shardmap"
 	"github.com/hickorydock/hickorydock/internal/transport/leafwire"
 	"github.com/hickorydock/hickorydock/internal/transport/peer"
+	"github.com/hickorydock/hickorydock/internal/transport/tracing"
 )
 
 // hopReserve is kept of a query's time for the way of a relay's replies.
 const hopReserve = 4 * time.Millisecond
 
+// traceHeader is the W3C header of a trace context.
+const traceHeader = "traceparent"
+
 // Cluster is shards whose leafs have the same relays.
 type Cluster struct {
 	// Shards are positions in the list that was asked about.
@@ -157,7 +163,10 @@
 		x.f.broken("encode", x.req, err)
 		return false
 	}
-	batch := &contract.Batch{RequestId: x.req.id, Body: body, Shards: make([]uint32, len(shards))}
+	traced, span := x.f.Tracer.Start(x.ctx, tracing.HopPeer, attribute.String("node", owner.VM.ID), attribute.Int("shards", len(shards)))
+	headers := http.Header{}
+	x.f.Tracer.Inject(traced, headers)
+	batch := &contract.Batch{RequestId: x.req.id, Body: body, Shards: make([]uint32, len(shards)), Traceparent: headers.Get(traceHeader)}
 	for k := range shards {
 		batch.Shards[k] = uint32(k)
 	}
@@ -178,6 +187,7 @@
 			x.passed <- one
 		})
 		e.relay.finish(relayResult(ctx, err))
+		span.End(err)
 		last := e
 		last.ended = true
 		last.err = err
@@ -315,6 +325,9 @@
 		route:    &route.Route{Name: m.Route, Idempotent: true, Shards: m.Groups, Attempts: int(m.Attempts), Top: int(m.Top)},
 	}
 	x := newExchange(f, req)
+	if batch.Traceparent != "" {
+		x.ctx = f.Tracer.Extract(x.ctx, http.Header{http.CanonicalHeaderKey(traceHeader): {batch.Traceparent}})
+	}
 	x.message = &leafwire.Message{Method: m.Method, Head: m.Head, Body: m.Body, ID: req.id, Deadline: deadline}
 	defer x.abandon()
 	var ready []peer.Result
--- /dev/null
+++ b/internal/transport/forward/pass_test.go
@@ -0,0 +1,184 @@
+package forward
+
+import (
+	"context"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"go.opentelemetry.io/otel/sdk/trace/tracetest"
+
+	contract "github.com/hickorydock/hickorydock/internal/protocol/peer"
+	"github.com/hickorydock/hickorydock/internal/protocol/platform"
+	"github.com/hickorydock/hickorydock/internal/state/leaf"
+	"github.com/hickorydock/hickorydock/internal/state/shardmap"
+	"github.com/hickorydock/hickorydock/internal/transport/peer"
+	"github.com/hickorydock/hickorydock/internal/transport/tracing"
+)
+
+// fakeRelays passes the first shards to relays that run in the same process and
+// leaves the last one to the node itself.
+type fakeRelays struct {
+	owners map[string]peer.Handler
+	// fail is the error of batches to a node; lose drops their results.
+	fail    map[string]error
+	records *leaf.Table
+	mu      sync.Mutex
+	asked   []string
+}
+
+func (r *fakeRelays) Clusters(groups []string) []Cluster {
+	c := Cluster{}
+	for i := range groups[:len(groups)-1] {
+		c.Shards = append(c.Shards, i)
+	}
+	for id := range r.owners {
+		owner := shardmap.Replica{VM: platform.VM{ID: id}, Record: r.records.Record(id)}
+		if strings.HasPrefix(id, "near") {
+			c.Near = append(c.Near, owner)
+		} else {
+			c.Far = append(c.Far, owner)
+		}
+	}
+	return []Cluster{c, {Shards: []int{len(groups) - 1}, Own: true}}
+}
+
+func (r *fakeRelays) Do(ctx context.Context, node string, batch *contract.Batch, deliver func(peer.Result)) error {
+	r.mu.Lock()
+	r.asked = append(r.asked, node)
+	r.mu.Unlock()
+	if err := r.fail[node]; err != nil {
+		return err
+	}
+	got := 0
+	r.owners[node].Serve(ctx, batch, func(result peer.Result) {
+		if ctx.Err() == nil {
+			got++
+			deliver(result)
+		}
+	})
+	if got < len(batch.Shards) {
+		return peer.ErrLost
+	}
+	return nil
+}
+
+// frozen is a relay that takes batches and never answers.
+type frozen struct{}
+
+func (frozen) Serve(ctx context.Context, _ *contract.Batch, _ func(peer.Result)) { <-ctx.Done() }
+
+func TestRelays(t *testing.T) {
+	fast := answering(10 * ms)
+	tests := []struct {
+		name     string
+		attempts int
+		least    float64
+		leafs    map[string]behaviour
+		fail     error
+		frozen   bool
+		status   int
+		missing  string
+		most     time.Duration
+		// leafSends bounds what a leaf of a passed shard gets.
+		leafSends int
+	}{
+		{"all shards answer", 2, 1, map[string]behaviour{"a/1": fast, "b/1": fast, "c/1": fast}, nil, false, 200, "0", 45 * ms, 1},
+		{"a shard of the relay is late: at the target", 2, 0.5, map[string]behaviour{"a/1": fast, "b/1": silent, "c/1": fast}, nil, false, 200, "1", 95 * ms, 1},
+		{"the relay hedges a leaf that pauses", 2, 1, map[string]behaviour{"a/1": fast, "b/1": silent, "b/2": silent, "c/1": fast}, nil, false, 504, "", 600 * ms, 1},
+		{"a late reply of the relay counts", 2, 1, map[string]behaviour{"a/1": fast, "b/1": answering(300 * ms), "c/1": fast}, nil, false, 200, "0", 310 * ms, 1},
+		{"the relay is not there: sent from here", 2, 1, map[string]behaviour{"a/1": fast, "b/1": fast, "c/1": fast}, peer.ErrNotSent, false, 200, "0", 45 * ms, 1},
+		{"the relay is lost: its shards are not sent again", 2, 0.3, map[string]behaviour{"a/1": fast, "b/1": fast, "c/1": fast}, peer.ErrLost, false, 200, "2", 95 * ms, 0},
+		{"the relay is frozen: at the target without it", 2, 0.3, map[string]behaviour{"a/1": fast, "b/1": fast, "c/1": fast}, nil, true, 200, "2", 95 * ms, 0},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				rt := queryRoute(3, test.least)
+				rt.Attempts = test.attempts
+				entry := newRig(t, rt, test.leafs)
+				relay := newRig(t, rt, test.leafs)
+				relays := &fakeRelays{owners: map[string]peer.Handler{"near": relay.Forwarder}, fail: map[string]error{"near": test.fail}, records: leaf.NewTable()}
+				if test.frozen {
+					relays.owners["near"] = frozen{}
+				}
+				entry.Relays = relays
+				answer, took := entry.do(t.Context(), http.MethodGet, "/x")
+				if answer.Code != test.status || answer.Header().Get("Missing") != test.missing || took > test.most {
+					t.Errorf("status %d with %q missing after %v, want %d with %q within %v", answer.Code, answer.Header().Get("Missing"), took, test.status, test.missing, test.most)
+				}
+				time.Sleep(time.Second)
+				sends := entry.wire.sends()
+				for id, n := range relay.wire.sends() {
+					sends[id] += n
+				}
+				for _, id := range []string{"a/1", "b/1"} {
+					if sends[id] > test.leafSends {
+						t.Errorf("leaf %s got %d arrivals, want at most %d", id, sends[id], test.leafSends)
+					}
+				}
+			})
+		})
+	}
+}
+
+// TestSecondRelay holds that a relay that does not answer is passed over in time
+// when the bound on attempts leaves one, and never exceeds that bound.
+func TestSecondRelay(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		rt := queryRoute(3, 1)
+		rt.Attempts = 3
+		leafs := map[string]behaviour{"a/1": answering(5 * ms), "b/1": answering(5 * ms), "c/1": answering(5 * ms)}
+		entry, relay := newRig(t, rt, leafs), newRig(t, rt, leafs)
+		relays := &fakeRelays{owners: map[string]peer.Handler{"near": frozen{}, "far": relay.Forwarder}, records: leaf.NewTable()}
+		entry.Relays = relays
+		for range 20 { // hedges have to be earned
+			entry.budget("a").Earn(1)
+			entry.budget("b").Earn(1)
+		}
+		answer, took := entry.do(t.Context(), http.MethodGet, "/x")
+		if answer.Code != 200 || took > rt.Target || strings.Join(relays.asked, " ") != "near far" {
+			t.Errorf("status %d after %v by %v", answer.Code, took, relays.asked)
+		}
+		time.Sleep(time.Second)
+	})
+}
+
+func TestUnreadableBatch(t *testing.T) {
+	r := newRig(t, queryRoute(2, 1), map[string]behaviour{"a/1": silent})
+	replies := 0
+	r.Serve(t.Context(), &contract.Batch{Body: []byte("\xff"), Shards: []uint32{0}}, func(peer.Result) { replies++ })
+	if replies != 0 || len(r.wire.begun) != 0 {
+		t.Errorf("%d replies and %d sends for bytes that are no batch", replies, len(r.wire.begun))
+	}
+}
+
+// TestSpans holds that a trace has a span for the request, each hop to a relay and
+// each attempt at a leaf.
+func TestSpans(t *testing.T) {
+	exporter := tracetest.NewInMemoryExporter()
+	tracer := tracing.NewWithExporter(exporter, tracing.Config{SampleShare: 1})
+	leafs := map[string]behaviour{"a/1": answering(ms), "b/1": answering(ms), "c/1": answering(ms)}
+	entry, relay := newRig(t, queryRoute(3, 1), leafs), newRig(t, queryRoute(3, 1), leafs)
+	entry.Tracer, relay.Tracer = tracer, tracer
+	entry.Relays = &fakeRelays{owners: map[string]peer.Handler{"near": relay.Forwarder}, records: leaf.NewTable()}
+	if answer, _ := entry.do(t.Context(), http.MethodGet, "/x"); answer.Code != 200 {
+		t.Fatalf("status %d", answer.Code)
+	}
+	time.Sleep(20 * ms)
+	if err := tracer.Flush(t.Context()); err != nil {
+		t.Fatal(err)
+	}
+	names := map[string]int{}
+	traces := map[string]bool{}
+	for _, span := range exporter.GetSpans() {
+		names[span.Name]++
+		traces[span.SpanContext.TraceID().String()] = true
+	}
+	if names[string(tracing.HopCaller)] != 1 || names[string(tracing.HopPeer)] != 1 || names[string(tracing.HopAttempt)] != 3 || len(traces) != 1 {
+		t.Errorf("spans %v in %d traces", names, len(traces))
+	}
+}
--- a/internal/transport/leafwire/leafwire.go
+++ b/internal/transport/leafwire/leafwire.go
@@ -19,6 +19,7 @@
 	"github.com/hickorydock/hickorydock/internal/coordination/subrequest"
 	"github.com/hickorydock/hickorydock/internal/protocol/platform"
 	"github.com/hickorydock/hickorydock/internal/protocol/route"
+	"github.com/hickorydock/hickorydock/internal/transport/tracing"
 )
 
 const (
@@ -86,6 +87,8 @@
 	Shard, Replica int
 	// Trial is what the quarantine knows of the attempt; it is for the owner.
 	Trial quarantine.Attempt
+	// Span is the trace of the attempt; it is for the owner.
+	Span tracing.Span
 	// Began is when the call was handed over.
 	Began time.Time
 	// Done receives the call at its end; it must have room.
