--- a/internal/node/gateway/gateway.go
+++ b/internal/node/gateway/gateway.go
@@ -164,6 +164,7 @@
 	}
 	r.mesh = m
 	f.Relays = r
+	f.Confirmed = func() time.Time { return known.Confirmed(platform.KindVM) }
 	g.SetPeers(m)
 	lifecycle.Append(fx.StartStopHook(m.Start, m.Close))
 	return m, nil
--- a/internal/transport/forward/answer.go
+++ b/internal/transport/forward/answer.go
@@ -183,6 +183,9 @@
 		"pending": len(x.pending),
 		"relays":  len(x.bundles),
 	}
+	if x.f.Confirmed != nil {
+		fields["confirmed"] = time.Since(x.f.Confirmed()).Round(time.Millisecond)
+	}
 	if len(coverage.Missing) > 0 {
 		fields["missing"] = x.describeMissing(coverage.Missing)
 	}
@@ -192,7 +195,8 @@
 // maxDescribed bounds the missing shards that a log line names.
 const maxDescribed = 4
 
-// describeMissing names the first missing shards with the reason and the leaf.
+// describeMissing names the first missing shards with the reason, the leaf or node
+// that was asked last, and why no other one was.
 func (x *exchange) describeMissing(missing []query.Missing) string {
 	var text strings.Builder
 	for i, m := range missing[:min(len(missing), maxDescribed)] {
@@ -201,8 +205,8 @@
 		}
 		run := &x.shards[m.Shard]
 		text.WriteString(run.group + ":" + string(m.Reason))
-		if run.last != nil {
-			text.WriteString("@" + run.last.Leaf.ID)
+		if run.asked != "" {
+			text.WriteString("@" + run.asked)
 		}
 		if held := run.machine.Held(); held != subrequest.HeldNot {
 			text.WriteString(",held:" + held.String())
--- a/internal/transport/forward/exchange.go
+++ b/internal/transport/forward/exchange.go
@@ -38,6 +38,8 @@
 	// due is when the machine wants to be asked; zero means never.
 	due  time.Time
 	last *leafwire.Call
+	// asked is the node or leaf that was asked last.
+	asked string
 	// over is true once the shard has a reply or has failed, replied only with a
 	// reply.
 	over, replied bool
@@ -281,6 +283,7 @@
 	x.pending[call] = struct{}{}
 	x.query.Sent()
 	x.f.observer.Attempt(x.req.route.Name, kindNames[attempt.Kind])
+	x.shards[shard].asked = call.Leaf.ID
 	x.f.wire.Start(call)
 }
 
--- a/internal/transport/forward/forward.go
+++ b/internal/transport/forward/forward.go
@@ -96,6 +96,9 @@
 	splitters sync.Map // route name -> *split.Splitter
 	// Misdirected is told of a leaf whose address another one has; may be nil.
 	Misdirected func(id string)
+	// Confirmed is when the platform last confirmed the list of leafs; nil leaves it
+	// out of the log.
+	Confirmed func() time.Time
 	// Tracer starts a span for each hop; it is off unless set.
 	Tracer *tracing.Tracer
 	// Relays passes shards on to other nodes; nil means that this node sends to
--- a/internal/transport/forward/pass.go
+++ b/internal/transport/forward/pass.go
@@ -167,8 +167,9 @@
 	headers := http.Header{}
 	x.f.Tracer.Inject(traced, headers)
 	batch := &contract.Batch{RequestId: x.req.id, Body: body, Shards: make([]uint32, len(shards)), Traceparent: headers.Get(traceHeader)}
-	for k := range shards {
+	for k, shard := range shards {
 		batch.Shards[k] = uint32(k)
+		x.shards[shard].asked = owner.VM.ID
 	}
 	ctx, cancel := context.WithDeadline(context.Background(), x.req.deadline)
 	before := b.cancel
