Split the forwarder and the mesh into files by job

No change of behaviour: attempts, learning, messages, serving for other nodes, links and answers to other nodes stand apart from the loops that drive them.

--- /dev/null
+++ b/internal/transport/forward/attempts.go
@@ -0,0 +1,184 @@
+package forward
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"go.opentelemetry.io/otel/attribute"
+
+	"github.com/hickorydock/hickorydock/internal/coordination/hedge"
+	"github.com/hickorydock/hickorydock/internal/coordination/quarantine"
+	"github.com/hickorydock/hickorydock/internal/coordination/replica"
+	"github.com/hickorydock/hickorydock/internal/coordination/subrequest"
+	"github.com/hickorydock/hickorydock/internal/protocol/query"
+	"github.com/hickorydock/hickorydock/internal/transport/leafwire"
+	"github.com/hickorydock/hickorydock/internal/transport/tracing"
+)
+
+// begin sends the first attempt of a shard.
+func (x *exchange) begin(now time.Time, shard int) {
+	replicas := x.view.Replicas[shard]
+	if len(replicas) == 0 {
+		return
+	}
+	run := &x.shards[shard]
+	run.budget = x.f.budget(run.group)
+	run.budget.Earn(1)
+	run.machine = subrequest.New(subrequest.Config{
+		Replicas:         replicas,
+		AvailabilityZone: x.f.cfg.AvailabilityZone,
+		Deadline:         x.req.deadline,
+		HedgeDelay:       hedge.Delay(x.window.Quantile(), x.req.target.Sub(now)),
+		MaxAttempts:      x.attemptsOf(len(replicas)),
+		Once:             !x.req.route.Idempotent,
+		Choose:           replica.Choose,
+		Random:           rand.Uint64,
+	}, run.budget)
+	attempt, ok := run.machine.Start(now)
+	if !ok {
+		x.fail(now, shard, query.ReasonNoReplica)
+		return
+	}
+	x.send(now, shard, attempt)
+	if at, ok := run.machine.HedgeAt(now); ok {
+		run.due = at
+	}
+}
+
+// heldSend is an attempt that the quarantine holds back.
+type heldSend struct {
+	shard   int
+	attempt subrequest.Attempt
+	at      time.Time
+}
+
+// send sends an attempt unless the quarantine refuses it or holds it back.
+func (x *exchange) send(now time.Time, shard int, attempt subrequest.Attempt) {
+	target := x.view.Replicas[shard][attempt.Replica]
+	trial := quarantine.Attempt{
+		Fingerprint: x.req.mark,
+		Shard:       shard,
+		Leaf:        target.VM.ID,
+		Hedge:       attempt.Kind == subrequest.Hedge,
+	}
+	switch x.f.guard.Try(&trial) {
+	case quarantine.Hold:
+		x.held = append(x.held, heldSend{shard, attempt, now.Add(quarantine.ReportDelay())})
+		return
+	case quarantine.Refuse:
+		x.decide(now, shard, subrequest.NotRun)
+		return
+	case quarantine.Allow:
+	}
+	target.Record.Begin(now)
+	call := &leafwire.Call{
+		Message: x.message,
+		Leaf:    target.VM,
+		Shard:   shard,
+		Replica: attempt.Replica,
+		Began:   now,
+		Done:    x.done,
+		Trial:   trial,
+	}
+	_, call.Span = x.f.Tracer.Start(x.ctx, tracing.HopAttempt, attribute.String("leaf", call.Leaf.ID), attribute.Int("shard", shard))
+	x.sends++
+	x.pending[call] = struct{}{}
+	x.query.Sent()
+	x.f.observer.Attempt(x.req.route.Name, kindNames[attempt.Kind])
+	x.shards[shard].asked = call.Leaf.ID
+	x.f.wire.Start(call)
+}
+
+// kindNames are the names of attempt kinds in metrics.
+var kindNames = map[subrequest.Kind]string{subrequest.First: "first", subrequest.Hedge: "hedge", subrequest.Retry: "retry"}
+
+// due lets the machines act whose time has come.
+func (x *exchange) due(now time.Time) {
+	for shard := range x.shards {
+		run := &x.shards[shard]
+		if run.due.IsZero() || run.due.After(now) {
+			continue
+		}
+		attempt, send, again := run.machine.Due(now)
+		run.due = again
+		if send {
+			x.send(now, shard, attempt)
+		}
+	}
+	held := x.held
+	x.held = nil
+	for _, h := range held {
+		if h.at.After(now) {
+			x.held = append(x.held, h)
+			continue
+		}
+		if !x.shards[h.shard].over {
+			x.send(now, h.shard, h.attempt)
+		}
+	}
+	for _, b := range x.bundles {
+		if !b.hedgeAt.IsZero() && !b.hedgeAt.After(now) {
+			b.hedgeAt = time.Time{}
+			x.hedgeBundle(now, b)
+		}
+	}
+}
+
+// ended takes the end of an attempt.
+func (x *exchange) ended(now time.Time, call *leafwire.Call) {
+	delete(x.pending, call)
+	x.f.learn(x.window, now, call)
+	x.ran = x.ran || call.Reply.Sent
+	run := &x.shards[call.Shard]
+	run.last = call
+	x.decide(now, call.Shard, call.Reply.Result)
+}
+
+// decide carries out what the end of an attempt leads to.
+func (x *exchange) decide(now time.Time, shard int, result subrequest.Result) {
+	run := &x.shards[shard]
+	if run.over {
+		return
+	}
+	decision, next := run.machine.Ended(now, result)
+	switch decision {
+	case subrequest.Deliver:
+		run.due = time.Time{}
+		reply := &run.last.Reply
+		x.take(now, shard, part{receipt: reply.Receipt, records: reply.Body, call: run.last})
+	case subrequest.GiveUp:
+		run.due = time.Time{}
+		x.fail(now, shard, run.machine.Reason())
+	case subrequest.Send:
+		x.send(now, shard, next)
+	case subrequest.Later:
+		run.due = run.machine.RoundAt()
+	case subrequest.Wait:
+	}
+}
+
+// take hands the reply of a shard to the gathering. One that comes after another
+// is dropped.
+func (x *exchange) take(now time.Time, shard int, reply part) {
+	if x.shards[shard].over {
+		return
+	}
+	x.shards[shard].over = true
+	x.shards[shard].replied = true
+	if _, err := x.query.Reply(now, x.query.Attempt(), shard, x.view.Snapshot, reply); err != nil {
+		x.f.broken("gather", x.req, err)
+	}
+	if x.replied != nil {
+		x.replied(shard, reply)
+	}
+}
+
+func (x *exchange) fail(now time.Time, shard int, reason query.Reason) {
+	if x.shards[shard].over {
+		return
+	}
+	x.shards[shard].over = true
+	if _, err := x.query.Fail(now, x.query.Attempt(), shard, reason); err != nil {
+		x.f.broken("gather", x.req, err)
+	}
+}
--- /dev/null
+++ b/internal/transport/forward/served.go
@@ -0,0 +1,107 @@
+package forward
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/hickorydock/hickorydock/internal/coordination/hedge"
+	"github.com/hickorydock/hickorydock/internal/coordination/quarantine"
+	"github.com/hickorydock/hickorydock/internal/coordination/topk"
+	contract "github.com/hickorydock/hickorydock/internal/protocol/peer"
+	"github.com/hickorydock/hickorydock/internal/protocol/query"
+	"github.com/hickorydock/hickorydock/internal/protocol/route"
+	"github.com/hickorydock/hickorydock/internal/transport/leafwire"
+	"github.com/hickorydock/hickorydock/internal/transport/peer"
+)
+
+// Serve runs shards for another node. Replies go back together, since each message
+// costs both nodes as much as a request to a leaf: those that are there at
+// hedge.ReportDelay, then all when they are complete or the target has come, and
+// later ones as they come.
+func (f *Forwarder) Serve(ctx context.Context, batch *contract.Batch, reply func(peer.Result)) {
+	var m contract.Passed
+	if err := proto.Unmarshal(batch.Body, &m); err != nil || len(m.Groups) != len(batch.Shards) {
+		f.log.WithField("request", batch.RequestId).WithError(err).Warn("batch not readable")
+		return
+	}
+	now := time.Now()
+	deadline, ok := ctx.Deadline()
+	if !ok {
+		deadline = now.Add(time.Duration(batch.TimeLeftUs) * time.Microsecond)
+	}
+	req := &request{
+		id:       batch.RequestId,
+		arrived:  now,
+		deadline: deadline,
+		target:   now.Add(time.Duration(m.TargetUs)*time.Microsecond - f.lag.Expected()),
+		version:  m.Version,
+		relayed:  true,
+		mark:     quarantine.Fingerprint(m.Fingerprint),
+		route:    &route.Route{Name: m.Route, Idempotent: true, Shards: m.Groups, Attempts: int(m.Attempts), Top: int(m.Top)},
+	}
+	x := newExchange(f, req)
+	if batch.Traceparent != "" {
+		x.ctx = f.Tracer.Extract(x.ctx, http.Header{http.CanonicalHeaderKey(traceHeader): {batch.Traceparent}})
+	}
+	x.message = &leafwire.Message{Method: m.Method, Head: m.Head, Body: m.Body, ID: req.id, Deadline: deadline}
+	defer x.abandon()
+	var ready []peer.Result
+	x.replied = func(shard int, p part) { ready = append(ready, resultOf(shard, p, req.route.Top)) }
+	if x.start(now) {
+		flush := func() {
+			for _, r := range ready {
+				reply(r)
+			}
+			ready = ready[:0]
+		}
+		for _, at := range []time.Time{now.Add(hedge.ReportDelay(req.target.Sub(now))), req.target} {
+			x.loopUntil(ctx, at)
+			flush()
+		}
+		x.replied = func(shard int, p part) { reply(resultOf(shard, p, req.route.Top)) }
+		x.loopUntil(ctx, deadline)
+	}
+	x.replyFailures(reply)
+}
+
+// loopUntil takes events until nothing is pending, a time has come or ctx ended.
+func (x *exchange) loopUntil(ctx context.Context, at time.Time) {
+	x.alarm = at
+	x.loop(ctx, func(now time.Time) bool { return x.isAllOver() || !now.Before(at) })
+	x.alarm = time.Time{}
+}
+
+// isAllOver reports whether no shard has anything pending.
+func (x *exchange) isAllOver() bool {
+	for i := range x.shards {
+		if !x.shards[i].over && len(x.view.Replicas[i]) > 0 {
+			return false
+		}
+	}
+	return true
+}
+
+// replyFailures says of each shard without a reply whether it may have run.
+func (x *exchange) replyFailures(reply func(peer.Result)) {
+	status := contract.Status_STATUS_FAILED
+	if !x.ran && len(x.pending) == 0 {
+		status = contract.Status_STATUS_NOT_RUN
+	}
+	for shard := range x.shards {
+		if !x.shards[shard].replied {
+			reply(peer.Result{Index: shard, Status: status, Reason: string(query.ReasonUpstreamError)})
+		}
+	}
+}
+
+func resultOf(shard int, p part, top int) peer.Result {
+	records := topk.Merge([][]byte{p.records}, top)
+	body, err := proto.Marshal(&contract.Part{Receipt: p.receipt, Records: records})
+	if err != nil {
+		return peer.Result{Index: shard, Status: contract.Status_STATUS_FAILED, Reason: string(query.ReasonBadReply)}
+	}
+	return peer.Result{Index: shard, Status: contract.Status_STATUS_OK, Body: body}
+}
--- a/internal/transport/mesh/follow.go
+++ b/internal/transport/mesh/follow.go
@@ -4,12 +4,10 @@
 	"context"
 	"errors"
 	"math/rand/v2"
-	"net"
 	"sync"
 	"time"
 
 	"github.com/apex/log"
-	"storj.io/drpc/drpcconn"
 
 	"github.com/hickorydock/hickorydock/internal/coordination/reader"
 	"github.com/hickorydock/hickorydock/internal/protocol/fault"
@@ -51,12 +49,6 @@
 	links map[platform.Kind]*link
 }
 
-// link is the connection by which a kind is followed.
-type link struct {
-	peer string
-	conn *drpcconn.Conn
-}
-
 // NewClient returns a client that shares what the platform says. wait is how long
 // a watch waits for a change.
 func NewClient(store platform.Client, m *Mesh, wait time.Duration) *Client {
@@ -255,138 +247,3 @@
 	}
 	return nil, confirmed, err
 }
-
-// ask performs one call on the link of a kind, which belongs to one goroutine.
-func (c *Client) ask(ctx context.Context, id string, kind platform.Kind, request *contract.FollowRequest) (*contract.FollowReply, error) {
-	l, err := c.link(ctx, id, kind)
-	if err != nil {
-		return nil, err
-	}
-	reply, err := contract.NewDRPCGatewayClient(l.conn).Follow(ctx, request)
-	if err != nil {
-		c.dropLink(kind, l)
-	}
-	return reply, err
-}
-
-func (c *Client) link(ctx context.Context, id string, kind platform.Kind) (*link, error) {
-	c.mu.Lock()
-	l := c.links[kind]
-	c.mu.Unlock()
-	if l != nil && l.peer == id {
-		return l, nil
-	}
-	if l != nil {
-		c.dropLink(kind, l)
-	}
-	raw, err := c.mesh.dial(ctx, id)
-	if err != nil {
-		return nil, err
-	}
-	l = &link{peer: id, conn: drpcconn.NewWithOptions(raw, drpcconn.Options{Manager: c.mesh.wire.ManagerOptions()})}
-	c.mu.Lock()
-	c.links[kind] = l
-	c.mu.Unlock()
-	return l, nil
-}
-
-func (c *Client) dropLink(kind platform.Kind, l *link) {
-	c.mu.Lock()
-	if c.links[kind] == l {
-		delete(c.links, kind)
-	}
-	c.mu.Unlock()
-	_ = l.conn.Close()
-}
-
-// Close ends the links.
-func (c *Client) Close() {
-	c.mu.Lock()
-	links := c.links
-	c.links = make(map[platform.Kind]*link)
-	c.mu.Unlock()
-	for _, l := range links {
-		_ = l.conn.Close()
-	}
-}
-
-// dial opens a connection to a present member.
-func (m *Mesh) dial(ctx context.Context, id string) (net.Conn, error) {
-	address := ""
-	for _, member := range m.Members() {
-		if member.ID == id {
-			address = member.Address
-		}
-	}
-	if address == "" {
-		return nil, fault.New(fault.StepPeer, id, "node is not present")
-	}
-	dialer := net.Dialer{Timeout: dialTimeout, KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: time.Second, Interval: time.Second, Count: 2}}
-	return dialer.DialContext(ctx, "tcp", address)
-}
-
-// service answers other nodes.
-type service struct{ mesh *Mesh }
-
-// Follow answers with what this node knows of a kind.
-func (s service) Follow(ctx context.Context, request *contract.FollowRequest) (*contract.FollowReply, error) {
-	if _, err := s.mesh.wire.Agree(request.Hello); err != nil {
-		return nil, err
-	}
-	reply := &contract.FollowReply{Hello: s.mesh.wire.Hello(), Known: true}
-	kind := platform.Kind(request.Kind)
-	if request.List {
-		listing, confirmed, ok := s.mesh.cfg.Mirror.List(kind)
-		reply.Known = ok
-		reply.Version = listing.Version
-		for _, o := range listing.Objects {
-			reply.Objects = append(reply.Objects, encode(o, false))
-		}
-		setAge(reply, confirmed)
-		return reply, nil
-	}
-	wait := time.Duration(request.WaitMs) * time.Millisecond
-	maxAge := time.Duration(request.MaxAgeMs) * time.Millisecond
-	if maxAge > 0 && time.Since(s.mesh.cfg.Mirror.Confirmed(kind)) > maxAge {
-		wait = 0
-	}
-	changes, version, confirmed, err := s.mesh.cfg.Mirror.Changes(ctx, kind, request.From, wait)
-	switch {
-	case errors.Is(err, platform.ErrTooOld):
-		reply.TooOld = true
-	case errors.Is(err, platform.ErrUnavailable):
-		reply.Known = false
-	case err != nil:
-		return nil, err
-	}
-	reply.Version = version
-	for _, e := range changes {
-		reply.Objects = append(reply.Objects, encode(e.Object, e.Deleted))
-	}
-	setAge(reply, confirmed)
-	return reply, nil
-}
-
-func setAge(reply *contract.FollowReply, confirmed time.Time) {
-	reply.AgeMs = uint64(max(time.Since(confirmed).Milliseconds(), 0))
-}
-
-func encode(o platform.Object, deleted bool) *contract.StoredObject {
-	return &contract.StoredObject{Name: o.Name, Version: o.Version, Value: o.Value, Deleted: deleted}
-}
-
-// Charge takes a quarantine report.
-func (s service) Charge(_ context.Context, request *contract.ReportRequest) (*contract.ReportReply, error) {
-	if _, err := s.mesh.wire.Agree(request.Hello); err != nil {
-		return nil, err
-	}
-	if s.mesh.cfg.Hear == nil {
-		return nil, errNotTaken
-	}
-	for _, charge := range request.Charges {
-		s.mesh.cfg.Hear(reportOf(charge))
-	}
-	return &contract.ReportReply{Hello: s.mesh.wire.Hello()}, nil
-}
-
-var errNotTaken = errors.New("call is not taken here")
--- /dev/null
+++ b/internal/transport/mesh/service.go
@@ -0,0 +1,76 @@
+package mesh
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	contract "github.com/hickorydock/hickorydock/internal/protocol/peer"
+	"github.com/hickorydock/hickorydock/internal/protocol/platform"
+)
+
+// service answers other nodes.
+type service struct{ mesh *Mesh }
+
+// Follow answers with what this node knows of a kind.
+func (s service) Follow(ctx context.Context, request *contract.FollowRequest) (*contract.FollowReply, error) {
+	if _, err := s.mesh.wire.Agree(request.Hello); err != nil {
+		return nil, err
+	}
+	reply := &contract.FollowReply{Hello: s.mesh.wire.Hello(), Known: true}
+	kind := platform.Kind(request.Kind)
+	if request.List {
+		listing, confirmed, ok := s.mesh.cfg.Mirror.List(kind)
+		reply.Known = ok
+		reply.Version = listing.Version
+		for _, o := range listing.Objects {
+			reply.Objects = append(reply.Objects, encode(o, false))
+		}
+		setAge(reply, confirmed)
+		return reply, nil
+	}
+	wait := time.Duration(request.WaitMs) * time.Millisecond
+	maxAge := time.Duration(request.MaxAgeMs) * time.Millisecond
+	if maxAge > 0 && time.Since(s.mesh.cfg.Mirror.Confirmed(kind)) > maxAge {
+		wait = 0
+	}
+	changes, version, confirmed, err := s.mesh.cfg.Mirror.Changes(ctx, kind, request.From, wait)
+	switch {
+	case errors.Is(err, platform.ErrTooOld):
+		reply.TooOld = true
+	case errors.Is(err, platform.ErrUnavailable):
+		reply.Known = false
+	case err != nil:
+		return nil, err
+	}
+	reply.Version = version
+	for _, e := range changes {
+		reply.Objects = append(reply.Objects, encode(e.Object, e.Deleted))
+	}
+	setAge(reply, confirmed)
+	return reply, nil
+}
+
+func setAge(reply *contract.FollowReply, confirmed time.Time) {
+	reply.AgeMs = uint64(max(time.Since(confirmed).Milliseconds(), 0))
+}
+
+func encode(o platform.Object, deleted bool) *contract.StoredObject {
+	return &contract.StoredObject{Name: o.Name, Version: o.Version, Value: o.Value, Deleted: deleted}
+}
+
+// Charge takes a quarantine report.
+func (s service) Charge(_ context.Context, request *contract.ReportRequest) (*contract.ReportReply, error) {
+	if _, err := s.mesh.wire.Agree(request.Hello); err != nil {
+		return nil, err
+	}
+	if s.mesh.cfg.Hear == nil {
+		return nil, errNotTaken
+	}
+	for _, charge := range request.Charges {
+		s.mesh.cfg.Hear(reportOf(charge))
+	}
+	return &contract.ReportReply{Hello: s.mesh.wire.Hello()}, nil
+}
+
+var errNotTaken = errors.New("call is not taken here")
