--- /dev/null
+++ b/internal/transport/leafwire/bench_test.go
@@ -0,0 +1,98 @@
+package leafwire
+
+import (
+	"bufio"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/hickorydock/hickorydock/internal/protocol/platform"
+)
+
+// benchReply is a usual reply of a leaf: 62 records.
+var benchReply = "HTTP/1.1 200 OK\r\nId: r1\r\nReceipt: x\r\nContent-Length: 992\r\nKeep-Alive: timeout=5\r\n\r\n" + strings.Repeat("0123456789abcdef", 62)
+
+// plainLeaf answers each request with the same bytes, at little cost of its own.
+func plainLeaf(b *testing.B) string {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		b.Fatal(err)
+	}
+	b.Cleanup(func() { _ = listener.Close() })
+	go func() {
+		for {
+			c, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer c.Close()
+				r := bufio.NewReader(c)
+				for {
+					line, err := r.ReadSlice('\n')
+					if err != nil {
+						return
+					}
+					if len(line) == 2 {
+						if _, err := io.WriteString(c, benchReply); err != nil {
+							return
+						}
+					}
+				}
+			}()
+		}
+	}()
+	return listener.Addr().String()
+}
+
+// processorTime is what the process has used, both sides of the connection.
+func processorTime() time.Duration {
+	var usage syscall.Rusage
+	_ = syscall.Getrusage(syscall.RUSAGE_SELF, &usage)
+	return time.Duration(usage.Utime.Nano() + usage.Stime.Nano())
+}
+
+func reportProcessorTime(b *testing.B, before time.Duration) {
+	b.ReportMetric(float64((processorTime()-before).Nanoseconds())/float64(b.N), "cpu-ns/op")
+}
+
+func BenchmarkCall(b *testing.B) {
+	vm := platform.VM{ID: "leaf-1", Address: plainLeaf(b)}
+	client := New(Config{Names: testNames, Limit: func(string) int { return 1 }})
+	message := &Message{Method: http.MethodGet, Head: []byte("GET /p HTTP/1.1\r\nHost: h\r\nId: r1\r\n"), ID: requestID, Deadline: time.Now().Add(time.Hour)}
+	done := make(chan *Call, 1)
+	b.ReportAllocs()
+	before := processorTime()
+	for b.Loop() {
+		client.Start(&Call{Message: message, Leaf: vm, Began: time.Now(), Done: done})
+		if call := <-done; call.Reply.Err != nil {
+			b.Fatal(call.Reply.Err)
+		}
+	}
+	reportProcessorTime(b, before)
+	client.Forget(vm.ID)
+	time.Sleep(10 * time.Millisecond) // its reader ends
+}
+
+func BenchmarkNetHTTP(b *testing.B) {
+	url := "http://" + plainLeaf(b) + "/p"
+	transport := &http.Transport{DisableCompression: true}
+	defer transport.CloseIdleConnections()
+	b.ReportAllocs()
+	before := processorTime()
+	for b.Loop() {
+		request, _ := http.NewRequest(http.MethodGet, url, nil)
+		request.Header.Set("Id", requestID)
+		response, err := transport.RoundTrip(request)
+		if err != nil {
+			b.Fatal(err)
+		}
+		_, _ = io.ReadAll(response.Body)
+		_ = response.Body.Close()
+	}
+	reportProcessorTime(b, before)
+}
