Notice lost sources sooner, and read only the newest of several versions

Ruled out: the store (other nodes read it within 0.4 s), a version that went back. Change: polls of another node wait 0.6 s at most, dials 0.25 s; of changes that come together only the last of each object is handed over; a node that stops no longer passes over all its sources. Test: TestReadersAreLost, TestNewest.

--- a/internal/transport/mesh/follow.go
+++ b/internal/transport/mesh/follow.go
@@ -17,7 +17,7 @@
 
 const (
 	// dialTimeout bounds opening a connection to another node.
-	dialTimeout = 500 * time.Millisecond
+	dialTimeout = 250 * time.Millisecond
 	// replyMargin is what a followed node may take beyond the wait that it was asked for.
 	replyMargin = 300 * time.Millisecond
 	// passedOverFor is how long a source that failed or knows nothing fresh is
@@ -26,6 +26,9 @@
 	// turnedAwayFor is how long a reader that the platform does not serve leaves it
 	// to the next ones. All nodes do so in an outage, which may be over then.
 	turnedAwayFor = 1 * time.Second
+	// maxFollowWait is the longest wait of a poll of another node. It bounds how long
+	// a source that is lost goes unnoticed.
+	maxFollowWait = 600 * time.Millisecond
 	// sourceWait is the pause of a node that has no source yet.
 	sourceWait = 50 * time.Millisecond
 	// settle is the pause of a reader after a change, so that changes that come
@@ -140,6 +143,9 @@
 		if err != nil && !errors.Is(err, errSource) {
 			return err
 		}
+		if ctx.Err() != nil {
+			return ctx.Err()
+		}
 	}
 }
 
@@ -149,20 +155,21 @@
 	var changes []platform.Event
 	err := c.Client.Watch(ctx, kind, from, func(event platform.Event) error {
 		from = max(from, event.Object.Version)
-		if err := each(event); err != nil {
-			return err
-		}
 		if !event.Progress {
 			changes = append(changes, event)
 			return nil
 		}
+		took := len(changes) > 0
 		c.mesh.cfg.Mirror.Apply(kind, changes, from, time.Now())
-		if len(changes) > 0 {
-			changes = nil
-			time.Sleep(settle)
-		}
-		if !c.source().Platform {
+		err := handOver(newest(changes), from, kind, each)
+		changes = nil
+		switch {
+		case err != nil:
+			return err
+		case !c.source().Platform:
 			return errSource
+		case took:
+			time.Sleep(settle)
 		}
 		return nil
 	})
@@ -172,6 +179,31 @@
 	return from, err
 }
 
+// newest leaves out changes that a later one of the same object replaces.
+func newest(changes []platform.Event) []platform.Event {
+	last := make(map[string]int, len(changes))
+	for i := range changes {
+		last[changes[i].Object.Name] = i
+	}
+	kept := make([]platform.Event, 0, len(last))
+	for i := range changes {
+		if last[changes[i].Object.Name] == i {
+			kept = append(kept, changes[i])
+		}
+	}
+	return kept
+}
+
+// handOver passes changes on, and the version that they lead to.
+func handOver(changes []platform.Event, version uint64, kind platform.Kind, each func(platform.Event) error) error {
+	for _, event := range changes {
+		if err := each(event); err != nil {
+			return err
+		}
+	}
+	return each(platform.Event{Progress: true, Object: platform.Object{Kind: kind, Version: version}})
+}
+
 // turnedAway takes this node out of the readers for a while when the platform
 // does not serve it, since it may serve others.
 func (c *Client) turnedAway(ctx context.Context, err error) {
@@ -186,7 +218,7 @@
 // watchPeer follows another node for one reply. It returns the version to go on
 // from.
 func (c *Client) watchPeer(ctx context.Context, id string, kind platform.Kind, from uint64, each func(platform.Event) error) (uint64, error) {
-	reply, confirmed, err := c.follow(ctx, id, kind, &contract.FollowRequest{From: from, WaitMs: uint32(c.wait.Milliseconds())})
+	reply, confirmed, err := c.follow(ctx, id, kind, &contract.FollowRequest{From: from, WaitMs: uint32(min(c.wait, maxFollowWait).Milliseconds())})
 	if err != nil {
 		if errors.Is(err, platform.ErrTooOld) {
 			return from, err
@@ -197,14 +229,9 @@
 	for _, object := range reply.Objects {
 		changes = append(changes, platform.Event{Deleted: object.Deleted, Object: decode(kind, object)})
 	}
-	for _, event := range changes {
-		if err := each(event); err != nil {
-			return from, err
-		}
-	}
 	from = max(from, reply.Version)
 	c.mesh.cfg.Mirror.Apply(kind, changes, from, confirmed)
-	return from, each(platform.Event{Progress: true, Object: platform.Object{Kind: kind, Version: from}})
+	return from, handOver(newest(changes), from, kind, each)
 }
 
 func decode(kind platform.Kind, o *contract.StoredObject) platform.Object {
@@ -238,6 +265,9 @@
 	default:
 		return reply, confirmed.Add(-time.Duration(reply.AgeMs) * time.Millisecond), nil
 	}
+	if errors.Is(ctx.Err(), context.Canceled) { // this node stops
+		return nil, confirmed, err
+	}
 	c.mu.Lock()
 	_, known := c.stale[id]
 	c.stale[id] = time.Now().Add(passedOverFor)
--- a/internal/transport/mesh/mesh_test.go
+++ b/internal/transport/mesh/mesh_test.go
@@ -233,3 +233,35 @@
 		t.Errorf("batch to an unknown node: %v", err)
 	}
 }
+
+// TestReadersAreLost answers the pattern of a power loss that takes both readers
+// just as changes are made: their followers notice by the silence of their links.
+func TestReadersAreLost(t *testing.T) {
+	store := standin.New(standin.Options{Seed: 1})
+	set(t, store, 1)
+	nodes := startNodes(t, 6, func(int) platform.Client { return pollingClient{store.Client(), store} })
+	awaitAll(t, nodes, "1", 5*time.Second)
+	lost := reader.Readers(nodes[0].Members(), nil)
+	var rest []*node
+	for _, n := range nodes {
+		if n.cfg.Node == lost[0] || n.cfg.Node == lost[1] {
+			n.end() // no good-bye
+			_ = n.listener.Close()
+			_ = n.datagrams.Close()
+			continue
+		}
+		rest = append(rest, n)
+	}
+	set(t, store, 2)
+	awaitAll(t, rest, "2", 3*time.Second)
+}
+
+func TestNewest(t *testing.T) {
+	change := func(name, value string, deleted bool) platform.Event {
+		return platform.Event{Deleted: deleted, Object: platform.Object{Name: name, Value: []byte(value)}}
+	}
+	got := newest([]platform.Event{change("a", "1", false), change("b", "1", false), change("a", "2", false), change("b", "1", true)})
+	if len(got) != 2 || string(got[0].Object.Value) != "2" || !got[1].Deleted {
+		t.Errorf("%+v", got)
+	}
+}
