Read the platform itself when knowledge is overdue or three sources were lost

Change: after three lost sources, or 2.5 waits without confirmation, a node reads the platform itself unless it was turned away. Test: TestOverdue.

--- a/internal/coordination/reader/reader.go
+++ b/internal/coordination/reader/reader.go
@@ -21,6 +21,9 @@
 	// JoinTime is how long a node that starts waits to hear of others before it
 	// reads the platform itself.
 	JoinTime = 300 * time.Millisecond
+	// lostSources is the number of sources that failed lately from which on a node
+	// does not look for another one.
+	lostSources = 3
 	// soloShare is the share of looks at which a node reads the platform itself when
 	// all others are stale and it does not count itself among the readers.
 	soloShare = 0.1
@@ -62,6 +65,9 @@
 	// Stale lists the nodes that lately failed or knew nothing fresh; this one is
 	// among them while the platform turns it away.
 	Stale []string
+	// Overdue is true when what the node knows was confirmed too long ago, whoever
+	// it tried to learn from.
+	Overdue bool
 	// Draw is a random number in [0, 1).
 	Draw float64
 }
@@ -76,7 +82,9 @@
 }
 
 // Choose returns the source of a node. Where the readers know nothing fresh, as when
-// the platform turns them away, the next ones in order take their place.
+// the platform turns them away, the next ones in order take their place. A node that
+// is overdue or lost several sources reads the platform itself, unless it was turned
+// away.
 func Choose(look Look) Source {
 	readers := Readers(look.Members, look.Stale)
 	others := slices.DeleteFunc(slices.Clone(readers), func(id string) bool { return id == look.Self })
@@ -85,6 +93,8 @@
 		return Source{}
 	case len(others) < len(readers):
 		return Source{Platform: true}
+	case (look.Overdue || len(look.Stale) >= lostSources) && !slices.Contains(look.Stale, look.Self):
+		return Source{Platform: true}
 	case len(others) > 0:
 		return Source{Peer: others[int(look.Draw*float64(len(others)))]}
 	case len(look.Members) <= 1 || look.Draw < soloShare:
--- a/internal/coordination/reader/reader_test.go
+++ b/internal/coordination/reader/reader_test.go
@@ -88,6 +88,29 @@
 	}
 }
 
+// TestOverdue answers the pattern of cuts that take one source after the other:
+// whoever they are, knowledge does not grow old while the platform serves the node.
+func TestOverdue(t *testing.T) {
+	members := fleet(70)
+	readers := Readers(members, nil)
+	for _, m := range members {
+		look := Look{Self: m.ID, Members: members, SinceStart: time.Minute, Overdue: true, Draw: 0.5}
+		if got := Choose(look); !got.Platform {
+			t.Fatalf("node %s that is overdue learns from %+v", m.ID, got)
+		}
+		look.Overdue = false
+		look.Stale = []string{"a", "b", "c"}
+		if got := Choose(look); !got.Platform {
+			t.Fatalf("node %s that lost three sources learns from %+v", m.ID, got)
+		}
+		look.Overdue = true
+		look.Stale = []string{m.ID}
+		if got := Choose(look); got.Platform || !slices.Contains(Readers(members, look.Stale), got.Peer) {
+			t.Fatalf("node %s that is overdue and turned away learns from %+v, readers %v", m.ID, got, readers)
+		}
+	}
+}
+
 func TestNobodyIsFresh(t *testing.T) {
 	members := fleet(3)
 	look := Look{Self: "n000", Members: members, SinceStart: time.Minute, Stale: []string{"n000", "n001", "n002"}, Draw: 0.9}
--- a/internal/transport/mesh/follow.go
+++ b/internal/transport/mesh/follow.go
@@ -29,6 +29,9 @@
 	// maxFollowWait is the longest wait of a poll of another node. It bounds how long
 	// a source that is lost goes unnoticed.
 	maxFollowWait = 600 * time.Millisecond
+	// overdueWaits is the number of waits of a watch, in halves, after which what a
+	// node knows is overdue. Four are usual: a reader waits, and so does who follows.
+	overdueWaits = 5
 	// sourceWait is the pause of a node that has no source yet.
 	sourceWait = 50 * time.Millisecond
 	// settle is the pause of a reader after a change, so that changes that come
@@ -58,9 +61,10 @@
 	return &Client{Client: store, mesh: m, wait: wait, stale: make(map[string]time.Time), links: make(map[platform.Kind]*link)}
 }
 
-// source chooses from where to learn now.
-func (c *Client) source() reader.Source {
+// source chooses from where to learn a kind now.
+func (c *Client) source(kind platform.Kind) reader.Source {
 	now := time.Now()
+	confirmed := c.mesh.cfg.Mirror.Confirmed(kind)
 	c.mu.Lock()
 	var stale []string
 	for id, until := range c.stale {
@@ -78,14 +82,15 @@
 		Seeded:     len(c.mesh.cfg.Seeds) > 0,
 		IsSeed:     c.mesh.isSeed(),
 		Stale:      stale,
+		Overdue:    !confirmed.IsZero() && now.Sub(confirmed) > overdueWaits*c.wait/2,
 		Draw:       rand.Float64(),
 	})
 }
 
 // await chooses a source, and waits while the node is to hear of others first.
-func (c *Client) await(ctx context.Context) (reader.Source, error) {
+func (c *Client) await(ctx context.Context, kind platform.Kind) (reader.Source, error) {
 	for first := true; ; first = false {
-		source := c.source()
+		source := c.source(kind)
 		if source != (reader.Source{}) {
 			return source, nil
 		}
@@ -102,7 +107,7 @@
 
 // List returns all objects of a kind as the source knows them.
 func (c *Client) List(ctx context.Context, kind platform.Kind) (platform.Listing, error) {
-	source, err := c.await(ctx)
+	source, err := c.await(ctx, kind)
 	if err != nil {
 		return platform.Listing{}, fault.Wrap(err, fault.StepPlatform, "", "list %s: no source", kind)
 	}
@@ -131,7 +136,7 @@
 // Watch follows a kind until ctx ends, each fails or the source does.
 func (c *Client) Watch(ctx context.Context, kind platform.Kind, from uint64, each func(platform.Event) error) error {
 	for {
-		source, err := c.await(ctx)
+		source, err := c.await(ctx, kind)
 		if err != nil {
 			return fault.Wrap(err, fault.StepPlatform, "", "watch %s: no source", kind)
 		}
@@ -166,7 +171,7 @@
 		switch {
 		case err != nil:
 			return err
-		case !c.source().Platform:
+		case !c.source(kind).Platform:
 			return errSource
 		case took:
 			time.Sleep(settle)
