--- a/internal/node/gateway/control.go
+++ b/internal/node/gateway/control.go
@@ -202,3 +202,12 @@
 	c.wire.Forget(id)
 	c.log.WithFields(log.Fields{"leaf": id, "group": old.VM.Group, "cause": cause}).Info("leaf gone")
 }
+
+// releaseMoved gives up the connections to leafs that other nodes relay to now.
+func (c *controller) releaseMoved() {
+	for _, l := range c.groups.All() {
+		if !c.relays.connectsTo(l.VM.Group) {
+			c.wire.Release(l.VM.ID)
+		}
+	}
+}
--- a/internal/node/gateway/relays.go
+++ b/internal/node/gateway/relays.go
@@ -43,6 +43,8 @@
 	routing *routing.Store
 	records *leaf.Table // of nodes
 	log     log.Interface
+	// moved is told of each new division in the background; may be nil.
+	moved   func()
 	present atomic.Pointer[membersList]
 	current atomic.Pointer[assignment]
 }
@@ -65,6 +67,9 @@
 	}
 	a := &assignment{members: members, index: index, owners: r.divide(members.members, index)}
 	r.current.Store(a)
+	if a.owners != nil && r.moved != nil {
+		go r.moved()
+	}
 	return a
 }
 
--- a/internal/transport/leafwire/leafwire.go
+++ b/internal/transport/leafwire/leafwire.go
@@ -200,6 +200,23 @@
 	}
 }
 
+// Release closes the idle connections to a leaf that other nodes send to now, so
+// that they find room at it. The leaf can still be called.
+func (c *Client) Release(id string) {
+	found, ok := c.peers.Load(id)
+	if !ok {
+		return
+	}
+	p := found.(*peer)
+	p.mu.Lock()
+	idle := p.idle
+	p.idle = nil
+	p.mu.Unlock()
+	for _, one := range idle {
+		_ = one.net.Close() // its reader counts it out
+	}
+}
+
 // Forget closes what is idle towards a leaf that is gone; calls in progress end
 // as they would.
 func (c *Client) Forget(id string) {
--- a/internal/transport/leafwire/leafwire_test.go
+++ b/internal/transport/leafwire/leafwire_test.go
@@ -275,6 +275,35 @@
 	}
 }
 
+// TestRelease holds that a leaf sees the end of idle connections that are released
+// and that it can be called again.
+func TestRelease(t *testing.T) {
+	ended := make(chan struct{}, 10)
+	leaf := newLeaf(t, func(_ int, c net.Conn, r *bufio.Reader) {
+		for {
+			if _, err := http.ReadRequest(r); err != nil {
+				ended <- struct{}{}
+				return
+			}
+			_, _ = io.WriteString(c, whole)
+		}
+	})
+	client := newClient(t, 1, leaf.vm())
+	_, done := start(client, leaf.vm(), "")
+	await(t, done)
+	client.Release("unknown")
+	client.Release(leaf.vm().ID)
+	select {
+	case <-ended:
+	case <-time.After(testWait):
+		t.Fatal("the connection stays open")
+	}
+	_, done = start(client, leaf.vm(), "")
+	if reply := await(t, done); reply.Result != subrequest.OK {
+		t.Errorf("call after the release: %+v", reply)
+	}
+}
+
 func TestKeepAliveTimeout(t *testing.T) {
 	tests := map[string]time.Duration{"timeout=5": 5 * time.Second, "max=3, Timeout = 2": 2 * time.Second, "": 0, "timeout=x": 0, "timeout=-1": 0, "timeout=1e99": 0}
 	for value, want := range tests {
