--- a/internal/transport/forward/forward_test.go
+++ b/internal/transport/forward/forward_test.go
@@ -128,6 +128,8 @@
 			t.Errorf("the request ended %v after it began, its caller left at 50 ms", took)
 		}
 		time.Sleep(r.cfg.Linger + ms)
+		r.wire.mu.Lock()
+		defer r.wire.mu.Unlock()
 		for _, call := range r.wire.begun {
 			if !r.wire.over[call] {
 				t.Errorf("leaf %s still works", call.Leaf.ID)
--- a/internal/transport/forward/load_test.go
+++ b/internal/transport/forward/load_test.go
@@ -95,7 +95,7 @@
 	for _, group := range rt.Shards {
 		for n := range p.perShard {
 			l := &slotLeaf{
-				random: random, slots: make([]time.Time, 2), mean: 11 * ms, factor: p.factor,
+				random: rand.New(rand.NewPCG(random.Uint64(), 1)), slots: make([]time.Time, 2), mean: 11 * ms, factor: p.factor,
 				pause: 120 * ms, every: 3 * time.Second, phase: time.Duration(random.Int64N(int64(3 * time.Second))), begun: begun,
 			}
 			if random.Float64() < p.slow {
--- a/internal/transport/mesh/mesh_test.go
+++ b/internal/transport/mesh/mesh_test.go
@@ -4,7 +4,9 @@
 	"context"
 	"fmt"
 	"net"
+	"strconv"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -15,7 +17,6 @@
 	"github.com/hickorydock/hickorydock/internal/coordination/reader"
 	contract "github.com/hickorydock/hickorydock/internal/protocol/peer"
 	"github.com/hickorydock/hickorydock/internal/protocol/platform"
-	standin "github.com/hickorydock/hickorydock/internal/standin/platform"
 	"github.com/hickorydock/hickorydock/internal/state/mirror"
 	"github.com/hickorydock/hickorydock/internal/transport/follow"
 	"github.com/hickorydock/hickorydock/internal/transport/peer"
@@ -32,18 +33,53 @@
 	}
 }
 
-// pollingClient makes the stand-in's watches wait as a platform of polls does.
-type pollingClient struct {
+// fakePlatform is a platform of polls over a mirror of its own.
+type fakePlatform struct {
 	platform.Client
-	store *standin.Platform
+	known *mirror.Mirror
+	down  atomic.Bool
+	calls atomic.Int64
+	mu    sync.Mutex
+	next  uint64
 }
 
-func (c pollingClient) Watch(ctx context.Context, kind platform.Kind, from uint64, each func(platform.Event) error) error {
+func newPlatform() *fakePlatform {
+	p := &fakePlatform{known: mirror.New(), next: 1}
+	p.known.Replace(platform.KindRouting, platform.Listing{Version: p.next}, time.Now())
+	return p
+}
+
+func (p *fakePlatform) set(value int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.next++
+	object := platform.Object{Kind: platform.KindRouting, Name: platform.RoutingName, Version: p.next, Value: []byte(strconv.Itoa(value))}
+	p.known.Apply(platform.KindRouting, []platform.Event{{Object: object}}, p.next, time.Now())
+}
+
+// List returns all objects.
+func (p *fakePlatform) List(_ context.Context, kind platform.Kind) (platform.Listing, error) {
+	if p.down.Load() {
+		return platform.Listing{}, platform.ErrUnavailable
+	}
+	listing, _, _ := p.known.List(kind)
+	return listing, nil
+}
+
+// Watch polls for changes.
+func (p *fakePlatform) Watch(ctx context.Context, kind platform.Kind, from uint64, each func(platform.Event) error) error {
 	for {
-		events, version, err := c.store.Poll(ctx, kind, from, testWait)
+		p.calls.Add(1)
+		if p.down.Load() {
+			return platform.ErrUnavailable
+		}
+		events, version, _, err := p.known.Changes(ctx, kind, from, testWait)
 		if err != nil {
 			return err
 		}
+		if p.down.Load() {
+			return platform.ErrUnavailable
+		}
 		for _, e := range append(events, platform.Event{Progress: true, Object: platform.Object{Version: version}}) {
 			if err := each(e); err != nil {
 				return err
@@ -149,27 +185,20 @@
 	}
 }
 
-func set(t *testing.T, store *standin.Platform, value int) {
-	t.Helper()
-	if err := store.Set(platform.KindRouting, platform.RoutingName, value); err != nil {
-		t.Fatal(err)
-	}
-}
-
 // TestCallsDoNotGrowWithNodes holds that a change reaches all nodes and that the
 // platform is asked by the readers only.
 func TestCallsDoNotGrowWithNodes(t *testing.T) {
-	store := standin.New(standin.Options{Seed: 1})
-	set(t, store, 1)
-	nodes := startNodes(t, 8, func(int) platform.Client { return pollingClient{store.Client(), store} })
+	store := newPlatform()
+	store.set(1)
+	nodes := startNodes(t, 8, func(int) platform.Client { return store })
 	awaitAll(t, nodes, "1", 5*time.Second)
-	set(t, store, 2)
+	store.set(2)
 	awaitAll(t, nodes, "2", time.Second)
-	before := store.Calls()[standin.Call{Method: standin.MethodWatch, Kind: platform.KindRouting}]
+	before := store.calls.Load()
 	const span = 3 * time.Second
 	time.Sleep(span)
-	got := store.Calls()[standin.Call{Method: standin.MethodWatch, Kind: platform.KindRouting}] - before
-	if most := uint64(reader.Count * (int(span/testWait) + 2)); got > most {
+	got := store.calls.Load() - before
+	if most := int64(reader.Count * (int(span/testWait) + 2)); got > most {
 		t.Errorf("%d watches in %v by 8 nodes, want at most %d", got, span, most)
 	}
 }
@@ -177,43 +206,43 @@
 // TestOutage answers the pattern of a short outage of the whole platform: all nodes
 // hold each other for stale, and all have the next change soon after.
 func TestOutage(t *testing.T) {
-	store := standin.New(standin.Options{Seed: 1})
-	set(t, store, 1)
-	nodes := startNodes(t, 8, func(int) platform.Client { return pollingClient{store.Client(), store} })
+	store := newPlatform()
+	store.set(1)
+	nodes := startNodes(t, 8, func(int) platform.Client { return store })
 	awaitAll(t, nodes, "1", 5*time.Second)
-	store.SetFaults(standin.Faults{Outage: standin.OutageRefuse})
+	store.down.Store(true)
 	time.Sleep(2 * time.Second)
-	store.SetFaults(standin.Faults{})
-	set(t, store, 2)
+	store.down.Store(false)
+	store.set(2)
 	awaitAll(t, nodes, "2", 3*time.Second)
 }
 
 // TestReadersAreTurnedAway answers the pattern of a platform that serves only some
 // nodes, while both readers are among the others.
 func TestReadersAreTurnedAway(t *testing.T) {
-	store, dark := standin.New(standin.Options{Seed: 1}), standin.New(standin.Options{Seed: 1})
-	dark.SetFaults(standin.Faults{Outage: standin.OutageRefuse})
-	set(t, store, 1)
+	store, dark := newPlatform(), newPlatform()
+	dark.down.Store(true)
+	store.set(1)
 	served := map[int]bool{}
 	nodes := startNodes(t, 5, func(i int) platform.Client {
 		// The readers are those with the highest hashes; n0 to n4 are tried below.
 		served[i] = i >= 3
 		if served[i] {
-			return pollingClient{store.Client(), store}
+			return store
 		}
-		return pollingClient{dark.Client(), dark}
+		return dark
 	})
 	awaitAll(t, nodes, "1", 10*time.Second)
-	set(t, store, 2)
+	store.set(2)
 	awaitAll(t, nodes, "2", 4*time.Second)
 }
 
 // TestBatches holds that batches reach a member over one stream and that one to a
 // node that is not there is not sent.
 func TestBatches(t *testing.T) {
-	store := standin.New(standin.Options{Seed: 1})
-	set(t, store, 1)
-	nodes := startNodes(t, 2, func(int) platform.Client { return pollingClient{store.Client(), store} })
+	store := newPlatform()
+	store.set(1)
+	nodes := startNodes(t, 2, func(int) platform.Client { return store })
 	awaitAll(t, nodes, "1", 5*time.Second)
 	ctx, cancel := context.WithTimeout(t.Context(), 2*time.Second)
 	defer cancel()
@@ -237,9 +266,9 @@
 // TestReadersAreLost answers the pattern of a power loss that takes both readers
 // just as changes are made: their followers notice by the silence of their links.
 func TestReadersAreLost(t *testing.T) {
-	store := standin.New(standin.Options{Seed: 1})
-	set(t, store, 1)
-	nodes := startNodes(t, 6, func(int) platform.Client { return pollingClient{store.Client(), store} })
+	store := newPlatform()
+	store.set(1)
+	nodes := startNodes(t, 6, func(int) platform.Client { return store })
 	awaitAll(t, nodes, "1", 5*time.Second)
 	lost := reader.Readers(nodes[0].Members(), nil)
 	var rest []*node
@@ -252,7 +281,7 @@
 		}
 		rest = append(rest, n)
 	}
-	set(t, store, 2)
+	store.set(2)
 	awaitAll(t, rest, "2", 3*time.Second)
 }
 
