--- a/internal/transport/leafwire/bench_test.go
+++ b/internal/transport/leafwire/bench_test.go
@@ -2,9 +2,12 @@
 
 import (
 	"bufio"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"os"
+	"os/exec"
 	"strings"
 	"syscall"
 	"testing"
@@ -16,40 +19,70 @@
 // benchReply is a usual reply of a leaf: 62 records.
 var benchReply = "HTTP/1.1 200 OK\r\nId: r1\r\nReceipt: x\r\nContent-Length: 992\r\nKeep-Alive: timeout=5\r\n\r\n" + strings.Repeat("0123456789abcdef", 62)
 
-// plainLeaf answers each request with the same bytes, at little cost of its own.
-func plainLeaf(b *testing.B) string {
+// leafVariable makes the test binary a leaf for benchmarks, so that the processor
+// time of the benchmark's process is that of the client alone.
+const leafVariable = "HICKORYDOCK_BENCH_LEAF"
+
+// serveBench answers each request with the same bytes until standard input ends.
+func serveBench() {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
-		b.Fatal(err)
+		os.Exit(1)
 	}
-	b.Cleanup(func() { _ = listener.Close() })
+	fmt.Println(listener.Addr())
 	go func() {
-		for {
-			c, err := listener.Accept()
-			if err != nil {
+		_, _ = io.Copy(io.Discard, os.Stdin)
+		os.Exit(0)
+	}()
+	for {
+		c, err := listener.Accept()
+		if err != nil {
+			return
+		}
+		go answerBench(c)
+	}
+}
+
+func answerBench(c net.Conn) {
+	defer c.Close()
+	r := bufio.NewReader(c)
+	for {
+		line, err := r.ReadSlice('\n')
+		if err != nil {
+			return
+		}
+		if len(line) == 2 {
+			if _, err := io.WriteString(c, benchReply); err != nil {
 				return
 			}
-			go func() {
-				defer c.Close()
-				r := bufio.NewReader(c)
-				for {
-					line, err := r.ReadSlice('\n')
-					if err != nil {
-						return
-					}
-					if len(line) == 2 {
-						if _, err := io.WriteString(c, benchReply); err != nil {
-							return
-						}
-					}
-				}
-			}()
 		}
-	}()
-	return listener.Addr().String()
+	}
+}
+
+// plainLeaf starts a leaf in a process of its own.
+func plainLeaf(b *testing.B) string {
+	leaf := exec.Command(os.Args[0])
+	leaf.Env = append(os.Environ(), leafVariable+"=1")
+	in, err := leaf.StdinPipe()
+	if err != nil {
+		b.Fatal(err)
+	}
+	out, err := leaf.StdoutPipe()
+	if err != nil {
+		b.Fatal(err)
+	}
+	if err := leaf.Start(); err != nil {
+		b.Fatal(err)
+	}
+	b.Cleanup(func() { _ = in.Close(); _ = leaf.Wait() })
+	address, err := bufio.NewReader(out).ReadString('\n')
+	if err != nil {
+		b.Fatal(err)
+	}
+	return strings.TrimSpace(address)
 }
 
-// processorTime is what the process has used, both sides of the connection.
+// processorTime is what the process has used.
 func processorTime() time.Duration {
 	var usage syscall.Rusage
 	_ = syscall.Getrusage(syscall.RUSAGE_SELF, &usage)
--- a/internal/transport/leafwire/leafwire_test.go
+++ b/internal/transport/leafwire/leafwire_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"strings"
 	"testing"
 	"time"
@@ -313,4 +314,10 @@
 	}
 }
 
-func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+func TestMain(m *testing.M) {
+	if os.Getenv(leafVariable) != "" {
+		serveBench()
+		return
+	}
+	goleak.VerifyTestMain(m)
+}
