--- a/internal/coordination/reader/reader.go
+++ b/internal/coordination/reader/reader.go
@@ -65,6 +65,8 @@
 	// Stale lists the nodes that lately failed or knew nothing fresh; this one is
 	// among them while the platform turns it away.
 	Stale []string
+	// Empty is true while the node knows nothing at all.
+	Empty bool
 	// Overdue is true when what the node knows was confirmed too long ago, whoever
 	// it tried to learn from.
 	Overdue bool
@@ -97,7 +99,7 @@
 		return Source{Platform: true}
 	case len(others) > 0:
 		return Source{Peer: others[int(look.Draw*float64(len(others)))]}
-	case len(look.Members) <= 1 || look.Draw < soloShare:
+	case len(look.Members) <= 1 || look.Empty || look.Draw < soloShare:
 		return Source{Platform: true}
 	default:
 		return Source{}
--- a/internal/coordination/reader/reader_test.go
+++ b/internal/coordination/reader/reader_test.go
@@ -117,6 +117,11 @@
 	if got := Choose(look); got != (Source{}) {
 		t.Errorf("most looks wait, got %+v", got)
 	}
+	look.Empty = true
+	if got := Choose(look); !got.Platform {
+		t.Errorf("a node that knows nothing does not wait, got %+v", got)
+	}
+	look.Empty = false
 	look.Draw = soloShare / 2
 	if got := Choose(look); !got.Platform {
 		t.Errorf("some looks read the platform, got %+v", got)
--- a/internal/transport/mesh/follow.go
+++ b/internal/transport/mesh/follow.go
@@ -26,6 +26,10 @@
 	// turnedAwayFor is how long a reader that the platform does not serve leaves it
 	// to the next ones. All nodes do so in an outage, which may be over then.
 	turnedAwayFor = 1 * time.Second
+	// emptyFor is how long a source that knows nothing at all is passed over: at the
+	// start of all nodes, or when the platform returns, it will know soon. It is not
+	// shorter than the waits between two looks, or no other source would be tried.
+	emptyFor = 1 * time.Second
 	// maxFollowWait is the longest wait of a poll of another node. It bounds how long
 	// a source that is lost goes unnoticed.
 	maxFollowWait = 600 * time.Millisecond
@@ -82,6 +86,7 @@
 		Seeded:     len(c.mesh.cfg.Seeds) > 0,
 		IsSeed:     c.mesh.isSeed(),
 		Stale:      stale,
+		Empty:      confirmed.IsZero(),
 		Overdue:    !confirmed.IsZero() && now.Sub(confirmed) > overdueWaits*c.wait/2,
 		Draw:       rand.Float64(),
 	})
@@ -258,10 +263,12 @@
 	defer cancel()
 	reply, err := c.ask(ctx, id, kind, request)
 	confirmed := time.Now()
+	passOver := passedOverFor
 	switch {
 	case err != nil:
 		err = fault.Wrap(err, fault.StepPeer, id, "follow %s", kind)
 	case !reply.Known:
+		passOver = emptyFor
 		err = fault.Wrap(platform.ErrUnavailable, fault.StepPeer, id, "follow %s: not known there", kind)
 	case reply.TooOld:
 		return nil, confirmed, fault.Wrap(platform.ErrTooOld, fault.StepPeer, id, "follow %s", kind)
@@ -275,7 +282,7 @@
 	}
 	c.mu.Lock()
 	_, known := c.stale[id]
-	c.stale[id] = time.Now().Add(passedOverFor)
+	c.stale[id] = time.Now().Add(passOver)
 	c.mu.Unlock()
 	if !known {
 		c.mesh.cfg.Log.WithFields(log.Fields{"node": id, "kind": string(kind)}).WithError(err).Warn("source passed over")
--- a/internal/transport/mesh/mesh_test.go
+++ b/internal/transport/mesh/mesh_test.go
@@ -217,6 +217,18 @@
 	awaitAll(t, nodes, "2", 3*time.Second)
 }
 
+// TestStartWithoutPlatform answers the pattern of a restart of all nodes while the
+// platform is down: nobody knows anything, and all know soon after its return.
+func TestStartWithoutPlatform(t *testing.T) {
+	store := newPlatform()
+	store.set(1)
+	store.down.Store(true)
+	nodes := startNodes(t, 8, func(int) platform.Client { return store })
+	time.Sleep(3 * time.Second)
+	store.down.Store(false)
+	awaitAll(t, nodes, "1", 2*time.Second)
+}
+
 // TestReadersAreTurnedAway answers the pattern of a platform that serves only some
 // nodes, while both readers are among the others.
 func TestReadersAreTurnedAway(t *testing.T) {
