--- a/internal/transport/forward/forward.go
+++ b/internal/transport/forward/forward.go
@@ -57,8 +57,6 @@
 	// Linger is how long attempts that are no longer needed may run on, so that
 	// their connections are kept.
 	Linger time.Duration
-	// DefaultWait bounds a request without a deadline on a route without a timeout.
-	DefaultWait time.Duration
 }
 
 // Observer receives counts; it is met by the metrics.
@@ -67,7 +65,7 @@
 	Forwarded(route, outcome string, elapsed time.Duration, covered, total int)
 	// Attempt counts an attempt at a leaf.
 	Attempt(route, kind string)
-	// InvariantBroken counts a broken invariant.
+	// InvariantViolated counts a broken invariant.
 	InvariantViolated(name string)
 }
 
@@ -130,7 +128,7 @@
 	mark quarantine.Fingerprint
 }
 
-// firstOnConnection marks the first request of a connection.
+// connectionKey finds whether a connection has had a request.
 type connectionKey struct{}
 
 // TrackConnection is an http.Server's ConnContext; it lets the forwarder tell the
--- a/internal/transport/forward/pass.go
+++ b/internal/transport/forward/pass.go
@@ -64,7 +64,7 @@
 	relay  *relayCall
 	shards []int
 	// ended is true at the end of the batch; err then says what became of shards
-	// without a reply, and got how many had one.
+	// without a reply.
 	ended  bool
 	err    error
 	result peer.Result
--- a/internal/transport/leafwire/conn.go
+++ b/internal/transport/leafwire/conn.go
@@ -26,8 +26,9 @@
 	idleMargin = 500 * time.Millisecond
 )
 
-// conn is one connection to a leaf. Its fields after net are guarded by the
-// peer's lock, or belong to the reading goroutine.
+// conn is one connection to a leaf. The fields up to idleUntil are guarded by the
+// peer's lock; the others belong to the reading goroutine, and out to the call that
+// the connection is assigned to.
 type conn struct {
 	peer *peer
 	net  net.Conn
--- a/internal/transport/leafwire/leafwire.go
+++ b/internal/transport/leafwire/leafwire.go
@@ -44,8 +44,6 @@
 	ErrCancelled = errors.New("call cancelled")
 	// ErrOtherRequest means that a reply names another request.
 	ErrOtherRequest = errors.New("reply names another request")
-	// ErrIdleBytes means that a leaf sent bytes that nobody had asked for.
-	ErrIdleBytes = errors.New("bytes without a request")
 )
 
 // Reply is the end of a call.
