Keep the end of a call off a leaf that took its identifier again

Cause (found by reading): learn looked the record up by identifier at the end of a call. After a removal that made a fresh record with -1 in flight, which the next leaf of that identifier began with, and which nobody dropped. Change: a call carries the record that it began on. A broken coverage invariant now fails its request instead of being counted only. Test: TestLeafGoneDuringACall, which failed with -1 in flight before.

--- a/internal/state/group/group.go
+++ b/internal/state/group/group.go
@@ -126,6 +126,3 @@
 func without(list []shardmap.Replica, id string) []shardmap.Replica {
 	return slices.DeleteFunc(list, func(r shardmap.Replica) bool { return r.VM.ID == id })
 }
-
-// Record returns the measurements of a leaf.
-func (s *Store) Record(id string) *leaf.Record { return s.table.Record(id) }
--- a/internal/transport/forward/answer.go
+++ b/internal/transport/forward/answer.go
@@ -81,6 +81,8 @@
 func (x *exchange) answerQuery(w http.ResponseWriter) {
 	if err := x.query.Check(); err != nil {
 		x.f.broken("coverage", x.req, err)
+		x.answerFailure(w)
+		return
 	}
 	replies := x.distinct(x.query.Replies())
 	total := len(x.shards)
@@ -145,8 +147,7 @@
 	}
 }
 
-// isNotRun reports whether no leaf ran the request or can still run it. Attempts
-// that were never written are taken back.
+// isNotRun reports whether no leaf ran the request or can still run it.
 func (x *exchange) isNotRun() bool {
 	if x.ran {
 		return false
--- a/internal/transport/forward/attempts.go
+++ b/internal/transport/forward/attempts.go
@@ -75,7 +75,7 @@
 		Message: x.message,
 		Leaf:    target.VM,
 		Shard:   shard,
-		Replica: attempt.Replica,
+		Record:  target.Record,
 		Began:   now,
 		Done:    x.done,
 		Trial:   trial,
--- a/internal/transport/forward/learn.go
+++ b/internal/transport/forward/learn.go
@@ -16,7 +16,7 @@
 	reply := &call.Reply
 	f.guard.Leave(call.Trial, trialEnd(call))
 	call.Span.End(reply.Err)
-	f.groups.Record(call.Leaf.ID).End(now, elapsed, leafResult(call))
+	call.Record.End(now, elapsed, leafResult(call))
 	if reply.Result == subrequest.OK {
 		window.Observe(now, elapsed)
 	}
--- a/internal/transport/leafwire/leafwire.go
+++ b/internal/transport/leafwire/leafwire.go
@@ -19,6 +19,7 @@
 	"github.com/hickorydock/hickorydock/internal/coordination/subrequest"
 	"github.com/hickorydock/hickorydock/internal/protocol/platform"
 	"github.com/hickorydock/hickorydock/internal/protocol/route"
+	"github.com/hickorydock/hickorydock/internal/state/leaf"
 	"github.com/hickorydock/hickorydock/internal/transport/tracing"
 )
 
@@ -81,8 +82,9 @@
 type Call struct {
 	Message *Message
 	Leaf    platform.VM
-	// Shard and Replica are for the owner.
-	Shard, Replica int
+	// Shard and Record, what is measured of the leaf, are for the owner.
+	Shard  int
+	Record *leaf.Record
 	// Trial is what the quarantine knows of the attempt; it is for the owner.
 	Trial quarantine.Attempt
 	// Span is the trace of the attempt; it is for the owner.
