Ask the next source at once when one cannot list

Cause of the known red TestStartWithoutPlatform: a node that knows nothing asked one source a look, was told that it knows nothing either, and waited up to 1 s before the next look; after the platform's return this could take several looks. Ruled out: the bound and load alone (the same load, eight at once with the race detector, before and after). Change: List goes on to the next source, and to the platform, within one look. Also: TestReadersAreTurnedAway computed no readers, so the served nodes could have been the readers and the test could not fail for its reason; the dark nodes are now the readers by the same rule that nodes use.

--- a/internal/transport/mesh/follow.go
+++ b/internal/transport/mesh/follow.go
@@ -13,6 +13,7 @@
 	"github.com/hickorydock/hickorydock/internal/protocol/fault"
 	contract "github.com/hickorydock/hickorydock/internal/protocol/peer"
 	"github.com/hickorydock/hickorydock/internal/protocol/platform"
+	"github.com/hickorydock/hickorydock/internal/transport/follow"
 )
 
 const (
@@ -102,31 +103,45 @@
 		if !first && time.Since(c.mesh.started) > reader.JoinTime {
 			return source, platform.ErrUnavailable
 		}
-		select {
-		case <-ctx.Done():
+		follow.Sleep(ctx, sourceWait)
+		if ctx.Err() != nil {
 			return source, ctx.Err()
-		case <-time.After(sourceWait):
 		}
 	}
 }
 
-// List returns all objects of a kind as the source knows them.
+// List returns all objects of a kind as a source knows them. A source that fails is
+// passed over, so the next one is asked at once.
 func (c *Client) List(ctx context.Context, kind platform.Kind) (platform.Listing, error) {
-	source, err := c.await(ctx, kind)
-	if err != nil {
-		return platform.Listing{}, fault.Wrap(err, fault.StepPlatform, "", "list %s: no source", kind)
-	}
-	if source.Platform {
-		asked := time.Now()
-		listing, err := c.Client.List(ctx, kind)
+	for {
+		source, err := c.await(ctx, kind)
 		if err != nil {
-			c.turnedAway(ctx, err)
+			return platform.Listing{}, fault.Wrap(err, fault.StepPlatform, "", "list %s: no source", kind)
+		}
+		if source.Platform {
+			return c.listPlatform(ctx, kind)
+		}
+		listing, err := c.listPeer(ctx, source.Peer, kind)
+		if err == nil || ctx.Err() != nil {
 			return listing, err
 		}
-		c.mesh.cfg.Mirror.Replace(kind, listing, asked)
-		return listing, nil
+		follow.Sleep(ctx, sourceWait)
 	}
-	reply, confirmed, err := c.follow(ctx, source.Peer, kind, &contract.FollowRequest{List: true})
+}
+
+func (c *Client) listPlatform(ctx context.Context, kind platform.Kind) (platform.Listing, error) {
+	asked := time.Now()
+	listing, err := c.Client.List(ctx, kind)
+	if err != nil {
+		c.turnedAway(ctx, err)
+		return listing, err
+	}
+	c.mesh.cfg.Mirror.Replace(kind, listing, asked)
+	return listing, nil
+}
+
+func (c *Client) listPeer(ctx context.Context, id string, kind platform.Kind) (platform.Listing, error) {
+	reply, confirmed, err := c.follow(ctx, id, kind, &contract.FollowRequest{List: true})
 	if err != nil {
 		return platform.Listing{}, err
 	}
--- a/internal/transport/mesh/mesh_test.go
+++ b/internal/transport/mesh/mesh_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"net"
+	"slices"
 	"strconv"
 	"sync"
 	"sync/atomic"
@@ -15,6 +16,7 @@
 
 	"github.com/hickorydock/hickorydock/internal/coordination/backoff"
 	"github.com/hickorydock/hickorydock/internal/coordination/reader"
+	messages "github.com/hickorydock/hickorydock/internal/protocol/membership"
 	contract "github.com/hickorydock/hickorydock/internal/protocol/peer"
 	"github.com/hickorydock/hickorydock/internal/protocol/platform"
 	"github.com/hickorydock/hickorydock/internal/state/mirror"
@@ -235,14 +237,16 @@
 	store, dark := newPlatform(), newPlatform()
 	dark.down.Store(true)
 	store.set(1)
-	served := map[int]bool{}
+	var members []messages.Member
+	for i := range 5 {
+		members = append(members, messages.Member{ID: fmt.Sprintf("n%d", i), AvailabilityZone: fmt.Sprintf("az-%d", i%2), State: messages.Alive})
+	}
+	away := reader.Readers(members, nil)
 	nodes := startNodes(t, 5, func(i int) platform.Client {
-		// The readers are those with the highest hashes; n0 to n4 are tried below.
-		served[i] = i >= 3
-		if served[i] {
-			return store
+		if slices.Contains(away, members[i].ID) {
+			return dark
 		}
-		return dark
+		return store
 	})
 	awaitAll(t, nodes, "1", 10*time.Second)
 	store.set(2)
