--- a/internal/coordination/topk/topk_test.go
+++ b/internal/coordination/topk/topk_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"math/rand/v2"
 	"slices"
 	"strings"
 	"testing"
@@ -53,3 +54,19 @@
 		}
 	})
 }
+
+// BenchmarkMerge merges the replies of the leafs of 12 shards, as a relay does.
+func BenchmarkMerge(b *testing.B) {
+	random := rand.New(rand.NewPCG(1, 2))
+	replies := make([][]byte, 12)
+	for i := range replies {
+		replies[i] = make([]byte, 62*RecordSize)
+		for j := range replies[i] {
+			replies[i][j] = byte(random.Uint32())
+		}
+	}
+	b.ReportAllocs()
+	for b.Loop() {
+		Merge(replies, 50)
+	}
+}
