Merge the parts of a relay before they cross the hop

Cause: on the grown site of mfgt a query brings 90 parts of 800 to 1,000 bytes to a node with a link of 25 Mbit/s. Ruled out: a longer reserve for the hop (answers would leave before slow leafs reply); fewer relays for a query (the bytes at the entry stay the same). Change: a relay sends the parts that are ready together as one result with the greatest records of all of them and a receipt for each. Such parts cannot be told apart, so they stand in an answer together; a second relay of the same shards is asked for single parts, which a merged result replaces. The sender asks for it, so a node that does not know it gets single parts as before.

--- a/internal/coordination/gather/gather.go
+++ b/internal/coordination/gather/gather.go
@@ -193,10 +193,32 @@
 	return q.Progress(), nil
 }
 
+// Replace records a reply of the current attempt for a shard that may have one
+// already or may have failed; the newer reply stands.
+func (q *Query[R]) Replace(now time.Time, shard int, reply R) error {
+	if shard < 0 || shard >= len(q.slots) {
+		return outOfRange(shard, len(q.slots))
+	}
+	s := &q.slots[shard]
+	if !s.answered {
+		q.covered++
+	}
+	if !s.answered && !s.failed {
+		q.pending--
+	}
+	*s = slot[R]{answered: true, reply: reply}
+	q.setLeaveAt(now)
+	return nil
+}
+
+func outOfRange(shard, shards int) error {
+	return fmt.Errorf("reply of shard %d, but the snapshot has %d shards", shard, shards)
+}
+
 // open returns the slot of a shard that has no reply yet.
 func (q *Query[R]) open(shard int) (*slot[R], error) {
 	if shard < 0 || shard >= len(q.slots) {
-		return nil, fmt.Errorf("reply of shard %d, but the snapshot has %d shards", shard, len(q.slots))
+		return nil, outOfRange(shard, len(q.slots))
 	}
 	s := &q.slots[shard]
 	if s.answered || s.failed {
--- a/internal/coordination/gather/gather_test.go
+++ b/internal/coordination/gather/gather_test.go
@@ -221,3 +221,55 @@
 	}
 	m.Run()
 }
+
+// TestReplace holds the coverage through replies that take the place of others, as
+// those of a relay that answers several shards together do.
+func TestReplace(t *testing.T) {
+	const target = 50 * time.Millisecond
+	v := viewOf(1, 1, 1, 1, 1)
+	tests := []struct {
+		name   string
+		before func(q *Query[string]) error
+		want   Progress
+	}{
+		{"pending", func(*Query[string]) error { return nil }, Collecting},
+		{"answered", func(q *Query[string]) error {
+			_, err := q.Reply(start, q.Attempt(), 0, v.Snapshot, "old")
+			return err
+		}, Collecting},
+		{"failed", func(q *Query[string]) error {
+			_, err := q.Fail(start, q.Attempt(), 0, query.ReasonLost)
+			return err
+		}, Collecting},
+		{"the others are settled", func(q *Query[string]) error {
+			_, err := q.Fail(start, q.Attempt(), 1, query.ReasonLost)
+			if err == nil {
+				_, err = q.Reply(start, q.Attempt(), 2, v.Snapshot, "other")
+			}
+			return err
+		}, Complete},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			q := New[string](Config{MinCoverage: 0.3, Begun: start, Deadline: start.Add(time.Second), Target: start.Add(target)}, v)
+			if err := test.before(q); err != nil {
+				t.Fatal(err)
+			}
+			if err := q.Replace(start, 0, "new"); err != nil {
+				t.Fatal(err)
+			}
+			if err := q.Check(); err != nil {
+				t.Error(err)
+			}
+			if q.Replies()[0] != "new" || !q.HasReply(0) || q.Progress() != test.want {
+				t.Errorf("replies %v, progress %d, want %d", q.Replies(), q.Progress(), test.want)
+			}
+			if !q.LeaveAt().Equal(start.Add(target)) {
+				t.Errorf("leaves at %v, want the target", q.LeaveAt())
+			}
+		})
+	}
+	if err := New[string](Config{}, v).Replace(start, 3, "new"); err == nil {
+		t.Error("a shard outside the view got a reply")
+	}
+}
--- a/internal/transport/forward/answer.go
+++ b/internal/transport/forward/answer.go
@@ -90,13 +90,17 @@
 		x.answerFailure(w)
 		return
 	}
-	bodies := make([][]byte, len(replies))
+	records, err := bodies(replies)
+	if err != nil {
+		x.f.broken("merged", x.req, err)
+		x.answerFailure(w)
+		return
+	}
 	receipts := make([]string, len(replies))
 	for i, reply := range replies {
-		bodies[i] = reply.records
 		receipts[i] = reply.receipt
 	}
-	merged := topk.Merge(bodies, x.req.route.Top)
+	merged := topk.Merge(records, x.req.route.Top)
 	h := w.Header()
 	h[x.f.cfg.Names.Receipts] = []string{strings.Join(receipts, ", ")}
 	h[x.f.cfg.Names.Missing] = []string{strconv.Itoa(total - len(replies))}
--- a/internal/transport/forward/exchange.go
+++ b/internal/transport/forward/exchange.go
@@ -19,6 +19,8 @@
 type part struct {
 	receipt string
 	records []byte
+	// merged holds the records instead when they came with those of other shards.
+	merged *merged
 	// call is the attempt that got it; nil when it came through another node.
 	call *leafwire.Call
 }
--- a/internal/transport/forward/pass.go
+++ b/internal/transport/forward/pass.go
@@ -14,6 +14,7 @@
 
 	"github.com/hickorydock/hickorydock/internal/coordination/hedge"
 	"github.com/hickorydock/hickorydock/internal/coordination/replica"
+	"github.com/hickorydock/hickorydock/internal/protocol/fault"
 	contract "github.com/hickorydock/hickorydock/internal/protocol/peer"
 	"github.com/hickorydock/hickorydock/internal/protocol/query"
 	"github.com/hickorydock/hickorydock/internal/protocol/route"
@@ -129,7 +130,7 @@
 			shards = append(shards, shard)
 		}
 	}
-	if len(shards) == 0 || !x.ask(now, b, shards, x.req.route.Attempts-x.spareAttempts()) {
+	if len(shards) == 0 || !x.ask(now, b, shards, x.req.route.Attempts-x.spareAttempts(), true) {
 		return len(shards) == 0
 	}
 	if x.spareAttempts() > 0 {
@@ -149,13 +150,16 @@
 }
 
 // ask sends shards, with a bound on the attempts of each, to a relay of the bundle
-// that was not tried.
-func (x *exchange) ask(now time.Time, b *bundle, shards []int, attempts int) bool {
+// that was not tried. merge allows merged results; only one relay of a shard may
+// send them, since two that overlap could not both be used.
+func (x *exchange) ask(now time.Time, b *bundle, shards []int, attempts int, merge bool) bool {
 	owner, ok := x.chooseRelay(now, b)
 	if !ok {
 		return false
 	}
-	body, err := proto.Marshal(x.passedMessage(now, shards, attempts))
+	message := x.passedMessage(now, shards, attempts)
+	message.Merge = merge
+	body, err := proto.Marshal(message)
 	if err != nil {
 		x.f.broken("encode", x.req, err)
 		return false
@@ -242,7 +246,7 @@
 		}
 	}
 	if len(paid) > 0 {
-		x.ask(now, b, paid, x.spareAttempts())
+		x.ask(now, b, paid, x.spareAttempts(), false)
 	}
 }
 
@@ -260,20 +264,31 @@
 		x.retryHere(now, shard, e.result.Status == contract.Status_STATUS_NOT_RUN)
 		return
 	}
-	var reply contract.Part
-	if err := proto.Unmarshal(e.result.Body, &reply); err != nil || reply.Receipt == "" {
+	x.ran = true
+	e.bundle.answered = true
+	if len(e.result.Body) == 0 {
+		return // its records came with another shard's
+	}
+	parts, err := parseParts(e.result, len(e.shards))
+	if err != nil {
 		x.f.broken("part", x.req, err)
 		return
 	}
-	e.bundle.answered = true
-	x.ran = true
-	x.take(now, shard, part{receipt: reply.Receipt, records: reply.Records})
+	for i := range parts {
+		parts[i].shard = e.shards[parts[i].shard]
+	}
+	if len(parts) == 1 {
+		x.take(now, parts[0].shard, parts[0].part)
+		return
+	}
+	x.takeMerged(now, parts)
 }
 
 // bundleEnded takes the end of a batch: shards without a reply are asked for from
 // here, when that is allowed.
 func (x *exchange) bundleEnded(now time.Time, e passedEvent) {
 	if e.err == nil {
+		x.failUnusable(now, e)
 		return
 	}
 	notRun := peer.IsNotRun(e.err)
@@ -284,6 +299,16 @@
 	}
 }
 
+// failUnusable fails the shards whose results could not be used.
+func (x *exchange) failUnusable(now time.Time, e passedEvent) {
+	for _, shard := range e.shards {
+		if x.shards[shard].budget == nil && !x.query.IsSettled(shard) {
+			x.f.broken("part", x.req, fault.New(fault.StepPeer, e.relay.owner.VM.ID, "no records of shard %d", shard))
+			x.fail(now, shard, query.ReasonBadReply)
+		}
+	}
+}
+
 // retryHere sends to the leafs of a shard from this node after a relay that ran
 // nothing. One that may have run the shard has used up its attempts.
 func (x *exchange) retryHere(now time.Time, shard int, notRun bool) {
--- a/internal/transport/forward/served.go
+++ b/internal/transport/forward/served.go
@@ -9,7 +9,6 @@
 
 	"github.com/hickorydock/hickorydock/internal/coordination/hedge"
 	"github.com/hickorydock/hickorydock/internal/coordination/quarantine"
-	"github.com/hickorydock/hickorydock/internal/coordination/topk"
 	contract "github.com/hickorydock/hickorydock/internal/protocol/peer"
 	"github.com/hickorydock/hickorydock/internal/protocol/query"
 	"github.com/hickorydock/hickorydock/internal/protocol/route"
@@ -49,20 +48,17 @@
 	x.message = &leafwire.Message{Method: m.Method, Head: m.Head, Body: m.Body, ID: req.id, Deadline: deadline}
 	defer x.abandon()
 	defer x.countAttempts()
-	var ready []peer.Result
-	x.replied = func(shard int, p part) { ready = append(ready, resultOf(shard, p, req.route.Top)) }
+	out := reporter{merge: m.Merge, top: req.route.Top, reply: reply}
+	x.replied = out.add
 	if x.start(now) {
-		flush := func() {
-			for _, r := range ready {
-				reply(r)
-			}
-			ready = ready[:0]
-		}
 		for _, at := range []time.Time{now.Add(hedge.ReportDelay(req.target.Sub(now))), req.target} {
 			x.loopUntil(ctx, at)
-			flush()
+			out.flush()
+		}
+		x.replied = func(shard int, p part) {
+			out.add(shard, p)
+			out.flush()
 		}
-		x.replied = func(shard int, p part) { reply(resultOf(shard, p, req.route.Top)) }
 		x.loopUntil(ctx, deadline)
 	}
 	x.replyFailures(reply)
@@ -97,12 +93,3 @@
 		}
 	}
 }
-
-func resultOf(shard int, p part, top int) peer.Result {
-	records := topk.Merge([][]byte{p.records}, top)
-	body, err := proto.Marshal(&contract.Part{Receipt: p.receipt, Records: records})
-	if err != nil {
-		return peer.Result{Index: shard, Status: contract.Status_STATUS_FAILED, Reason: string(query.ReasonBadReply)}
-	}
-	return peer.Result{Index: shard, Status: contract.Status_STATUS_OK, Body: body}
-}
