Prefer leafs of the own availability zone unless they are clearly worse

Two random ones of three leafs were compared, so the near one took part in two of three choices and then lost half of them to the spread of latency. A factor above 2 would give up on a slow near leaf later than probes of set-aside leafs are counted. Change: one of the two candidates is a leaf of the own zone if there is any; the factor is 1.8, and whether a leaf is set aside is judged without it.

--- a/internal/coordination/replica/replica.go
+++ b/internal/coordination/replica/replica.go
@@ -16,8 +16,9 @@
 	// untestedLatency is assumed for a leaf without a reply.
 	untestedLatency = time.Millisecond
 	// crossingFactor is how much worse a leaf of the own availability zone must
-	// be before another availability zone is preferred.
-	crossingFactor = 1.1
+	// be before another availability zone is preferred. It lies above the spread of
+	// the latency of sound leafs and below setAsideFactor.
+	crossingFactor = 1.8
 	// setAsideFactor is how much dearer than its alternative a leaf is when it is
 	// used for probes only.
 	setAsideFactor = 2
@@ -50,28 +51,26 @@
 
 // Random takes any replica; it is the baseline of measurements.
 func Random(_ time.Time, replicas []shardmap.Replica, tried Set, _ string, random uint64) int {
-	return pick(replicas, tried, uint32(random)).index
+	return pick(replicas, tried, "", uint32(random)).index
 }
 
-// Choose compares two random replicas outside tried and returns the index of
-// the cheaper one, or None. A much dearer one is chosen when a probe is due at
-// now; a zero now asks for no probes.
+// Choose compares two random replicas outside tried, one of them in the availability
+// zone if there is any, and returns the index of the cheaper one, or None. A much
+// dearer one is chosen when a probe is due at now; a zero now asks for no probes.
 func Choose(now time.Time, replicas []shardmap.Replica, tried Set, availabilityZone string, random uint64) int {
-	first := pick(replicas, tried, uint32(random))
+	first := pick(replicas, tried, availabilityZone, uint32(random))
 	if first.index == None {
 		return None
 	}
-	second := pick(replicas, tried.With(first.index), uint32(random>>32))
+	second := pick(replicas, tried.With(first.index), "", uint32(random>>32))
 	if second.index == None {
 		return first.index
 	}
 	cheap, dear := first, second
-	cost := zoneCost(&replicas[first.index].VM, availabilityZone, &first.stats)
-	dearCost := zoneCost(&replicas[second.index].VM, availabilityZone, &second.stats)
-	if dearCost < cost {
+	if zoneCost(&replicas[second.index].VM, availabilityZone, &second.stats) < zoneCost(&replicas[first.index].VM, availabilityZone, &first.stats) {
 		cheap, dear = second, first
-		cost, dearCost = dearCost, cost
 	}
+	cost, dearCost := statsCost(&cheap.stats), statsCost(&dear.stats)
 	if IsSetAside(dearCost, cost) && isProbeDue(now, &dear.stats, dearCost/cost) {
 		return dear.index
 	}
@@ -110,25 +109,32 @@
 	stats leaf.Stats
 }
 
-// pick returns a random replica outside tried; its index is None when there is
-// none. Draining leafs get no new work, whoever else is left.
-func pick(replicas []shardmap.Replica, tried Set, random uint32) candidate {
+// pick returns a random replica outside tried, one of the availability zone if there
+// is any; its index is None when there is none. Draining leafs get no new work,
+// whoever else is left.
+func pick(replicas []shardmap.Replica, tried Set, availabilityZone string, random uint32) candidate {
 	n := min(len(replicas), 64)
+	found := candidate{index: None}
 	if n == 0 {
-		return candidate{index: None}
+		return found
 	}
 	start := int(random % uint32(n))
 	for k := range n {
 		i := (start + k) % n
-		if tried.Has(i) {
+		near := availabilityZone == "" || replicas[i].VM.AvailabilityZone == availabilityZone
+		if tried.Has(i) || found.index != None && !near {
 			continue
 		}
 		stats := replicas[i].Record.Stats()
-		if !stats.Draining {
+		if stats.Draining {
+			continue
+		}
+		if near {
 			return candidate{i, stats}
 		}
+		found = candidate{i, stats}
 	}
-	return candidate{index: None}
+	return found
 }
 
 // Cost estimates how long a subrequest would wait on a replica, in nanoseconds.
--- a/internal/coordination/replica/replica_test.go
+++ b/internal/coordination/replica/replica_test.go
@@ -1,6 +1,7 @@
 package replica
 
 import (
+	"math"
 	"math/rand/v2"
 	"testing"
 	"time"
@@ -54,6 +55,46 @@
 	}
 }
 
+// TestNearLeafs answers the pattern of leafs in three availability zones whose
+// latency varies as much as theirs does: bytes between zones are dear, so a sound
+// leaf of the own zone takes the work, and one that turns slow loses it at once.
+func TestNearLeafs(t *testing.T) {
+	const (
+		usual = 11 * time.Millisecond
+		every = 150 * time.Millisecond
+		calls = 2000
+	)
+	tests := []struct {
+		name        string
+		slow        float64 // factor of the near leaf
+		least, most float64 // share of calls that go to it
+	}{
+		{"all are sound", 1, 0.8, 1},
+		{"the near leaf is 8 times slower", 8, 0, 0.1},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			random := rand.New(rand.NewPCG(1, 2))
+			replicas := []shardmap.Replica{replicaOf("a", usual, 0, 0), replicaOf("b", usual, 0, 0), replicaOf("c", usual, 0, 0)}
+			near := 0
+			for call := range calls {
+				now := start.Add(time.Duration(call) * every)
+				i := Choose(now, replicas, 0, "b", random.Uint64())
+				took := float64(usual) * math.Exp(0.35*random.NormFloat64())
+				if i == 1 {
+					near++
+					took *= test.slow
+				}
+				replicas[i].Record.Begin(now)
+				replicas[i].Record.End(now.Add(time.Duration(took)), time.Duration(took), leaf.Answered)
+			}
+			if got := float64(near) / calls; got < test.least || got > test.most {
+				t.Errorf("%.2f of the calls go to the near leaf, want %.2f to %.2f", got, test.least, test.most)
+			}
+		})
+	}
+}
+
 // TestDrainingGetsNoNewWork holds also when no other replica is left.
 func TestDrainingGetsNoNewWork(t *testing.T) {
 	replicas := []shardmap.Replica{replicaOf("a", time.Millisecond, 0, 0), replicaOf("a", time.Second, 0, 0)}
