Ask relays where the leafs are

Cause: a node in a zone without leafs asked relays of its own zone, which fetched each part from another zone; what relays merge is a tenth of it. Ruled out: no relays in such zones at all (they are needed when others are lost). Change: relays in zones of the leafs of a cluster are near; of these just those of the own zone, if leafs are there. A node of a zone without leafs passes the shards that it owns on as well. The zones of leafs are looked up once a second. Test, failing before by construction (near meant the own zone): TestRelaysNearLeafs.

--- a/internal/node/gateway/control_test.go
+++ b/internal/node/gateway/control_test.go
@@ -43,12 +43,13 @@
 func newTestController() *controller {
 	routes := &routing.Store{}
 	logger := &log.Logger{Handler: discard.Default}
+	groups := group.NewStore(leaf.NewTable())
 	return &controller{
 		adapter: plainAdapter{},
 		routing: routes,
-		groups:  group.NewStore(leaf.NewTable()),
+		groups:  groups,
 		wire:    leafwire.New(leafwire.Config{Limit: func(string) int { return 1 }}),
-		relays:  &relays{routing: routes, records: leaf.NewTable(), log: logger},
+		relays:  &relays{routing: routes, groups: groups, records: leaf.NewTable(), log: logger},
 		log:     logger,
 		holds:   map[string]*time.Timer{},
 	}
--- a/internal/node/gateway/gateway.go
+++ b/internal/node/gateway/gateway.go
@@ -169,8 +169,8 @@
 // connectionsPerLeaf bounds this node's connections to a leaf whatever its share.
 const connectionsPerLeaf = 8
 
-func newRelays(s settings.Settings, routes *routing.Store, logger log.Interface) *relays {
-	return &relays{node: s.Node.ID, zone: s.Node.AvailabilityZone, routing: routes, records: leaf.NewTable(), log: logger}
+func newRelays(s settings.Settings, routes *routing.Store, groups *group.Store, logger log.Interface) *relays {
+	return &relays{node: s.Node.ID, zone: s.Node.AvailabilityZone, routing: routes, groups: groups, records: leaf.NewTable(), log: logger}
 }
 
 func newWire(s settings.Settings, a Adapter, r *relays, m *metrics.Metrics) *leafwire.Client {
--- a/internal/node/gateway/relays.go
+++ b/internal/node/gateway/relays.go
@@ -5,6 +5,7 @@
 	"slices"
 	"sync"
 	"sync/atomic"
+	"time"
 
 	"github.com/apex/log"
 
@@ -14,6 +15,7 @@
 	contract "github.com/hickorydock/hickorydock/internal/protocol/peer"
 	"github.com/hickorydock/hickorydock/internal/protocol/platform"
 	"github.com/hickorydock/hickorydock/internal/protocol/route"
+	"github.com/hickorydock/hickorydock/internal/state/group"
 	"github.com/hickorydock/hickorydock/internal/state/leaf"
 	"github.com/hickorydock/hickorydock/internal/state/routing"
 	"github.com/hickorydock/hickorydock/internal/state/shardmap"
@@ -31,10 +33,21 @@
 	members *membersList
 	index   *routing.Index
 	owners  *ownership.Assignment // nil when all nodes connect to all leafs
-	// clusters are those of the routes that were asked about, by *route.Route.
+	// clusters are the *routeClusters of the routes that were asked about, by
+	// *route.Route.
 	clusters sync.Map
 }
 
+// routeClusters are the clusters of a route, by the leafs of a moment.
+type routeClusters struct {
+	clusters []forward.Cluster
+	made     time.Time
+}
+
+// zonesRefresh is how long the availability zones of leafs count as known. Leafs
+// take seconds to start and to leave.
+const zonesRefresh = time.Second
+
 // membersList gives a list of members an identity.
 type membersList struct{ members []membership.Member }
 
@@ -44,6 +57,7 @@
 	zone    string
 	mesh    *mesh.Mesh
 	routing *routing.Store
+	groups  *group.Store
 	records *leaf.Table // of nodes
 	log     log.Interface
 	// moved is told of each new division in the background; may be nil.
@@ -130,11 +144,12 @@
 	if a == nil || a.owners == nil {
 		return nil
 	}
-	if known, ok := a.clusters.Load(rt); ok {
-		return known.([]forward.Cluster)
+	now := time.Now()
+	if known, ok := a.clusters.Load(rt); ok && now.Sub(known.(*routeClusters).made) < zonesRefresh {
+		return known.(*routeClusters).clusters
 	}
 	clusters := r.divideRoute(a, rt.Shards)
-	a.clusters.Store(rt, clusters)
+	a.clusters.Store(rt, &routeClusters{clusters, now})
 	return clusters
 }
 
@@ -148,29 +163,58 @@
 		if !ok {
 			k = len(clusters)
 			at[c] = k
-			clusters = append(clusters, r.cluster(a, name))
+			clusters = append(clusters, forward.Cluster{})
 		}
 		clusters[k].Shards = append(clusters[k].Shards, shard)
 	}
+	for i := range clusters {
+		r.addOwners(a, &clusters[i], groups)
+	}
 	return clusters
 }
 
-// cluster describes the relays of a group.
-func (r *relays) cluster(a *assignment, group string) forward.Cluster {
-	var c forward.Cluster
-	for _, m := range a.owners.Of(group) {
-		if m.ID == r.node {
-			c.Own = true
-			continue
-		}
+// addOwners sets the relays of a cluster. Relays in the availability zones of its
+// leafs are near, since what they merge is a fraction of what leafs send; of these
+// just the ones in this node's own zone, if leafs are there.
+func (r *relays) addOwners(a *assignment, c *forward.Cluster, groups []string) {
+	zones := r.leafZones(c.Shards, groups)
+	if len(zones) == 0 || zones[r.zone] {
+		zones = map[string]bool{r.zone: true}
+	}
+	for _, m := range a.owners.Of(groups[c.Shards[0]]) {
 		owner := shardmap.Replica{VM: platform.VM{ID: m.ID, AvailabilityZone: m.AvailabilityZone}, Record: r.records.Record(m.ID)}
-		if m.AvailabilityZone == r.zone {
+		switch {
+		case m.ID == r.node && zones[r.zone]:
+			c.Own = true
+		case m.ID == r.node:
+		case zones[m.AvailabilityZone]:
 			c.Near = append(c.Near, owner)
-		} else {
+		default:
 			c.Far = append(c.Far, owner)
 		}
 	}
-	return c
+}
+
+// leafZones returns the availability zones in which at least half of the shards
+// have a leaf.
+func (r *relays) leafZones(shards []int, groups []string) map[string]bool {
+	counts := make(map[string]int)
+	for _, shard := range shards {
+		seen := make(map[string]bool)
+		for _, replica := range r.groups.Replicas(groups[shard]) {
+			if zone := replica.VM.AvailabilityZone; !seen[zone] {
+				seen[zone] = true
+				counts[zone]++
+			}
+		}
+	}
+	zones := make(map[string]bool)
+	for zone, n := range counts {
+		if 2*n >= len(shards) {
+			zones[zone] = true
+		}
+	}
+	return zones
 }
 
 // Do meets forward.Relays.
@@ -202,5 +246,5 @@
 	if a == nil || a.owners == nil || a.owners.ClusterOf(group) < 0 {
 		return true
 	}
-	return r.cluster(a, group).Own
+	return slices.ContainsFunc(a.owners.Of(group), func(m ownership.Member) bool { return m.ID == r.node })
 }
--- a/internal/node/gateway/relays_bench_test.go
+++ b/internal/node/gateway/relays_bench_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/hickorydock/hickorydock/internal/protocol/membership"
 	"github.com/hickorydock/hickorydock/internal/protocol/route"
+	"github.com/hickorydock/hickorydock/internal/state/group"
 	"github.com/hickorydock/hickorydock/internal/state/leaf"
 	"github.com/hickorydock/hickorydock/internal/state/routing"
 )
@@ -24,7 +25,7 @@
 	table.Routes = []route.Route{{Name: "q", Host: "h", Prefix: "/", Timeout: 1, Shards: groups}}
 	store := &routing.Store{}
 	store.Put(routing.NewIndex(table, nil))
-	r := &relays{node: "n000", zone: "az-0", routing: store, records: leaf.NewTable(), log: &log.Logger{Handler: discard.Default}}
+	r := &relays{node: "n000", zone: "az-0", routing: store, groups: group.NewStore(leaf.NewTable()), records: leaf.NewTable(), log: &log.Logger{Handler: discard.Default}}
 	members := make([]membership.Member, nodes)
 	for i := range members {
 		members[i] = membership.Member{ID: fmt.Sprintf("n%03d", i), AvailabilityZone: fmt.Sprintf("az-%d", i%4), State: membership.Alive}
--- a/internal/node/gateway/relays_test.go
+++ b/internal/node/gateway/relays_test.go
@@ -2,10 +2,15 @@
 
 import (
 	"fmt"
+	"maps"
 	"math/bits"
+	"slices"
+	"strings"
 	"testing"
 
 	"github.com/hickorydock/hickorydock/internal/coordination/share"
+	"github.com/hickorydock/hickorydock/internal/protocol/platform"
+	"github.com/hickorydock/hickorydock/internal/protocol/route"
 )
 
 // TestConnectionsOfLeafs holds, at 7, 70 and 610 nodes, that no leaf gets more
@@ -56,6 +61,46 @@
 	}
 }
 
+// TestRelaysNearLeafs answers the pattern of leafs in three of four availability
+// zones: what leafs send is to be merged where they are, whoever asks.
+func TestRelaysNearLeafs(t *testing.T) {
+	tests := []struct {
+		name, node, zone string
+		leafs            []string // their availability zones
+		near             string   // those of the near relays
+	}{
+		{"leafs are in the own zone", "n000", "az-0", []string{"az-0", "az-1", "az-2"}, "az-0"},
+		{"leafs are in other zones", "n003", "az-3", []string{"az-0", "az-1", "az-2"}, "az-0 az-1 az-2"},
+		{"no leaf is known", "n003", "az-3", nil, "az-3"},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			r, rt := newTestRelays(67, 90, 56)
+			r.node, r.zone = test.node, test.zone
+			for _, name := range rt.Shards {
+				for _, zone := range test.leafs {
+					r.groups.Put(route.Leaf{VM: platform.VM{ID: name + zone, Group: name, AvailabilityZone: zone}})
+				}
+			}
+			zones := map[string]bool{}
+			for _, c := range r.Clusters(rt) {
+				if c.Own && !strings.Contains(test.near, test.zone) {
+					t.Errorf("shards %v are sent to from a zone without their leafs", c.Shards)
+				}
+				if total := len(c.Near) + len(c.Far); total < share.MostRelays-1 {
+					t.Errorf("shards %v have %d relays", c.Shards, total)
+				}
+				for _, owner := range c.Near {
+					zones[owner.VM.AvailabilityZone] = true
+				}
+			}
+			if got := strings.Join(slices.Sorted(maps.Keys(zones)), " "); got != test.near {
+				t.Errorf("near relays are in %q, want %q", got, test.near)
+			}
+		})
+	}
+}
+
 // TestUnevenKnowledge answers the pattern of nodes that learn of a new one at
 // different times: they must agree on most relays, since a leaf's connections are
 // counted by owner.
--- a/internal/transport/forward/pass.go
+++ b/internal/transport/forward/pass.go
@@ -34,10 +34,10 @@
 type Cluster struct {
 	// Shards are positions in the list that was asked about.
 	Shards []int
-	// Near and Far are the nodes that relay to the leafs, in this availability zone
-	// and in others, with what was measured of them.
+	// Near and Far are the nodes that relay to the leafs, with what was measured of
+	// them. Near ones are asked first.
 	Near, Far []shardmap.Replica
-	// Own is true when this node is one of them.
+	// Own is true when this node is to send to the leafs itself.
 	Own bool
 }
 
