Let connections to leafs follow the division among relays

Cause: a node opened its first connection to a leaf when the leaf was listed, by the division of that moment. Before the members were known that was every node to every leaf, over the leaf's cap; a node that became a relay later opened none until its first request, which then waited for it. The division itself waited for a request. Ruled out: dividing at each change of the members (2 ms of a small node's processor, 67 times at a start). Change: groups are divided 200 ms after the last change of the members or the table; each division opens a connection to each leaf of the node's own and gives up those of others. A leaf of a group that no route names yet is left alone if it is to have relays. Test: TestWarmConnections; with the old rule for a division that is not known it fails on each group.

--- a/internal/node/gateway/control.go
+++ b/internal/node/gateway/control.go
@@ -112,6 +112,7 @@
 	c.log.WithFields(fields).Info("routing table read")
 	if taken {
 		c.metrics.RoutingVersion(table.Version)
+		c.relays.divideSoon()
 	}
 }
 
@@ -203,11 +204,16 @@
 	c.log.WithFields(log.Fields{"leaf": id, "group": old.VM.Group, "cause": cause}).Info("leaf gone")
 }
 
-// releaseMoved gives up the connections to leafs that other nodes relay to now.
-func (c *controller) releaseMoved() {
+// followDivision brings the connections to leafs in line with a new division among relays:
+// it opens one to each leaf that this node relays to now, so that the first request
+// does not wait for it, and gives up those to leafs of other nodes.
+func (c *controller) followDivision() {
 	for _, l := range c.groups.All() {
-		if !c.relays.connectsTo(l.VM.Group) {
+		switch {
+		case !c.relays.connectsTo(l.VM.Group):
 			c.wire.Release(l.VM.ID)
+		case l.VM.State != platform.VMLeaving:
+			c.wire.Warm(l.VM)
 		}
 	}
 }
--- a/internal/node/gateway/gateway.go
+++ b/internal/node/gateway/gateway.go
@@ -209,7 +209,7 @@
 		log:     logger,
 		holds:   make(map[string]*time.Timer),
 	}
-	r.moved = c.releaseMoved
+	r.moved = c.followDivision
 	f.Misdirected = func(id string) { c.leafDrop(id, "another leaf has its address") }
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
--- a/internal/node/gateway/relays.go
+++ b/internal/node/gateway/relays.go
@@ -64,13 +64,32 @@
 	moved   func()
 	present atomic.Pointer[membersList]
 	current atomic.Pointer[assignment]
+
+	mu    sync.Mutex
+	later *time.Timer // divides again; nil before the first change
 }
 
+// settleTime is the wait for further changes before groups are divided again without
+// a request that needs it: many nodes start and stop together.
+const settleTime = 200 * time.Millisecond
+
 // setMembers takes the present members.
 func (r *relays) setMembers(members []membership.Member) {
 	r.present.Store(&membersList{slices.DeleteFunc(slices.Clone(members), func(m membership.Member) bool {
 		return m.State != membership.Alive
 	})})
+	r.divideSoon()
+}
+
+// divideSoon divides the groups once no change has come for settleTime.
+func (r *relays) divideSoon() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.later == nil {
+		r.later = time.AfterFunc(settleTime, func() { r.assignment() })
+		return
+	}
+	r.later.Reset(settleTime)
 }
 
 // assignment returns the division in force for the table and the members of now.
@@ -84,7 +103,7 @@
 	}
 	a := &assignment{members: members, index: index, owners: r.divide(members.members, index)}
 	r.current.Store(a)
-	if a.owners != nil && r.moved != nil {
+	if r.moved != nil {
 		go r.moved()
 	}
 	return a
@@ -240,11 +259,20 @@
 	return max(min(s.Each, connectionsPerLeaf), 1)
 }
 
-// connectsTo reports whether this node itself sends to the leafs of a group.
+// connectsTo reports whether this node keeps connections to the leafs of a group. It
+// does not while the division is not known, nor to leafs that are to have relays once
+// a route names their group.
 func (r *relays) connectsTo(group string) bool {
 	a := r.assignment()
-	if a == nil || a.owners == nil || a.owners.ClusterOf(group) < 0 {
+	switch {
+	case a == nil:
+		return false
+	case a.owners == nil:
 		return true
+	case a.owners.ClusterOf(group) < 0:
+		limit := a.index.Table.Groups[group].Connections
+		s, err := share.ConnectionShare(limit, len(a.members.members), share.Reserve(limit))
+		return err == nil && s.Mode == share.Direct
 	}
 	return slices.ContainsFunc(a.owners.Of(group), func(m ownership.Member) bool { return m.ID == r.node })
 }
--- a/internal/node/gateway/relays_test.go
+++ b/internal/node/gateway/relays_test.go
@@ -1,16 +1,24 @@
 package gateway
 
 import (
+	"context"
+	"encoding/json"
 	"fmt"
 	"maps"
 	"math/bits"
+	"net"
 	"slices"
 	"strings"
+	"sync"
 	"testing"
+	"testing/synctest"
+	"time"
 
 	"github.com/hickorydock/hickorydock/internal/coordination/share"
+	"github.com/hickorydock/hickorydock/internal/protocol/membership"
 	"github.com/hickorydock/hickorydock/internal/protocol/platform"
 	"github.com/hickorydock/hickorydock/internal/protocol/route"
+	"github.com/hickorydock/hickorydock/internal/transport/leafwire"
 )
 
 // TestConnectionsOfLeafs holds, at 7, 70 and 610 nodes, that no leaf gets more
@@ -124,3 +132,77 @@
 		t.Errorf("%d of %d places of relays move with one more node", moved, places)
 	}
 }
+
+// TestWarmConnections answers the pattern of a fleet that starts: each leaf has a
+// connection of each of its relays before the first request, and of no other node,
+// whatever comes first of table, leafs and members.
+func TestWarmConnections(t *testing.T) {
+	steps := map[string]func(c *controller, members []membership.Member, table platform.Object, leafs platform.Listing){
+		"leafs first": func(c *controller, members []membership.Member, table platform.Object, leafs platform.Listing) {
+			c.leafsListed(leafs)
+			c.tablePut(table)
+			c.relays.setMembers(members)
+		},
+		"leafs last": func(c *controller, members []membership.Member, table platform.Object, leafs platform.Listing) {
+			c.relays.setMembers(members)
+			c.tablePut(table)
+			c.leafsListed(leafs)
+		},
+		"members one by one, last": func(c *controller, members []membership.Member, table platform.Object, leafs platform.Listing) {
+			c.tablePut(table)
+			for n := range members {
+				c.relays.setMembers(members[:n+1])
+			}
+			c.leafsListed(leafs)
+		},
+	}
+	for name, step := range steps {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				model, rt := newTestRelays(67, 90, 56)
+				c := newTestController()
+				c.relays.node = "n000"
+				c.relays.moved = c.followDivision
+				var mu sync.Mutex
+				dialled := map[string]int{}
+				c.wire = leafwire.New(leafwire.Config{
+					Limit: func(string) int { return 1 },
+					Dial: func(_ context.Context, address string) (net.Conn, error) {
+						mu.Lock()
+						defer mu.Unlock()
+						dialled[address]++
+						near, _ := net.Pipe()
+						return near, nil
+					},
+				})
+				table, _ := json.Marshal(model.routing.Current().Table)
+				var leafs platform.Listing
+				for _, group := range append(slices.Clone(rt.Shards), "not-routed-yet") {
+					text, _ := json.Marshal(route.Leaf{VM: platform.VM{ID: group, Group: group, Address: group}})
+					leafs.Objects = append(leafs.Objects, platform.Object{Kind: platform.KindVM, Name: group, Value: text})
+				}
+				step(c, model.present.Load().members, platform.Object{Kind: platform.KindRouting, Name: platform.RoutingName, Value: table}, leafs)
+				time.Sleep(2 * settleTime)
+				mu.Lock()
+				defer mu.Unlock()
+				owned := 0
+				for _, group := range rt.Shards {
+					want := 0
+					if model.connectsTo(group) {
+						want = 1
+						owned++
+					}
+					if dialled[group] != want {
+						t.Errorf("group %s: %d connections, want %d", group, dialled[group], want)
+					}
+				}
+				if owned == 0 || dialled["not-routed-yet"] != 0 {
+					t.Errorf("%d groups owned, %d connections to leafs that no route names", owned, dialled["not-routed-yet"])
+				}
+				for _, l := range c.groups.All() {
+					c.wire.Forget(l.VM.ID)
+				}
+			})
+		})
+	}
+}
