Log which shards of a relay are late and why no further leaf was asked

Cause: the line of a partial answer named the relay of a missing shard, and the relay said nothing, so the way from a request's id to its cause ended there. Change: a line with the same fields at the relay, under the request's id.

--- a/internal/transport/forward/served.go
+++ b/internal/transport/forward/served.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"time"
 
+	"github.com/apex/log"
 	"google.golang.org/protobuf/proto"
 
 	"github.com/hickorydock/hickorydock/internal/coordination/hedge"
@@ -55,6 +56,7 @@
 			x.loopUntil(ctx, at)
 			out.flush()
 		}
+		x.logLateShards()
 		x.replied = func(shard int, p part) {
 			out.add(shard, p)
 			out.flush()
@@ -71,6 +73,26 @@
 	x.alarm = time.Time{}
 }
 
+// logLateShards tells which shards of another node's request have no reply at the
+// target, and why no further leaf was asked.
+func (x *exchange) logLateShards() {
+	coverage := x.query.Coverage()
+	if len(coverage.Missing) == 0 {
+		return
+	}
+	x.f.log.WithFields(log.Fields{
+		"request": x.req.id,
+		"route":   x.req.route.Name,
+		"version": x.req.version,
+		"elapsed": time.Since(x.req.arrived).Round(time.Millisecond / 10),
+		"covered": coverage.Covered,
+		"total":   coverage.Total,
+		"sends":   x.attempts(),
+		"pending": len(x.pending),
+		"missing": x.describeMissing(coverage.Missing),
+	}).Info("relayed shards late")
+}
+
 // isAllOver reports whether no shard has anything pending.
 func (x *exchange) isAllOver() bool {
 	for i := range x.shards {
