Compare all of three leafs

Cause: while two fifths of the leafs are slow, the near leaf and a random other one are both slow in a sixth of the choices; the third, sound in 6 of 10 cases, was then asked only by a hedge. Ruled out: comparing all of any number, since nodes would choose the same leaf. Change: up to three replicas are all compared. Test, failing before: two cases of TestChoose.

--- a/internal/coordination/replica/replica.go
+++ b/internal/coordination/replica/replica.go
@@ -19,6 +19,9 @@
 	// be before another availability zone is preferred. It lies above the spread of
 	// the latency of sound leafs and below setAsideFactor.
 	crossingFactor = 1.8
+	// compareAll is the largest number of replicas that are all compared. Among more,
+	// two random ones keep nodes from all choosing the same.
+	compareAll = 3
 	// setAsideFactor is how much dearer than its alternative a leaf is when it is
 	// used for probes only.
 	setAsideFactor = 2
@@ -54,27 +57,41 @@
 	return pick(replicas, tried, "", uint32(random)).index
 }
 
-// Choose compares two random replicas outside tried, one of them in the availability
-// zone if there is any, and returns the index of the cheaper one, or None. A much
-// dearer one is chosen when a probe is due at now; a zero now asks for no probes.
+// Choose returns the index of the cheapest replica outside tried, or None. Of more
+// than compareAll it compares two random ones, one of them in the availability zone if
+// there is any. A much dearer one is chosen when a probe is due at now; a zero now
+// asks for no probes.
 func Choose(now time.Time, replicas []shardmap.Replica, tried Set, availabilityZone string, random uint64) int {
-	first := pick(replicas, tried, availabilityZone, uint32(random))
-	if first.index == None {
+	best := pick(replicas, tried, availabilityZone, uint32(random))
+	if best.index == None {
 		return None
 	}
-	second := pick(replicas, tried.With(first.index), "", uint32(random>>32))
-	if second.index == None {
-		return first.index
+	var compared [compareAll]candidate
+	compared[0] = best
+	n, most := 1, compareAll
+	if len(replicas) > compareAll {
+		most = 2
 	}
-	cheap, dear := first, second
-	if zoneCost(&replicas[second.index].VM, availabilityZone, &second.stats) < zoneCost(&replicas[first.index].VM, availabilityZone, &first.stats) {
-		cheap, dear = second, first
+	for seen := tried.With(best.index); n < most; n++ {
+		next := pick(replicas, seen, "", uint32(random>>32))
+		if next.index == None {
+			break
+		}
+		seen = seen.With(next.index)
+		compared[n] = next
+		if zoneCost(&replicas[next.index].VM, availabilityZone, &next.stats) < zoneCost(&replicas[best.index].VM, availabilityZone, &best.stats) {
+			best = next
+		}
 	}
-	cost, dearCost := statsCost(&cheap.stats), statsCost(&dear.stats)
-	if IsSetAside(dearCost, cost) && isProbeDue(now, &dear.stats, dearCost/cost) {
-		return dear.index
+	cost := statsCost(&best.stats)
+	for i := range compared[:n] {
+		dear := &compared[i]
+		dearCost := statsCost(&dear.stats)
+		if IsSetAside(dearCost, cost) && isProbeDue(now, &dear.stats, dearCost/cost) {
+			return dear.index
+		}
 	}
-	return cheap.index
+	return best.index
 }
 
 // IsSetAside reports whether a leaf of a cost gets probes only while one of the
--- a/internal/coordination/replica/replica_test.go
+++ b/internal/coordination/replica/replica_test.go
@@ -42,11 +42,13 @@
 		{"own availability zone at equal cost", []shardmap.Replica{replicaOf("b", ms, 0, 0), replicaOf("a", ms, 0, 0)}, 0, 1},
 		{"spill over when the own is worse", []shardmap.Replica{replicaOf("b", ms, 0, 0), replicaOf("a", 2*ms, 0, 0)}, 0, 0},
 		{"fewer failures", []shardmap.Replica{replicaOf("a", ms, 0, 2), replicaOf("a", 3*ms, 0, 0)}, 0, 1},
+		{"one of three is sound", []shardmap.Replica{replicaOf("a", 90*ms, 1, 0), replicaOf("b", 80*ms, 1, 0), replicaOf("c", 10*ms, 0, 0)}, 0, 2},
+		{"the sound one of three is of the own zone", []shardmap.Replica{replicaOf("b", 90*ms, 1, 0), replicaOf("a", 10*ms, 1, 0), replicaOf("c", 80*ms, 1, 0)}, 0, 1},
 		{"the only one left", []shardmap.Replica{replicaOf("a", ms, 0, 0), replicaOf("a", 9*ms, 0, 5)}, Set(0).With(0), 1},
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
-			for _, random := range []uint64{0, 1, 1 << 32, 1<<32 | 1} {
+			for _, random := range []uint64{0, 1, 2, 1 << 32, 1<<32 | 1, 2<<32 | 2, 1<<32 | 2} {
 				if got := Choose(start, test.replicas, test.tried, "a", random); got != test.want {
 					t.Errorf("random %x: replica %d, want %d", random, got, test.want)
 				}
