Suspect relays that answer nothing, and pass them over

Cause: a node that loses power was noticed by its three monitors after 1.5 s, and when more than half of all nodes are lost at once by one monitor alone after 6 s. All that time each node went on asking it for shards, and its record counted against it only from the second batch on. Change: a batch without any result makes its node probed at once and each 100 ms until it answers; four misses accuse it. Answers to older probes count too, so a slow node clears itself. Relays without an answer to their last batch are asked last for 2 s. Tests, failing before: TestMassLossIsKnownSoon (40 of 67 nodes, known by all within 2 s), TestSilentRelays; TestEvidenceAgainstLiveNode holds that nodes that pause or answer late are not held for dead.

--- a/internal/coordination/membership/membership.go
+++ b/internal/coordination/membership/membership.go
@@ -30,6 +30,11 @@
 	DefaultMonitors = 3
 	// ProbeInterval is the time between two probes of one neighbour.
 	ProbeInterval = 500 * time.Millisecond
+	// evidenceInterval is the same while something speaks against a member, and
+	// evidenceMisses takes the place of missesToAccuse: small VMs may stand still for
+	// a few tenths of a second.
+	evidenceInterval = 100 * time.Millisecond
+	evidenceMisses   = 4
 	// GossipInterval is the time between two rounds of gossip while there is news.
 	GossipInterval = 200 * time.Millisecond
 	// TickInterval is the time between two calls of Tick.
--- a/internal/coordination/membership/membership_test.go
+++ b/internal/coordination/membership/membership_test.go
@@ -308,3 +308,77 @@
 		t.Error("probed again while a probe is open")
 	}
 }
+
+// TestMassLossIsKnownSoon answers the pattern of 40 of 67 nodes that lose power at
+// once, many of them monitors of each other: survivors whose requests to a node stay
+// unanswered find it dead within two seconds, and nobody who runs.
+func TestMassLossIsKnownSoon(t *testing.T) {
+	const size, lost = 67, 40
+	n := newNetwork(size)
+	for i := range lost {
+		n.down[name(i)] = true
+	}
+	// Each survivor asks three nodes that are lost each 500 ms.
+	for round := range 4 {
+		for i := lost; i < size; i++ {
+			for k := range 3 {
+				asked := name((7*i + 13*k + 5*round) % lost)
+				n.carry(name(i), n.nodes[name(i)].LostConnection(n.now, asked))
+			}
+		}
+		n.run(500 * time.Millisecond)
+	}
+	for i := range lost {
+		n.want(t, name(i), membership.Dead)
+	}
+	if len(n.buried) > 0 {
+		t.Fatal(n.buried)
+	}
+}
+
+// TestEvidenceAgainstLiveNode holds that a node that is paused for a moment, or whose
+// answers take long, is not held for dead on the evidence of others.
+func TestEvidenceAgainstLiveNode(t *testing.T) {
+	accuse := func(n *network) {
+		for i := 1; i < 7; i++ {
+			n.carry(name(i), n.nodes[name(i)].LostConnection(n.now, name(0)))
+		}
+	}
+	t.Run("paused", func(t *testing.T) {
+		n := newNetwork(7)
+		n.down[name(0)] = true
+		accuse(n)
+		n.run(2 * TickInterval)
+		delete(n.down, name(0))
+		n.run(3 * time.Second)
+		n.want(t, name(0), membership.Alive)
+	})
+	t.Run("slow", func(t *testing.T) {
+		n := newNetwork(7)
+		const delay = 3 * TickInterval
+		type answer struct {
+			at   time.Time
+			send Send
+		}
+		var late []answer
+		n.lose = func(s Send) bool {
+			if s.Message.From == name(0) && s.Message.Kind == membership.Ack {
+				late = append(late, answer{n.now.Add(delay), s})
+				return true
+			}
+			return false
+		}
+		accuse(n)
+		for range 60 {
+			n.run(TickInterval)
+			for len(late) > 0 && !late[0].at.After(n.now) {
+				s := late[0].send
+				late = late[1:]
+				n.carry(s.To, n.nodes[s.To].Receive(n.now, s.Message))
+			}
+		}
+		if len(n.buried) > 0 {
+			t.Fatal(n.buried)
+		}
+	})
+}
--- a/internal/coordination/membership/probe.go
+++ b/internal/coordination/membership/probe.go
@@ -10,15 +10,16 @@
 // probe is the state of probing one member.
 type probe struct {
 	next time.Time
-	// open is the Seq of the ping without an answer; 0 when there is none.
-	open   uint64
-	misses int
+	// first and open are the Seqs of the oldest and the newest ping without an answer;
+	// 0 when there is none.
+	first, open uint64
+	misses      int
 	// answered is the time of the last sign of life.
 	answered time.Time
 	// differences counts answers in a row with another digest.
 	differences int
-	// helping is the time until which a member that is no neighbour is probed
-	// for another node.
+	// helping is the time until which a member is probed more often, since something
+	// speaks against it, and until which one that is no neighbour is probed at all.
 	helping time.Time
 }
 
@@ -98,13 +99,20 @@
 		return
 	}
 	p.next = p.next.Add(ProbeInterval)
+	allowed := missesToAccuse
+	if now.Before(p.helping) {
+		p.next = now.Add(evidenceInterval)
+		allowed = evidenceMisses
+	}
+	m.seq++
 	if p.open != 0 {
 		p.misses++
+	} else {
+		p.first = m.seq
 	}
-	m.seq++
 	p.open = m.seq
 	m.send(id, membership.Message{Kind: membership.Ping, Seq: m.seq}, a)
-	if p.misses >= missesToAccuse {
+	if p.misses >= allowed {
 		m.accuse(now, id, a)
 	}
 }
@@ -182,8 +190,9 @@
 	m.send(id, membership.Message{Kind: membership.Gossip, Updates: []membership.Member{m.members[id].Member, m.self}}, a)
 }
 
-// LostConnection takes wire evidence: a connection to a member broke or was
-// refused. It only makes the member be probed at once.
+// LostConnection takes wire evidence: a connection to a member broke or was refused,
+// or a request to it stayed without an answer. It only makes the member be probed at
+// once, and more often until it answers.
 func (m *Membership) LostConnection(now time.Time, id string) Actions {
 	var a Actions
 	m.help(now, id, &a)
@@ -201,6 +210,9 @@
 		p = &probe{next: now}
 		m.probes[id] = p
 	}
+	if !now.Before(p.helping) {
+		p.next = now
+	}
 	p.helping = now.Add(accusationLife)
 	if p.open == 0 {
 		p.next = now
--- a/internal/coordination/membership/receive.go
+++ b/internal/coordination/membership/receive.go
@@ -85,11 +85,12 @@
 
 func (m *Membership) answered(now time.Time, message membership.Message, a *Actions) {
 	p := m.probes[message.From]
-	if p == nil || message.Seq == 0 || message.Seq != p.open {
+	if p == nil || p.open == 0 || message.Seq < p.first || message.Seq > p.open {
 		return
 	}
 	p.open, p.misses = 0, 0
 	p.answered = now
+	p.helping = now
 	if acc := m.accused[message.From]; acc != nil {
 		delete(acc.by, m.self.ID)
 		acc.since = time.Time{}
--- a/internal/node/gateway/relays.go
+++ b/internal/node/gateway/relays.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -236,9 +237,23 @@
 	return zones
 }
 
-// Do meets forward.Relays.
+// silentAfter is the time without any result after which a batch that was given up
+// speaks against its node.
+const silentAfter = 20 * time.Millisecond
+
+// Do meets forward.Relays. A node that answered nothing is suspected of being lost.
 func (r *relays) Do(ctx context.Context, node string, batch *contract.Batch, deliver func(peer.Result)) error {
-	return r.mesh.Do(ctx, node, batch, deliver)
+	begun := time.Now()
+	answered := false
+	err := r.mesh.Do(ctx, node, batch, func(result peer.Result) {
+		answered = true
+		deliver(result)
+	})
+	early := ctx.Err() != nil && time.Since(begun) < silentAfter
+	if err != nil && !answered && !early && !errors.Is(err, peer.ErrDraining) {
+		r.mesh.Suspect(node)
+	}
+	return err
 }
 
 // connections is the most connections of this node to a leaf of a group.
--- a/internal/transport/forward/pass.go
+++ b/internal/transport/forward/pass.go
@@ -198,20 +198,40 @@
 	return true
 }
 
-// chooseRelay takes a relay of the bundle that was not tried, a near one first.
+// silentFor is how long a relay without a reply to its last batch is passed over.
+const silentFor = 2 * time.Second
+
+// chooseRelay takes a relay of the bundle that was not tried: a near one first, but
+// one that is silent last.
 func (x *exchange) chooseRelay(now time.Time, b *bundle) (shardmap.Replica, bool) {
-	for _, owners := range []*[]shardmap.Replica{&b.cluster.Near, &b.cluster.Far} {
-		i := replica.Choose(now, *owners, 0, x.f.cfg.AvailabilityZone, rand.Uint64())
-		if i == replica.None {
-			continue
+	for _, avoid := range []func(time.Time, []shardmap.Replica) replica.Set{silentRelays, none} {
+		for _, owners := range []*[]shardmap.Replica{&b.cluster.Near, &b.cluster.Far} {
+			i := replica.Choose(now, *owners, avoid(now, *owners), x.f.cfg.AvailabilityZone, rand.Uint64())
+			if i == replica.None {
+				continue
+			}
+			owner := (*owners)[i]
+			*owners = slices.Delete(slices.Clone(*owners), i, i+1)
+			return owner, true
 		}
-		owner := (*owners)[i]
-		*owners = slices.Delete(slices.Clone(*owners), i, i+1)
-		return owner, true
 	}
 	return shardmap.Replica{}, false
 }
 
+// silentRelays returns the relays that lately answered nothing to a batch.
+func silentRelays(now time.Time, owners []shardmap.Replica) replica.Set {
+	var set replica.Set
+	for i, owner := range owners {
+		stats := owner.Record.Stats()
+		if stats.Unanswered+stats.Failures > 0 && now.Sub(stats.LastBegin) < silentFor {
+			set = set.With(i)
+		}
+	}
+	return set
+}
+
+func none(time.Time, []shardmap.Replica) replica.Set { return 0 }
+
 func (x *exchange) passedMessage(now time.Time, shards []int, attempts int) *contract.Passed {
 	r := x.req.route
 	m := &contract.Passed{
--- a/internal/transport/forward/pass_test.go
+++ b/internal/transport/forward/pass_test.go
@@ -149,6 +149,33 @@
 	})
 }
 
+// TestSilentRelays answers the pattern of relays that lose power: the next query
+// leaves one out that answered nothing, and tries it again after a while.
+func TestSilentRelays(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		rt := queryRoute(3, 0.3)
+		leafs := map[string]behaviour{"a/1": answering(5 * ms), "b/1": answering(5 * ms), "c/1": answering(5 * ms)}
+		entry, relay := newRig(t, rt, leafs), newRig(t, rt, leafs)
+		relays := &fakeRelays{owners: map[string]peer.Handler{"near": frozen{}, "far": relay.Forwarder}, records: leaf.NewTable()}
+		entry.Relays = relays
+		time.Sleep(time.Second)
+		for _, want := range []string{"2", "0", "0"} {
+			answer, _ := entry.do(t.Context(), http.MethodGet, "/x")
+			if got := answer.Header().Get("Missing"); got != want {
+				t.Errorf("%q missing, want %q, by %v", got, want, relays.asked)
+			}
+			time.Sleep(200 * ms)
+		}
+		time.Sleep(silentFor)
+		relays.owners["near"] = relay.Forwarder
+		entry.do(t.Context(), http.MethodGet, "/x")
+		if got := strings.Join(relays.asked, " "); got != "near far far near" {
+			t.Errorf("relays asked: %s", got)
+		}
+		time.Sleep(time.Second)
+	})
+}
+
 func TestUnreadableBatch(t *testing.T) {
 	r := newRig(t, queryRoute(2, 1), map[string]behaviour{"a/1": silent})
 	replies := 0
