Hand what a relay ran nothing of to another relay

Ruled out: joining later (a node learns its leafs from the others); sending again from the entry, which also repeated what leafs had just refused, without paying for it. Change: shards that a relay ran nothing of, since it knew no leaf or took no batch, go to the next relay, and from the entry only when none is left. A batch without any reply counts against its relay. Shards that leafs refused fail at once. What a second relay of the same shards fails at is left to the first. Tests, failing before: TestRelaysThatRunNothing; TestRefusedByLeafsIsNotAskedAgain.

--- a/internal/transport/forward/pass.go
+++ b/internal/transport/forward/pass.go
@@ -60,11 +60,20 @@
 	hedgeAt time.Time
 }
 
+// assignment is what a relay is asked for.
+type assignment struct {
+	shards []int
+	// attempts bounds the attempts of each shard.
+	attempts int
+	// hedge is true beside another relay that may still answer. Only the other one
+	// sends merged results, since two that overlap could not both be used.
+	hedge bool
+}
+
 // passedEvent is the reply of one shard, or the end of a batch.
 type passedEvent struct {
 	bundle *bundle
 	relay  *relayCall
-	shards []int
 	// ended is true at the end of the batch; err then says what became of shards
 	// without a reply.
 	ended  bool
@@ -74,9 +83,12 @@
 
 // relayCall is one batch at one relay.
 type relayCall struct {
+	assignment
 	owner shardmap.Replica
 	began time.Time
 	once  sync.Once
+	// notRun are the shards that the relay ran nothing of.
+	notRun []int
 }
 
 // finish records once what the batch says about its relay.
@@ -87,11 +99,11 @@
 	})
 }
 
-// relayResult says what the end of a batch tells about its relay.
+// relayResult says what the end of a batch without a reply tells about its relay.
 func relayResult(ctx context.Context, err error) leaf.Result {
 	switch {
 	case err == nil:
-		return leaf.Answered
+		return leaf.Broken // a batch with a reply was recorded before
 	case ctx.Err() != nil:
 		return leaf.Cancelled
 	default:
@@ -130,7 +142,7 @@
 			shards = append(shards, shard)
 		}
 	}
-	if len(shards) == 0 || !x.ask(now, b, shards, x.req.route.Attempts-x.spareAttempts(), true) {
+	if len(shards) == 0 || !x.ask(now, b, assignment{shards: shards, attempts: x.req.route.Attempts - x.spareAttempts()}) {
 		return len(shards) == 0
 	}
 	if x.spareAttempts() > 0 {
@@ -149,26 +161,23 @@
 	return 0
 }
 
-// ask sends shards, with a bound on the attempts of each, to a relay of the bundle
-// that was not tried. merge allows merged results; only one relay of a shard may
-// send them, since two that overlap could not both be used.
-func (x *exchange) ask(now time.Time, b *bundle, shards []int, attempts int, merge bool) bool {
+// ask hands an assignment to a relay of the bundle that was not tried. It reports
+// false when there is none.
+func (x *exchange) ask(now time.Time, b *bundle, a assignment) bool {
 	owner, ok := x.chooseRelay(now, b)
 	if !ok {
 		return false
 	}
-	message := x.passedMessage(now, shards, attempts)
-	message.Merge = merge
-	body, err := proto.Marshal(message)
+	body, err := proto.Marshal(x.passedMessage(now, a))
 	if err != nil {
 		x.f.broken("encode", x.req, err)
 		return false
 	}
-	traced, span := x.f.Tracer.Start(x.ctx, tracing.HopPeer, attribute.String("node", owner.VM.ID), attribute.Int("shards", len(shards)))
+	traced, span := x.f.Tracer.Start(x.ctx, tracing.HopPeer, attribute.String("node", owner.VM.ID), attribute.Int("shards", len(a.shards)))
 	headers := http.Header{}
 	x.f.Tracer.Inject(traced, headers)
-	batch := &contract.Batch{RequestId: x.req.id, Body: body, Shards: make([]uint32, len(shards)), Traceparent: headers.Get(traceHeader)}
-	for k, shard := range shards {
+	batch := &contract.Batch{RequestId: x.req.id, Body: body, Shards: make([]uint32, len(a.shards)), Traceparent: headers.Get(traceHeader)}
+	for k, shard := range a.shards {
 		batch.Shards[k] = uint32(k)
 		x.shards[shard].asked = owner.VM.ID
 	}
@@ -177,7 +186,7 @@
 	b.cancel = func() { before(); cancel() }
 	owner.Record.Begin(now)
 	x.batches++
-	e := passedEvent{bundle: b, relay: &relayCall{owner: owner, began: now}, shards: shards}
+	e := passedEvent{bundle: b, relay: &relayCall{assignment: a, owner: owner, began: now}}
 	go func() {
 		defer cancel()
 		err := x.f.Relays.Do(ctx, owner.VM.ID, batch, func(r peer.Result) {
@@ -232,22 +241,23 @@
 
 func none(time.Time, []shardmap.Replica) replica.Set { return 0 }
 
-func (x *exchange) passedMessage(now time.Time, shards []int, attempts int) *contract.Passed {
+func (x *exchange) passedMessage(now time.Time, a assignment) *contract.Passed {
 	r := x.req.route
 	m := &contract.Passed{
 		Method:   x.message.Method,
 		Head:     x.message.Head,
 		Body:     x.message.Body,
-		Groups:   make([]string, len(shards)),
+		Groups:   make([]string, len(a.shards)),
 		Route:    r.Name,
 		Version:  x.req.version,
-		Attempts: uint32(max(attempts, 0)),
+		Attempts: uint32(max(a.attempts, 0)),
 		Top:      uint32(max(r.Top, 0)),
 
+		Merge:       !a.hedge,
 		Fingerprint: uint64(x.req.mark),
 		TargetUs:    max((x.req.target.Sub(now) - hopReserve).Microseconds(), 0),
 	}
-	for k, shard := range shards {
+	for k, shard := range a.shards {
 		m.Groups[k] = x.shards[shard].group
 	}
 	return m
@@ -266,7 +276,7 @@
 		}
 	}
 	if len(paid) > 0 {
-		x.ask(now, b, paid, x.spareAttempts(), false)
+		x.ask(now, b, assignment{shards: paid, attempts: x.spareAttempts(), hedge: true})
 	}
 }
 
@@ -276,26 +286,33 @@
 		x.bundleEnded(now, e)
 		return
 	}
-	shard := e.shards[e.result.Index]
-	if e.result.Status != contract.Status_STATUS_OK {
-		if e.result.Status != contract.Status_STATUS_NOT_RUN {
-			x.ran = true
-		}
-		x.retryHere(now, shard, e.result.Status == contract.Status_STATUS_NOT_RUN)
-		return
+	shard := e.relay.shards[e.result.Index]
+	switch e.result.Status {
+	case contract.Status_STATUS_OK:
+		x.ran = true
+		e.bundle.answered = true
+		x.takeResult(now, e)
+	case contract.Status_STATUS_NOT_RUN:
+		x.notRun(now, e, shard)
+	default:
+		x.ran = true
+		x.failPassed(now, e, shard, query.ReasonLost)
 	}
-	x.ran = true
-	e.bundle.answered = true
+}
+
+// takeResult takes the parts of a result. One without a body has its records in
+// another shard's.
+func (x *exchange) takeResult(now time.Time, e passedEvent) {
 	if len(e.result.Body) == 0 {
-		return // its records came with another shard's
+		return
 	}
-	parts, err := parseParts(e.result, len(e.shards))
+	parts, err := parseParts(e.result, len(e.relay.shards))
 	if err != nil {
 		x.f.broken("part", x.req, err)
 		return
 	}
 	for i := range parts {
-		parts[i].shard = e.shards[parts[i].shard]
+		parts[i].shard = e.relay.shards[parts[i].shard]
 	}
 	if len(parts) == 1 {
 		x.take(now, parts[0].shard, parts[0].part)
@@ -304,40 +321,70 @@
 	x.takeMerged(now, parts)
 }
 
-// bundleEnded takes the end of a batch: shards without a reply are asked for from
-// here, when that is allowed.
-func (x *exchange) bundleEnded(now time.Time, e passedEvent) {
-	if e.err == nil {
-		x.failUnusable(now, e)
+// notRun notes a shard that a relay ran nothing of, for want of a leaf. One that leafs
+// refused fails: asking another relay would only add to their load.
+func (x *exchange) notRun(now time.Time, e passedEvent, shard int) {
+	if e.result.Reason != string(query.ReasonNoReplica) {
+		x.failPassed(now, e, shard, query.ReasonShed)
 		return
 	}
-	notRun := peer.IsNotRun(e.err)
-	x.ran = x.ran || !notRun
-	x.f.log.WithFields(log.Fields{"request": x.req.id, "node": e.relay.owner.VM.ID, "shards": len(e.shards), "not_run": notRun}).WithError(e.err).Info("relay failed")
-	for _, shard := range e.shards {
-		x.retryHere(now, shard, notRun)
+	e.relay.notRun = append(e.relay.notRun, shard)
+}
+
+// failPassed fails a shard that a relay has used up the attempts of. A hedge leaves
+// it to the relay that was asked first.
+func (x *exchange) failPassed(now time.Time, e passedEvent, shard int, reason query.Reason) {
+	if !e.relay.hedge && x.shards[shard].budget == nil {
+		x.fail(now, shard, reason)
 	}
 }
 
+// bundleEnded takes the end of a batch. What was not run goes to another relay; what
+// may have run fails.
+func (x *exchange) bundleEnded(now time.Time, e passedEvent) {
+	switch {
+	case e.err == nil:
+		x.failUnusable(now, e)
+	case peer.IsNotRun(e.err):
+		x.logRelayFailed(e, true)
+		e.relay.notRun = e.relay.shards
+	default:
+		x.ran = true
+		x.logRelayFailed(e, false)
+		for _, shard := range e.relay.shards {
+			x.failPassed(now, e, shard, query.ReasonLost)
+		}
+	}
+	x.askAgain(now, e)
+}
+
+func (x *exchange) logRelayFailed(e passedEvent, notRun bool) {
+	fields := log.Fields{"request": x.req.id, "node": e.relay.owner.VM.ID, "shards": len(e.relay.shards), "not_run": notRun}
+	x.f.log.WithFields(fields).WithError(e.err).Info("relay failed")
+}
+
 // failUnusable fails the shards whose results could not be used.
 func (x *exchange) failUnusable(now time.Time, e passedEvent) {
-	for _, shard := range e.shards {
-		if x.shards[shard].budget == nil && !x.query.IsSettled(shard) {
-			x.f.broken("part", x.req, fault.New(fault.StepPeer, e.relay.owner.VM.ID, "no records of shard %d", shard))
-			x.fail(now, shard, query.ReasonBadReply)
+	for _, shard := range e.relay.shards {
+		if e.relay.hedge || x.shards[shard].budget != nil || x.query.IsSettled(shard) || slices.Contains(e.relay.notRun, shard) {
+			continue
 		}
+		x.f.broken("part", x.req, fault.New(fault.StepPeer, e.relay.owner.VM.ID, "no records of shard %d", shard))
+		x.fail(now, shard, query.ReasonBadReply)
 	}
 }
 
-// retryHere sends to the leafs of a shard from this node after a relay that ran
-// nothing. One that may have run the shard has used up its attempts.
-func (x *exchange) retryHere(now time.Time, shard int, notRun bool) {
-	run := &x.shards[shard]
-	switch {
-	case x.query.IsSettled(shard) || run.budget != nil:
-	case !notRun:
-		x.fail(now, shard, query.ReasonLost)
-	default:
-		x.begin(now, shard)
+// askAgain asks another relay for the shards that one ran nothing of. When there is
+// none, they are sent from this node, unless another relay may still answer.
+func (x *exchange) askAgain(now time.Time, e passedEvent) {
+	rest := e.relay.assignment
+	rest.shards = slices.DeleteFunc(slices.Clone(e.relay.notRun), x.query.IsSettled)
+	if len(rest.shards) == 0 || x.ask(now, e.bundle, rest) || rest.hedge {
+		return
+	}
+	for _, shard := range rest.shards {
+		if x.shards[shard].budget == nil {
+			x.begin(now, shard)
+		}
 	}
 }
--- a/internal/transport/forward/pass_test.go
+++ b/internal/transport/forward/pass_test.go
@@ -149,6 +149,73 @@
 	})
 }
 
+// TestRelaysThatRunNothing answers the pattern of many nodes that start again at once:
+// a relay that is there but knows no leaf, or that refuses, is not to be asked next
+// time, and its shards go to another relay before this node opens connections to
+// leafs that others relay to.
+func TestRelaysThatRunNothing(t *testing.T) {
+	tests := []struct {
+		name string
+		near func(t *testing.T, rt route.Route) peer.Handler
+		fail error
+	}{
+		{"knows no leaf", func(t *testing.T, rt route.Route) peer.Handler { return newRig(t, rt, nil).Forwarder }, nil},
+		{"takes no batches", func(*testing.T, route.Route) peer.Handler { return frozen{} }, peer.ErrDraining},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				rt := queryRoute(4, 0.3)
+				fast := answering(5 * ms)
+				leafs := map[string]behaviour{"a/1": fast, "b/1": fast, "c/1": fast, "d/1": fast}
+				entry, relay := newRig(t, rt, leafs), newRig(t, rt, leafs)
+				relays := &fakeRelays{
+					owners:  map[string]peer.Handler{"near": test.near(t, rt), "far": relay.Forwarder},
+					fail:    map[string]error{"near": test.fail},
+					records: leaf.NewTable(),
+				}
+				entry.Relays = relays
+				for range 2 {
+					answer, took := entry.do(t.Context(), http.MethodGet, "/x")
+					if answer.Code != 200 || answer.Header().Get("Missing") != "0" || took > 45*ms {
+						t.Errorf("status %d with %q missing after %v", answer.Code, answer.Header().Get("Missing"), took)
+					}
+					time.Sleep(100 * ms)
+				}
+				if got := strings.Join(relays.asked, " "); got != "near far far" {
+					t.Errorf("relays asked: %s", got)
+				}
+				for id, n := range entry.wire.sends() {
+					if id != "d/1" {
+						t.Errorf("%d sends to %s from this node", n, id)
+					}
+				}
+				time.Sleep(time.Second)
+			})
+		})
+	}
+}
+
+// TestRefusedByLeafsIsNotAskedAgain holds that shards whose leafs refuse at one relay
+// are not sent to them by another.
+func TestRefusedByLeafsIsNotAskedAgain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		rt := queryRoute(3, 0.3)
+		leafs := map[string]behaviour{"a/1": ending(ms, notRun), "b/1": ending(ms, notRun), "c/1": answering(5 * ms)}
+		entry, relay := newRig(t, rt, leafs), newRig(t, rt, leafs)
+		relays := &fakeRelays{owners: map[string]peer.Handler{"near": relay.Forwarder, "far": relay.Forwarder}, records: leaf.NewTable()}
+		entry.Relays = relays
+		answer, took := entry.do(t.Context(), http.MethodGet, "/x")
+		if answer.Code != 200 || answer.Header().Get("Missing") != "2" || took > 10*ms {
+			t.Errorf("status %d with %q missing after %v", answer.Code, answer.Header().Get("Missing"), took)
+		}
+		if n := relay.wire.sends()["a/1"] + entry.wire.sends()["a/1"]; n != 1 || len(relays.asked) != 1 {
+			t.Errorf("%d sends to a leaf that refuses, by %v", n, relays.asked)
+		}
+		time.Sleep(time.Second)
+	})
+}
+
 // TestSilentRelays answers the pattern of relays that lose power: the next query
 // leaves one out that answered nothing, and tries it again after a while.
 func TestSilentRelays(t *testing.T) {
--- a/internal/transport/forward/served.go
+++ b/internal/transport/forward/served.go
@@ -103,15 +103,21 @@
 	return true
 }
 
-// replyFailures says of each shard without a reply whether it may have run.
+// replyFailures says of each shard without a reply whether it may have run. Where no
+// leaf was asked at all, another relay may know one.
 func (x *exchange) replyFailures(reply func(peer.Result)) {
-	status := contract.Status_STATUS_FAILED
+	failure := peer.Result{Status: contract.Status_STATUS_FAILED, Reason: string(query.ReasonUpstreamError)}
 	if !x.ran && len(x.pending) == 0 {
-		status = contract.Status_STATUS_NOT_RUN
+		failure.Status = contract.Status_STATUS_NOT_RUN
+		failure.Reason = string(query.ReasonShed)
+	}
+	if x.attempts() == 0 {
+		failure.Reason = string(query.ReasonNoReplica)
 	}
 	for shard := range x.shards {
 		if !x.query.HasReply(shard) {
-			reply(peer.Result{Index: shard, Status: status, Reason: string(query.ReasonUpstreamError)})
+			failure.Index = shard
+			reply(failure)
 		}
 	}
 }
