Give no call to a connection that is ending

Cause: a connection on which something came that nobody asked for was closed first and taken from the idle ones after. A call that started in between was assigned to it; its reader had left, so the call never ended, nor did the goroutine that awaits it. Found by: TestLateReplyBelongsToNoRequest, which failed once in about 180 runs here ("call did not end"). Change: the reader takes the connection from the idle ones under the lock that assigns calls, before it closes it. Test, failing before: TestCallMeetsConnectionThatEnds, with a Close that waits.

--- a/internal/transport/leafwire/conn.go
+++ b/internal/transport/leafwire/conn.go
@@ -87,9 +87,7 @@
 func (c *conn) read() {
 	for {
 		_, err := c.reader.Peek(1)
-		c.peer.mu.Lock()
-		call := c.call
-		c.peer.mu.Unlock()
+		call := c.peer.retire(c)
 		if call == nil {
 			c.drop(nil)
 			return
--- a/internal/transport/leafwire/leafwire_test.go
+++ b/internal/transport/leafwire/leafwire_test.go
@@ -2,12 +2,14 @@
 
 import (
 	"bufio"
+	"context"
 	"errors"
 	"io"
 	"net"
 	"net/http"
 	"os"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -321,3 +323,50 @@
 	}
 	goleak.VerifyTestMain(m)
 }
+
+// slowClose is a connection whose Close waits.
+type slowClose struct {
+	net.Conn
+	closing chan struct{}
+	proceed chan struct{}
+	once    sync.Once
+}
+
+func (c *slowClose) Close() error {
+	c.once.Do(func() { close(c.closing) })
+	<-c.proceed
+	return c.Conn.Close()
+}
+
+// TestCallMeetsConnectionThatEnds holds that a call that starts while an idle
+// connection is being closed, since the leaf sent what nobody asked for, gets another
+// connection.
+func TestCallMeetsConnectionThatEnds(t *testing.T) {
+	leaf := newLeaf(t, func(n int, c net.Conn, r *bufio.Reader) {
+		_, _ = http.ReadRequest(r)
+		_, _ = io.WriteString(c, whole)
+		if n == 0 {
+			time.Sleep(20 * time.Millisecond)
+			_, _ = io.WriteString(c, whole)
+			_, _ = r.ReadByte()
+		}
+	})
+	first := &slowClose{closing: make(chan struct{}), proceed: make(chan struct{})}
+	client := New(Config{Names: testNames, Limit: func(string) int { return 2 }, Dial: func(ctx context.Context, address string) (net.Conn, error) {
+		raw, err := dialTCP(ctx, address)
+		if first.Conn == nil && err == nil {
+			first.Conn = raw
+			return first, nil
+		}
+		return raw, err
+	}})
+	t.Cleanup(func() { client.Forget(leaf.vm().ID) })
+	_, done := start(client, leaf.vm(), "")
+	await(t, done)
+	<-first.closing
+	_, done = start(client, leaf.vm(), "")
+	time.AfterFunc(20*time.Millisecond, func() { close(first.proceed) })
+	if reply := await(t, done); reply.Result != subrequest.OK {
+		t.Errorf("call: %d, %v", reply.Result, reply.Err)
+	}
+}
--- a/internal/transport/leafwire/peer.go
+++ b/internal/transport/leafwire/peer.go
@@ -125,15 +125,31 @@
 	c.write(call)
 }
 
+// retire returns the call of a connection on which something happened. One that has
+// none is not given to calls any more.
+func (p *peer) retire(c *conn) *Call {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if c.call == nil {
+		p.unidle(c)
+	}
+	return c.call
+}
+
+// unidle requires mu.
+func (p *peer) unidle(c *conn) {
+	if i := slices.Index(p.idle, c); i >= 0 {
+		p.idle = slices.Delete(p.idle, i, i+1)
+	}
+}
+
 // lost counts a broken connection out and opens another when calls wait.
 func (p *peer) lost(c *conn, fresh bool) {
 	now := time.Now()
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.open--
-	if i := slices.Index(p.idle, c); i >= 0 {
-		p.idle = slices.Delete(p.idle, i, i+1)
-	}
+	p.unidle(c)
 	if fresh {
 		p.shrunk = max(p.open, 1)
 		p.shrunkUntil = now.Add(shrinkFor)
