Send a request that still waits for a connection to another leaf

Cause: a request whose leaf accepted no connection waited for the dial to end, up to 1 s. Shards of a query spent budget on a hedge beside an attempt that no leaf had seen. Ruled out: a shorter dial timeout (leafs take 6 ms a connection, and many at once after a restart). Change: at the time of a hedge an attempt that still waits for a connection is taken back and sent to a leaf that was not tried. It counts neither as an attempt nor as an extra arrival, and a request that may run once is allowed it. What is never sent is refused as not run, with Retry-After. Dials that fail count the same way.

--- a/internal/coordination/subrequest/subrequest.go
+++ b/internal/coordination/subrequest/subrequest.go
@@ -45,6 +45,9 @@
 	Bad
 	// Failed means that the leaf ran the attempt and reported an error.
 	Failed
+	// Unsent means that no byte of the attempt left this node. It counts neither as an
+	// attempt nor as an extra arrival.
+	Unsent
 )
 
 // reasons maps the result of the last attempt to the reason for a missing shard.
@@ -54,6 +57,7 @@
 	Lost:   query.ReasonLost,
 	Bad:    query.ReasonBadReply,
 	Failed: query.ReasonUpstreamError,
+	Unsent: query.ReasonLost,
 }
 
 // Kind says why an attempt is sent.
@@ -257,6 +261,9 @@
 		return Deliver, Attempt{}
 	}
 	m.last = result
+	if result == Unsent {
+		m.sent--
+	}
 	if m.pending > 0 {
 		return Wait, Attempt{}
 	}
@@ -273,7 +280,7 @@
 // retry sends an attempt to another replica when the budget allows it. A replica
 // that keeps failing is worth spare tokens only.
 func (m *Machine) retry(now time.Time) (Attempt, bool) {
-	if m.isSpent() || m.cfg.Once && m.last != NotRun {
+	if m.isSpent() || m.mayHaveRun() {
 		m.held = HeldAttempts
 		return Attempt{}, false
 	}
@@ -281,11 +288,7 @@
 	if i == replica.None || !now.Before(m.cfg.Deadline) {
 		return Attempt{}, false
 	}
-	spend := m.spend
-	if replica.IsFailing(m.cfg.Replicas[i]) {
-		spend = m.extra.SpendSpare
-	}
-	if !spend() {
+	if !m.payRetry(i) {
 		m.held = HeldBudget
 		return Attempt{}, false
 	}
@@ -293,10 +296,34 @@
 	return m.take(i, Retry), true
 }
 
+// mayHaveRun reports whether a request that may run once cannot be sent again.
+func (m *Machine) mayHaveRun() bool {
+	return m.cfg.Once && m.last != NotRun && m.last != Unsent
+}
+
+// payRetry pays for a retry at a replica. After an attempt that was not sent the retry
+// is the first arrival.
+func (m *Machine) payRetry(i int) bool {
+	switch {
+	case m.last == Unsent:
+		return true
+	case replica.IsFailing(m.cfg.Replicas[i]):
+		return m.extra.SpendSpare()
+	default:
+		return m.spend()
+	}
+}
+
+// CanReroute reports whether an attempt that was not sent yet can go to a replica that
+// was not tried.
+func (m *Machine) CanReroute() bool {
+	return !m.done && m.choose(time.Time{}, m.tried) != replica.None
+}
+
 // startRound puts another round off and reports whether there will be one. No
 // round helps when the snapshot is gone.
 func (m *Machine) startRound(now time.Time, result Result) bool {
-	if !m.cfg.Persist || result == Gone || m.isSpent() || m.cfg.Once && result != NotRun {
+	if !m.cfg.Persist || result == Gone || m.isSpent() || m.mayHaveRun() {
 		return false
 	}
 	m.round = min(max(2*m.round, firstRound), longestRound)
--- a/internal/transport/forward/answer.go
+++ b/internal/transport/forward/answer.go
@@ -138,6 +138,9 @@
 
 // answerFailure says why there is no answer, and whether the request ran.
 func (x *exchange) answerFailure(w http.ResponseWriter) {
+	for shard := range x.shards {
+		x.withdraw(time.Now(), shard)
+	}
 	switch {
 	case x.isNotRun():
 		x.f.refuse(w, x.req.id, http.StatusServiceUnavailable, x.retryAfter())
--- a/internal/transport/forward/attempts.go
+++ b/internal/transport/forward/attempts.go
@@ -39,9 +39,48 @@
 		return
 	}
 	x.send(now, shard, attempt)
-	if at, ok := run.machine.HedgeAt(now); ok {
-		run.due = at
+	x.watch(now, shard)
+}
+
+// watch sets when a pending attempt of a shard is looked at again: for a hedge, or to
+// see whether it still waits for a connection.
+func (x *exchange) watch(now time.Time, shard int) {
+	run := &x.shards[shard]
+	at, hedged := run.machine.HedgeAt(now)
+	if !hedged && len(x.view.Replicas[shard]) > 1 {
+		at = now.Add(x.hedgeDelay)
+	}
+	run.due = at
+}
+
+// reroute takes an attempt back that still waits for a connection and sends it to
+// another leaf. It reports false when there is no such attempt or leaf.
+func (x *exchange) reroute(now time.Time, shard int) bool {
+	if !x.shards[shard].machine.CanReroute() {
+		return false
+	}
+	call := x.withdraw(now, shard)
+	if call == nil {
+		return false
+	}
+	x.decide(now, shard, subrequest.Unsent)
+	x.watch(now, shard)
+	return true
+}
+
+// withdraw takes an attempt of a shard back that waits for a connection and returns
+// it, or nil.
+func (x *exchange) withdraw(now time.Time, shard int) *leafwire.Call {
+	for call := range x.pending {
+		if call.Shard != shard || !x.f.wire.Withdraw(call) {
+			continue
+		}
+		delete(x.pending, call)
+		call.Reply = leafwire.Reply{Result: subrequest.Unsent, Err: leafwire.ErrCancelled}
+		x.f.learn(x.window, now, call)
+		return call
 	}
+	return nil
 }
 
 // heldSend is an attempt that the quarantine holds back.
@@ -118,6 +157,9 @@
 		if run.due.IsZero() || run.due.After(now) {
 			continue
 		}
+		if x.reroute(now, shard) {
+			continue
+		}
 		attempt, send, again := run.machine.Due(now)
 		run.due = again
 		if send {
--- a/internal/transport/forward/fake_test.go
+++ b/internal/transport/forward/fake_test.go
@@ -51,6 +51,17 @@
 	}
 }
 
+func (w *fakeWire) Withdraw(call *leafwire.Call) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	after, _ := w.leafs[call.Leaf.ID](call)
+	if after != noConnection || w.over[call] {
+		return false
+	}
+	w.over[call] = true
+	return true
+}
+
 func (w *fakeWire) Cancel(call *leafwire.Call) {
 	w.end(call, leafwire.Reply{Result: subrequest.Lost, Sent: true, Err: leafwire.ErrCancelled})
 }
@@ -92,6 +103,14 @@
 	return func(*leafwire.Call) (time.Duration, leafwire.Reply) { return after, reply }
 }
 
+// noConnection is the time of a call that waits for a connection for ever.
+const noConnection = -2
+
+// unreachable accepts no connection.
+func unreachable(*leafwire.Call) (time.Duration, leafwire.Reply) {
+	return noConnection, leafwire.Reply{}
+}
+
 // silent never replies.
 func silent(*leafwire.Call) (time.Duration, leafwire.Reply) { return -1, leafwire.Reply{} }
 
--- a/internal/transport/forward/forward.go
+++ b/internal/transport/forward/forward.go
@@ -72,6 +72,7 @@
 type Wire interface {
 	Start(call *leafwire.Call)
 	Cancel(call *leafwire.Call)
+	Withdraw(call *leafwire.Call) bool
 }
 
 // Forwarder serves callers. It is safe for concurrent use.
--- a/internal/transport/forward/forward_test.go
+++ b/internal/transport/forward/forward_test.go
@@ -176,3 +176,42 @@
 		}
 	})
 }
+
+// TestLeafsThatAcceptNoConnection answers the pattern of leafs that go dark: a request
+// that still waits for a connection goes to another leaf without an extra arrival, also
+// one that may run once, and what was sent nowhere is refused as not run.
+func TestLeafsThatAcceptNoConnection(t *testing.T) {
+	tests := []struct {
+		name       string
+		idempotent bool
+		leafs      map[string]behaviour
+		status     int
+		most       time.Duration
+	}{
+		{"may run once, another leaf answers", false, map[string]behaviour{"a/1": unreachable, "a/2": answering(5 * ms)}, 200, 60 * ms},
+		{"idempotent, another leaf answers", true, map[string]behaviour{"a/1": unreachable, "a/2": answering(5 * ms)}, 200, 60 * ms},
+		{"two of three accept none", false, map[string]behaviour{"a/1": unreachable, "a/2": unreachable, "a/3": answering(5 * ms)}, 200, 110 * ms},
+		{"no leaf accepts one: not run", false, map[string]behaviour{"a/1": unreachable, "a/2": unreachable}, 503, 600 * ms},
+		{"the only leaf accepts none: not run", false, map[string]behaviour{"a/1": unreachable}, 503, 600 * ms},
+		{"one was sent: may have run", false, map[string]behaviour{"a/1": silent}, 504, 600 * ms},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				rt := route.Route{Idempotent: test.idempotent, Timeout: 600 * ms, Target: 100 * ms, Attempts: 2, Groups: []route.Share{{Group: "a", Weight: 1}}}
+				for range 5 { // whichever leaf is chosen first
+					r := newRig(t, rt, test.leafs)
+					spendAll(r.Forwarder, "a")
+					answer, took := r.do(t.Context(), http.MethodPost, "/x")
+					if answer.Code != test.status || took > test.most {
+						t.Errorf("status %d after %v, want %d within %v", answer.Code, took, test.status, test.most)
+					}
+					if (answer.Code == 503) != (answer.Header().Get("Retry-After") != "") {
+						t.Errorf("status %d with Retry-After %q", answer.Code, answer.Header().Get("Retry-After"))
+					}
+					time.Sleep(time.Second)
+				}
+			})
+		})
+	}
+}
--- a/internal/transport/leafwire/leafwire.go
+++ b/internal/transport/leafwire/leafwire.go
@@ -188,10 +188,24 @@
 	p.unqueue(call)
 	call.over = true
 	p.mu.Unlock()
-	call.Reply = Reply{Result: subrequest.NotRun, Err: ErrCancelled}
+	call.Reply = Reply{Result: subrequest.Unsent, Err: ErrCancelled}
 	call.Done <- call
 }
 
+// Withdraw takes back a call that still waits for a connection and reports whether it
+// did; the call then does not end.
+func (c *Client) Withdraw(call *Call) bool {
+	p := call.peer
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if call.over || call.conn != nil {
+		return false
+	}
+	p.unqueue(call)
+	call.over = true
+	return true
+}
+
 // Warm opens a connection to a leaf that has none.
 func (c *Client) Warm(vm platform.VM) {
 	p := c.peer(vm)
--- a/internal/transport/leafwire/peer.go
+++ b/internal/transport/leafwire/peer.go
@@ -99,7 +99,7 @@
 	}
 	p.mu.Unlock()
 	for _, call := range failed {
-		call.Reply = Reply{Result: subrequest.NotRun, Err: err}
+		call.Reply = Reply{Result: subrequest.Unsent, Err: err}
 		call.Done <- call
 	}
 }
