Announce a planned stop, and bound it

The end of batches of other nodes was awaited without a bound, since fx bounds stops only where it runs the program itself; and other nodes were never told that one leaves (Mesh.Leave had no caller), so they sent batches to the last. Ruled out: slow exits (the log's last lines have a bound of 0.2 s). Change: a stop says first that the node leaves, so that its shards get other relays while it serves what is on the way, with its connections kept; all of it ends at 0.93 of the grace.

--- a/internal/node/gateway/control.go
+++ b/internal/node/gateway/control.go
@@ -35,6 +35,9 @@
 	// lastFailure is the time of the last failed call, in Unix nanoseconds.
 	lastFailure atomic.Int64
 	leafsKnown  atomic.Bool
+	// stopping is true once the node leaves: it keeps its connections for what is
+	// still on the way.
+	stopping atomic.Bool
 
 	mu    sync.Mutex
 	holds map[string]*time.Timer // of leafs whose registration is gone
@@ -208,6 +211,9 @@
 // it opens one to each leaf that this node relays to now, so that the first request
 // does not wait for it, and gives up those to leafs of other nodes.
 func (c *controller) followDivision() {
+	if c.stopping.Load() {
+		return
+	}
 	for _, l := range c.groups.All() {
 		switch {
 		case !c.relays.connectsTo(l.VM.Group):
--- a/internal/node/gateway/control_test.go
+++ b/internal/node/gateway/control_test.go
@@ -61,6 +61,8 @@
 	return platform.Object{Kind: platform.KindVM, Name: id, Value: text}
 }
 
+func leafEvent(id string) platform.Event { return platform.Event{Object: leafObject(id)} }
+
 func (c *controller) leafNames() (names []string) {
 	for _, l := range c.groups.All() {
 		names = append(names, l.VM.ID)
--- a/internal/node/gateway/gateway.go
+++ b/internal/node/gateway/gateway.go
@@ -67,6 +67,7 @@
 	app    *fx.App
 	logger log.Interface
 	logs   *logging.Queue
+	grace  time.Duration
 	front  *front
 }
 
@@ -89,10 +90,9 @@
 		return nil, fmt.Errorf("log level %q: %w", cfg.Settings.Log.Level, err)
 	}
 	logs := logging.NewQueue(cfg.Logs)
-	g := &Gateway{logs: logs, logger: logging.NewLimited(logs, level, logLimit)}
+	g := &Gateway{logs: logs, grace: cfg.Settings.Forward.Grace(), logger: logging.NewLimited(logs, level, logLimit)}
 	g.app = fx.New(
 		fx.NopLogger,
-		fx.StopTimeout(cfg.Settings.Forward.Grace()),
 		fx.Supply(cfg.Settings),
 		fx.Provide(
 			func() log.Interface { return g.logger },
@@ -125,6 +125,8 @@
 // Stop finishes requests in progress within the grace of the settings.
 func (g *Gateway) Stop(ctx context.Context) error {
 	g.logger.Info("gateway stopping")
+	ctx, cancel := context.WithTimeout(ctx, stopTimeout(g.grace))
+	defer cancel()
 	err := g.app.Stop(ctx)
 	g.logger.Info("gateway stopped")
 	g.logs.Close(logFlush)
@@ -239,23 +241,34 @@
 	noticeShare = 0.5
 	// finishShare is the part at whose end requests in progress are cut off.
 	finishShare = 0.9
+	// stopShare is the part at whose end batches of other nodes are cut off; the rest
+	// is for writing the log and the end of the process.
+	stopShare = 0.93
 )
 
+// stopTimeout bounds a planned stop but for the last lines of the log.
+func stopTimeout(grace time.Duration) time.Duration {
+	return time.Duration(stopShare * float64(grace))
+}
+
 // front serves callers.
 type front struct {
 	server     *http.Server
 	forwarder  *forward.Forwarder
 	controller *controller
-	log        log.Interface
-	grace      time.Duration
-	address    string
-	stopping   chan struct{}
+	// leave tells other nodes to ask this one for no more shards.
+	leave    func()
+	log      log.Interface
+	grace    time.Duration
+	address  string
+	stopping chan struct{}
 }
 
-func newFront(s settings.Settings, f *forward.Forwarder, c *controller, logger log.Interface, lifecycle fx.Lifecycle) *front {
+func newFront(s settings.Settings, f *forward.Forwarder, c *controller, m *mesh.Mesh, logger log.Interface, lifecycle fx.Lifecycle) *front {
 	fr := &front{
 		forwarder:  f,
 		controller: c,
+		leave:      m.Leave,
 		log:        logger,
 		grace:      s.Forward.Grace(),
 		stopping:   make(chan struct{}),
@@ -299,10 +312,13 @@
 }
 
 // stop takes the node out of rotation, serves those who still come, and finishes
-// what is in progress.
+// what is in progress. Other nodes learn of it first, so that their shards go to other
+// relays while this one still serves those on the way.
 func (f *front) stop(ctx context.Context) error {
 	begun := time.Now()
 	close(f.stopping)
+	f.controller.stopping.Store(true)
+	f.leave()
 	f.forwarder.Stop()
 	notice := time.NewTimer(time.Duration(noticeShare * float64(f.grace)))
 	defer notice.Stop()
