--- a/internal/node/gateway/gateway.go
+++ b/internal/node/gateway/gateway.go
@@ -5,12 +5,9 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"io"
 	"maps"
-	"net"
-	"net/http"
 	"slices"
 	"strings"
 	"time"
@@ -19,7 +16,6 @@
 	"go.uber.org/fx"
 
 	"github.com/hickorydock/hickorydock/internal/protocol/fault"
-	"github.com/hickorydock/hickorydock/internal/protocol/membership"
 	"github.com/hickorydock/hickorydock/internal/protocol/platform"
 	"github.com/hickorydock/hickorydock/internal/protocol/route"
 	"github.com/hickorydock/hickorydock/internal/protocol/settings"
@@ -28,11 +24,8 @@
 	"github.com/hickorydock/hickorydock/internal/state/mirror"
 	"github.com/hickorydock/hickorydock/internal/state/routing"
 	"github.com/hickorydock/hickorydock/internal/transport/admin"
-	"github.com/hickorydock/hickorydock/internal/transport/forward"
 	"github.com/hickorydock/hickorydock/internal/transport/guard"
-	"github.com/hickorydock/hickorydock/internal/transport/leafwire"
 	"github.com/hickorydock/hickorydock/internal/transport/logging"
-	"github.com/hickorydock/hickorydock/internal/transport/mesh"
 	"github.com/hickorydock/hickorydock/internal/transport/metrics"
 	"github.com/hickorydock/hickorydock/internal/transport/tracing"
 )
@@ -141,197 +134,3 @@
 
 // Ready says why the gateway must not be given work, or returns nil.
 func (g *Gateway) Ready() error { return g.front.Ready() }
-
-// newMesh joins the other gateways at the node's peer address.
-func newMesh(s settings.Settings, known *mirror.Mirror, f *forward.Forwarder, r *relays, g *guard.Guard, logger log.Interface, lifecycle fx.Lifecycle) (*mesh.Mesh, error) {
-	m, err := mesh.New(mesh.Config{
-		Node:             s.Node.ID,
-		AvailabilityZone: s.Node.AvailabilityZone,
-		Address:          s.Node.PeerAddress,
-		Seeds:            s.Node.BootstrapPeers,
-		Mirror:           known,
-		Hear:             g.Hear,
-		Log:              logger,
-		Changed: func(members []membership.Member) {
-			r.setMembers(members)
-			f.SetNodes(max(len(members), int(s.Forward.ExpectedNodes)))
-		},
-	}, f)
-	if err != nil {
-		return nil, err
-	}
-	r.mesh = m
-	f.Relays = r
-	f.Holders = r.holders
-	f.Confirmed = func() time.Time { return known.Confirmed(platform.KindVM) }
-	g.SetPeers(m)
-	lifecycle.Append(fx.StartStopHook(m.Start, m.Close))
-	return m, nil
-}
-
-// connectionsPerLeaf bounds this node's connections to a leaf whatever its share.
-const connectionsPerLeaf = 8
-
-func newRelays(s settings.Settings, routes *routing.Store, groups *group.Store, logger log.Interface) *relays {
-	return &relays{node: s.Node.ID, zone: s.Node.AvailabilityZone, routing: routes, groups: groups, records: leaf.NewTable(), log: logger}
-}
-
-func newWire(s settings.Settings, a Adapter, r *relays, m *metrics.Metrics) *leafwire.Client {
-	return leafwire.New(leafwire.Config{
-		Names:     a.Names(),
-		Connected: m.LeafConnected,
-		Limit:     func(group string) int { return r.connections(group, int(s.Forward.ExpectedNodes)) },
-	})
-}
-
-func newForwarder(s settings.Settings, a Adapter, routes *routing.Store, groups *group.Store, wire *leafwire.Client, g *guard.Guard, m *metrics.Metrics, tracer *tracing.Tracer, logger log.Interface) *forward.Forwarder {
-	f := forward.New(forward.Config{
-		AvailabilityZone: s.Node.AvailabilityZone,
-		Names:            a.Names(),
-		CallerTrip:       s.Forward.CallerTrip(),
-		MergeReserve:     s.Forward.MergeReserve(),
-		ExtraShare:       s.Forward.ExtraShare,
-		ExtraSlack:       s.Forward.ExtraSlack,
-		Linger:           s.Forward.Linger(),
-	}, routes, groups, wire, g, m, logger)
-	f.Tracer = tracer
-	f.SetNodes(int(s.Forward.ExpectedNodes))
-	return f
-}
-
-func newController(s settings.Settings, a Adapter, net *mesh.Mesh, routes *routing.Store, groups *group.Store, wire *leafwire.Client, r *relays, f *forward.Forwarder, m *metrics.Metrics, logger log.Interface, lifecycle fx.Lifecycle) *controller {
-	client := mesh.NewClient(a.Client(s), net, s.Forward.WatchWait())
-	c := &controller{
-		adapter: a,
-		client:  client,
-		routing: routes,
-		groups:  groups,
-		wire:    wire,
-		relays:  r,
-		metrics: m,
-		log:     logger,
-		holds:   make(map[string]*time.Timer),
-	}
-	r.moved = func() {
-		c.followDivision()
-		f.DivideSlack()
-	}
-	f.Misdirected = func(id string) { c.leafDrop(id, "another leaf has its address") }
-	ctx, cancel := context.WithCancel(context.Background())
-	done := make(chan struct{})
-	lifecycle.Append(fx.StartStopHook(
-		func() { go func() { defer close(done); c.run(ctx) }() },
-		func() { cancel(); client.Close(); <-done },
-	))
-	return c
-}
-
-// Bounds of callers' connections. The routing table's own limits are lower; these
-// keep a connection from holding a descriptor for ever.
-const (
-	maxHeaderBytes = 1 << 20
-	headerTimeout  = 30 * time.Second
-	idleTimeout    = 10 * time.Minute
-)
-
-// Parts of the grace of a planned stop.
-const (
-	// noticeShare is the part in which new connections are still served, while the
-	// balancer notices that the node is not ready.
-	noticeShare = 0.5
-	// finishShare is the part at whose end requests in progress are cut off.
-	finishShare = 0.9
-	// stopShare is the part at whose end batches of other nodes are cut off; the rest
-	// is for writing the log and the end of the process.
-	stopShare = 0.93
-)
-
-// stopTimeout bounds a planned stop but for the last lines of the log.
-func stopTimeout(grace time.Duration) time.Duration {
-	return time.Duration(stopShare * float64(grace))
-}
-
-// front serves callers.
-type front struct {
-	server     *http.Server
-	forwarder  *forward.Forwarder
-	controller *controller
-	// leave tells other nodes to ask this one for no more shards.
-	leave    func()
-	log      log.Interface
-	grace    time.Duration
-	address  string
-	stopping chan struct{}
-}
-
-func newFront(s settings.Settings, f *forward.Forwarder, c *controller, m *mesh.Mesh, logger log.Interface, lifecycle fx.Lifecycle) *front {
-	fr := &front{
-		forwarder:  f,
-		controller: c,
-		leave:      m.Leave,
-		log:        logger,
-		grace:      s.Forward.Grace(),
-		stopping:   make(chan struct{}),
-	}
-	fr.server = &http.Server{
-		Handler:           f,
-		MaxHeaderBytes:    maxHeaderBytes,
-		ReadHeaderTimeout: headerTimeout,
-		IdleTimeout:       idleTimeout,
-		ConnContext:       func(ctx context.Context, _ net.Conn) context.Context { return forward.TrackConnection(ctx) },
-	}
-	lifecycle.Append(fx.Hook{
-		OnStart: func(context.Context) error { return fr.listen(s.Node.CallerAddress) },
-		OnStop:  fr.stop,
-	})
-	return fr
-}
-
-func (f *front) listen(address string) error {
-	listener, err := net.Listen("tcp", address)
-	if err != nil {
-		return fault.Wrap(err, fault.StepSettings, address, "listen for callers")
-	}
-	f.address = listener.Addr().String()
-	go func() {
-		if err := f.server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
-			f.log.WithError(err).Error("callers' listener failed")
-		}
-	}()
-	return nil
-}
-
-// Ready says why the node must not be given work, or returns nil.
-func (f *front) Ready() error {
-	select {
-	case <-f.stopping:
-		return errors.New("stopping")
-	default:
-		return f.controller.Ready()
-	}
-}
-
-// stop takes the node out of rotation, serves those who still come, and finishes
-// what is in progress. Other nodes learn of it first, so that their shards go to other
-// relays while this one still serves those on the way.
-func (f *front) stop(ctx context.Context) error {
-	begun := time.Now()
-	close(f.stopping)
-	f.controller.stopping.Store(true)
-	f.leave()
-	f.forwarder.Stop()
-	notice := time.NewTimer(time.Duration(noticeShare * float64(f.grace)))
-	defer notice.Stop()
-	select {
-	case <-notice.C:
-	case <-ctx.Done():
-	}
-	finish := begun.Add(time.Duration(finishShare * float64(f.grace)))
-	ctx, cancel := context.WithDeadline(context.WithoutCancel(ctx), finish)
-	defer cancel()
-	if err := f.server.Shutdown(ctx); err != nil {
-		f.log.WithError(err).Error("stop ended early, requests cut off")
-		return f.server.Close()
-	}
-	return nil
-}
--- /dev/null
+++ b/internal/node/gateway/wiring.go
@@ -0,0 +1,107 @@
+package gateway
+
+import (
+	"context"
+	"time"
+
+	"github.com/apex/log"
+	"go.uber.org/fx"
+
+	"github.com/hickorydock/hickorydock/internal/protocol/membership"
+	"github.com/hickorydock/hickorydock/internal/protocol/platform"
+	"github.com/hickorydock/hickorydock/internal/protocol/settings"
+	"github.com/hickorydock/hickorydock/internal/state/group"
+	"github.com/hickorydock/hickorydock/internal/state/leaf"
+	"github.com/hickorydock/hickorydock/internal/state/mirror"
+	"github.com/hickorydock/hickorydock/internal/state/routing"
+	"github.com/hickorydock/hickorydock/internal/transport/forward"
+	"github.com/hickorydock/hickorydock/internal/transport/guard"
+	"github.com/hickorydock/hickorydock/internal/transport/leafwire"
+	"github.com/hickorydock/hickorydock/internal/transport/mesh"
+	"github.com/hickorydock/hickorydock/internal/transport/metrics"
+	"github.com/hickorydock/hickorydock/internal/transport/tracing"
+)
+
+// newMesh joins the other gateways at the node's peer address.
+func newMesh(s settings.Settings, known *mirror.Mirror, f *forward.Forwarder, r *relays, g *guard.Guard, logger log.Interface, lifecycle fx.Lifecycle) (*mesh.Mesh, error) {
+	m, err := mesh.New(mesh.Config{
+		Node:             s.Node.ID,
+		AvailabilityZone: s.Node.AvailabilityZone,
+		Address:          s.Node.PeerAddress,
+		Seeds:            s.Node.BootstrapPeers,
+		Mirror:           known,
+		Hear:             g.Hear,
+		Log:              logger,
+		Changed: func(members []membership.Member) {
+			r.setMembers(members)
+			f.SetNodes(max(len(members), int(s.Forward.ExpectedNodes)))
+		},
+	}, f)
+	if err != nil {
+		return nil, err
+	}
+	r.mesh = m
+	f.Relays = r
+	f.Holders = r.holders
+	f.Confirmed = func() time.Time { return known.Confirmed(platform.KindVM) }
+	g.SetPeers(m)
+	lifecycle.Append(fx.StartStopHook(m.Start, m.Close))
+	return m, nil
+}
+
+// connectionsPerLeaf bounds this node's connections to a leaf whatever its share.
+const connectionsPerLeaf = 8
+
+func newRelays(s settings.Settings, routes *routing.Store, groups *group.Store, logger log.Interface) *relays {
+	return &relays{node: s.Node.ID, zone: s.Node.AvailabilityZone, routing: routes, groups: groups, records: leaf.NewTable(), log: logger}
+}
+
+func newWire(s settings.Settings, a Adapter, r *relays, m *metrics.Metrics) *leafwire.Client {
+	return leafwire.New(leafwire.Config{
+		Names:     a.Names(),
+		Connected: m.LeafConnected,
+		Limit:     func(group string) int { return r.connections(group, int(s.Forward.ExpectedNodes)) },
+	})
+}
+
+func newForwarder(s settings.Settings, a Adapter, routes *routing.Store, groups *group.Store, wire *leafwire.Client, g *guard.Guard, m *metrics.Metrics, tracer *tracing.Tracer, logger log.Interface) *forward.Forwarder {
+	f := forward.New(forward.Config{
+		AvailabilityZone: s.Node.AvailabilityZone,
+		Names:            a.Names(),
+		CallerTrip:       s.Forward.CallerTrip(),
+		MergeReserve:     s.Forward.MergeReserve(),
+		ExtraShare:       s.Forward.ExtraShare,
+		ExtraSlack:       s.Forward.ExtraSlack,
+		Linger:           s.Forward.Linger(),
+	}, routes, groups, wire, g, m, logger)
+	f.Tracer = tracer
+	f.SetNodes(int(s.Forward.ExpectedNodes))
+	return f
+}
+
+func newController(s settings.Settings, a Adapter, net *mesh.Mesh, routes *routing.Store, groups *group.Store, wire *leafwire.Client, r *relays, f *forward.Forwarder, m *metrics.Metrics, logger log.Interface, lifecycle fx.Lifecycle) *controller {
+	client := mesh.NewClient(a.Client(s), net, s.Forward.WatchWait())
+	c := &controller{
+		adapter: a,
+		client:  client,
+		routing: routes,
+		groups:  groups,
+		wire:    wire,
+		relays:  r,
+		metrics: m,
+		log:     logger,
+		holds:   make(map[string]*time.Timer),
+	}
+	r.moved = func() {
+		c.followDivision()
+		f.DivideSlack()
+	}
+	f.Misdirected = func(id string) { c.leafDrop(id, "another leaf has its address") }
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	lifecycle.Append(fx.StartStopHook(
+		func() { go func() { defer close(done); c.run(ctx) }() },
+		func() { cancel(); client.Close(); <-done },
+	))
+	return c
+}
