Open the streams to relays ahead of the first batch

Ruled out: opening all at once (processor time of a small node in one burst). Change: after a division the streams to near relays are opened one after another. Test: TestPreparedStream.

--- a/internal/node/gateway/relays.go
+++ b/internal/node/gateway/relays.go
@@ -274,6 +274,27 @@
 	return max(min(s.Each, connectionsPerLeaf), 1)
 }
 
+// prepare opens the streams to the relays that this node asks first, one after another
+// so that they take little of its processor at a time.
+func (r *relays) prepare(ctx context.Context) {
+	a := r.assignment()
+	if a == nil || a.owners == nil {
+		return
+	}
+	asked := map[string]bool{}
+	for i := range a.index.Table.Routes {
+		for _, c := range r.Clusters(&a.index.Table.Routes[i]) {
+			for _, owner := range c.Near {
+				if asked[owner.VM.ID] || ctx.Err() != nil {
+					continue
+				}
+				asked[owner.VM.ID] = true
+				r.mesh.Prepare(ctx, owner.VM.ID)
+			}
+		}
+	}
+}
+
 // holders returns the number of nodes that relay to a group and whether this node is
 // one of them; 0 when all nodes send to it.
 func (r *relays) holders(group string) (n int, holds bool) {
--- a/internal/node/gateway/wiring.go
+++ b/internal/node/gateway/wiring.go
@@ -92,12 +92,13 @@
 		log:     logger,
 		holds:   make(map[string]*time.Timer),
 	}
+	ctx, cancel := context.WithCancel(context.Background())
 	r.moved = func() {
 		c.followDivision()
 		f.DivideSlack()
+		r.prepare(ctx)
 	}
 	f.Misdirected = func(id string) { c.leafDrop(id, "another leaf has its address") }
-	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
 	lifecycle.Append(fx.StartStopHook(
 		func() { go func() { defer close(done); c.run(ctx) }() },
--- a/internal/transport/mesh/batch.go
+++ b/internal/transport/mesh/batch.go
@@ -53,6 +53,14 @@
 	return l.client, err
 }
 
+// Prepare opens the stream to a node ahead of the first batch. One that cannot be
+// opened is left to the batch.
+func (m *Mesh) Prepare(ctx context.Context, id string) {
+	if _, err := m.lane(ctx, id); err != nil {
+		m.cfg.Log.WithField("node", id).WithError(err).Debug("stream not opened ahead")
+	}
+}
+
 // closeLanes ends all streams to other nodes.
 func (m *Mesh) closeLanes() {
 	m.lanes.Range(func(_, found any) bool {
--- a/internal/transport/mesh/mesh_test.go
+++ b/internal/transport/mesh/mesh_test.go
@@ -279,6 +279,30 @@
 	}
 }
 
+// TestPreparedStream holds that the first batch to a node finds the stream open that
+// was prepared, and that a node that is not there costs nothing but the attempt.
+func TestPreparedStream(t *testing.T) {
+	store := newPlatform()
+	store.set(1)
+	nodes := startNodes(t, 2, func(int) platform.Client { return store })
+	awaitAll(t, nodes, "1", 5*time.Second)
+	ctx, cancel := context.WithTimeout(t.Context(), 2*time.Second)
+	defer cancel()
+	nodes[0].Prepare(ctx, "n9")
+	nodes[0].Prepare(ctx, "n1")
+	found, _ := nodes[0].lanes.Load("n1")
+	prepared := found.(*lane).client
+	if prepared == nil {
+		t.Fatal("no stream is open")
+	}
+	if err := nodes[0].Do(ctx, "n1", &contract.Batch{Body: []byte("b"), Shards: []uint32{0}}, func(peer.Result) {}); err != nil {
+		t.Error(err)
+	}
+	if found.(*lane).client != prepared {
+		t.Error("the first batch opened another stream")
+	}
+}
+
 // TestReadersAreLost answers the pattern of a power loss that takes both readers
 // just as changes are made: their followers notice by the silence of their links.
 func TestReadersAreLost(t *testing.T) {
