Name the division among relays, and keep a route's clusters in a file of their own

Moves and renames only: gateway.assignment is division (forward.assignment is what one relay is asked for), Membership.LostConnection is Suspect, since a request without an answer is evidence too.

--- a/internal/coordination/membership/membership_test.go
+++ b/internal/coordination/membership/membership_test.go
@@ -290,7 +290,7 @@
 	}
 }
 
-func TestLostConnectionProbesAtOnce(t *testing.T) {
+func TestSuspectProbesAtOnce(t *testing.T) {
 	n := newNetwork(40)
 	m := n.nodes[name(0)]
 	var stranger string
@@ -300,11 +300,11 @@
 			break
 		}
 	}
-	a := m.LostConnection(n.now, stranger)
+	a := m.Suspect(n.now, stranger)
 	if len(a.Sends) != 1 || a.Sends[0].To != stranger || a.Sends[0].Message.Kind != membership.Ping {
 		t.Fatalf("actions %+v", a)
 	}
-	if again := m.LostConnection(n.now, stranger); len(again.Sends) != 0 {
+	if again := m.Suspect(n.now, stranger); len(again.Sends) != 0 {
 		t.Error("probed again while a probe is open")
 	}
 }
@@ -323,7 +323,7 @@
 		for i := lost; i < size; i++ {
 			for k := range 3 {
 				asked := name((7*i + 13*k + 5*round) % lost)
-				n.carry(name(i), n.nodes[name(i)].LostConnection(n.now, asked))
+				n.carry(name(i), n.nodes[name(i)].Suspect(n.now, asked))
 			}
 		}
 		n.run(500 * time.Millisecond)
@@ -341,7 +341,7 @@
 func TestEvidenceAgainstLiveNode(t *testing.T) {
 	accuse := func(n *network) {
 		for i := 1; i < 7; i++ {
-			n.carry(name(i), n.nodes[name(i)].LostConnection(n.now, name(0)))
+			n.carry(name(i), n.nodes[name(i)].Suspect(n.now, name(0)))
 		}
 	}
 	t.Run("paused", func(t *testing.T) {
--- a/internal/coordination/membership/probe.go
+++ b/internal/coordination/membership/probe.go
@@ -190,10 +190,10 @@
 	m.send(id, membership.Message{Kind: membership.Gossip, Updates: []membership.Member{m.members[id].Member, m.self}}, a)
 }
 
-// LostConnection takes wire evidence: a connection to a member broke or was refused,
+// Suspect takes wire evidence: a connection to a member broke or was refused,
 // or a request to it stayed without an answer. It only makes the member be probed at
 // once, and more often until it answers.
-func (m *Membership) LostConnection(now time.Time, id string) Actions {
+func (m *Membership) Suspect(now time.Time, id string) Actions {
 	var a Actions
 	m.help(now, id, &a)
 	return a
--- /dev/null
+++ b/internal/node/gateway/clusters.go
@@ -0,0 +1,99 @@
+package gateway
+
+import (
+	"time"
+
+	"github.com/hickorydock/hickorydock/internal/protocol/platform"
+	"github.com/hickorydock/hickorydock/internal/protocol/route"
+	"github.com/hickorydock/hickorydock/internal/state/shardmap"
+	"github.com/hickorydock/hickorydock/internal/transport/forward"
+)
+
+// routeClusters are the clusters of a route, by the leafs of a moment.
+type routeClusters struct {
+	clusters []forward.Cluster
+	made     time.Time
+}
+
+// zonesRefresh is how long the availability zones of leafs count as known. Leafs
+// take seconds to start and to leave.
+const zonesRefresh = time.Second
+
+// Clusters meets forward.Relays.
+func (r *relays) Clusters(rt *route.Route) []forward.Cluster {
+	a := r.division()
+	if a == nil || a.owners == nil {
+		return nil
+	}
+	now := time.Now()
+	if known, ok := a.clusters.Load(rt); ok && now.Sub(known.(*routeClusters).made) < zonesRefresh {
+		return known.(*routeClusters).clusters
+	}
+	clusters := r.divideRoute(a, rt.Shards)
+	a.clusters.Store(rt, &routeClusters{clusters, now})
+	return clusters
+}
+
+// divideRoute groups the shards of a route by cluster.
+func (r *relays) divideRoute(a *division, groups []string) []forward.Cluster {
+	at := make(map[int]int)
+	var clusters []forward.Cluster
+	for shard, name := range groups {
+		c := a.owners.ClusterOf(name)
+		k, ok := at[c]
+		if !ok {
+			k = len(clusters)
+			at[c] = k
+			clusters = append(clusters, forward.Cluster{})
+		}
+		clusters[k].Shards = append(clusters[k].Shards, shard)
+	}
+	for i := range clusters {
+		r.addOwners(a, &clusters[i], groups)
+	}
+	return clusters
+}
+
+// addOwners sets the relays of a cluster. Relays in the availability zones of its
+// leafs are near, since what they merge is a fraction of what leafs send; of these
+// just the ones in this node's own zone, if leafs are there.
+func (r *relays) addOwners(a *division, c *forward.Cluster, groups []string) {
+	zones := r.leafZones(c.Shards, groups)
+	if len(zones) == 0 || zones[r.zone] {
+		zones = map[string]bool{r.zone: true}
+	}
+	for _, m := range a.owners.Of(groups[c.Shards[0]]) {
+		owner := shardmap.Replica{VM: platform.VM{ID: m.ID, AvailabilityZone: m.AvailabilityZone}, Record: r.records.Record(m.ID)}
+		switch {
+		case m.ID == r.node && zones[r.zone]:
+			c.Own = true
+		case m.ID == r.node:
+		case zones[m.AvailabilityZone]:
+			c.Near = append(c.Near, owner)
+		default:
+			c.Far = append(c.Far, owner)
+		}
+	}
+}
+
+// leafZones returns the availability zones in which at least half of the shards
+// have a leaf.
+func (r *relays) leafZones(shards []int, groups []string) map[string]bool {
+	counts := make(map[string]int)
+	for _, shard := range shards {
+		seen := make(map[string]bool)
+		for _, replica := range r.groups.Replicas(groups[shard]) {
+			if zone := replica.VM.AvailabilityZone; !seen[zone] {
+				seen[zone] = true
+				counts[zone]++
+			}
+		}
+	}
+	zones := make(map[string]bool)
+	for zone, n := range counts {
+		if 2*n >= len(shards) {
+			zones[zone] = true
+		}
+	}
+	return zones
+}
--- a/internal/node/gateway/relays.go
+++ b/internal/node/gateway/relays.go
@@ -14,13 +14,9 @@
 	"github.com/hickorydock/hickorydock/internal/coordination/share"
 	"github.com/hickorydock/hickorydock/internal/protocol/membership"
 	contract "github.com/hickorydock/hickorydock/internal/protocol/peer"
-	"github.com/hickorydock/hickorydock/internal/protocol/platform"
-	"github.com/hickorydock/hickorydock/internal/protocol/route"
 	"github.com/hickorydock/hickorydock/internal/state/group"
 	"github.com/hickorydock/hickorydock/internal/state/leaf"
 	"github.com/hickorydock/hickorydock/internal/state/routing"
-	"github.com/hickorydock/hickorydock/internal/state/shardmap"
-	"github.com/hickorydock/hickorydock/internal/transport/forward"
 	"github.com/hickorydock/hickorydock/internal/transport/mesh"
 	"github.com/hickorydock/hickorydock/internal/transport/peer"
 )
@@ -29,8 +25,8 @@
 // of some hundred shards then goes to about eight relays.
 const clusterGroups = 12
 
-// assignment is who relays to which groups, for one table and one membership.
-type assignment struct {
+// division is who relays to which groups, for one table and one membership.
+type division struct {
 	members *membersList
 	index   *routing.Index
 	owners  *ownership.Assignment // nil when all nodes connect to all leafs
@@ -39,16 +35,6 @@
 	clusters sync.Map
 }
 
-// routeClusters are the clusters of a route, by the leafs of a moment.
-type routeClusters struct {
-	clusters []forward.Cluster
-	made     time.Time
-}
-
-// zonesRefresh is how long the availability zones of leafs count as known. Leafs
-// take seconds to start and to leave.
-const zonesRefresh = time.Second
-
 // membersList gives a list of members an identity.
 type membersList struct{ members []membership.Member }
 
@@ -64,7 +50,7 @@
 	// moved is told of each new division in the background; may be nil.
 	moved   func()
 	present atomic.Pointer[membersList]
-	current atomic.Pointer[assignment]
+	current atomic.Pointer[division]
 
 	mu    sync.Mutex
 	later *time.Timer // divides again; nil before the first change
@@ -87,14 +73,14 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if r.later == nil {
-		r.later = time.AfterFunc(settleTime, func() { r.assignment() })
+		r.later = time.AfterFunc(settleTime, func() { r.division() })
 		return
 	}
 	r.later.Reset(settleTime)
 }
 
-// assignment returns the division in force for the table and the members of now.
-func (r *relays) assignment() *assignment {
+// division returns the division in force for the table and the members of now.
+func (r *relays) division() *division {
 	members, index := r.present.Load(), r.routing.Current()
 	if members == nil || index == nil {
 		return nil
@@ -102,7 +88,7 @@
 	if a := r.current.Load(); a != nil && a.members == members && a.index == index {
 		return a
 	}
-	a := &assignment{members: members, index: index, owners: r.divide(members.members, index)}
+	a := &division{members: members, index: index, owners: r.divide(members.members, index)}
 	r.current.Store(a)
 	if r.moved != nil {
 		go r.moved()
@@ -158,85 +144,6 @@
 	return groups
 }
 
-// Clusters meets forward.Relays.
-func (r *relays) Clusters(rt *route.Route) []forward.Cluster {
-	a := r.assignment()
-	if a == nil || a.owners == nil {
-		return nil
-	}
-	now := time.Now()
-	if known, ok := a.clusters.Load(rt); ok && now.Sub(known.(*routeClusters).made) < zonesRefresh {
-		return known.(*routeClusters).clusters
-	}
-	clusters := r.divideRoute(a, rt.Shards)
-	a.clusters.Store(rt, &routeClusters{clusters, now})
-	return clusters
-}
-
-// divideRoute groups the shards of a route by cluster.
-func (r *relays) divideRoute(a *assignment, groups []string) []forward.Cluster {
-	at := make(map[int]int)
-	var clusters []forward.Cluster
-	for shard, name := range groups {
-		c := a.owners.ClusterOf(name)
-		k, ok := at[c]
-		if !ok {
-			k = len(clusters)
-			at[c] = k
-			clusters = append(clusters, forward.Cluster{})
-		}
-		clusters[k].Shards = append(clusters[k].Shards, shard)
-	}
-	for i := range clusters {
-		r.addOwners(a, &clusters[i], groups)
-	}
-	return clusters
-}
-
-// addOwners sets the relays of a cluster. Relays in the availability zones of its
-// leafs are near, since what they merge is a fraction of what leafs send; of these
-// just the ones in this node's own zone, if leafs are there.
-func (r *relays) addOwners(a *assignment, c *forward.Cluster, groups []string) {
-	zones := r.leafZones(c.Shards, groups)
-	if len(zones) == 0 || zones[r.zone] {
-		zones = map[string]bool{r.zone: true}
-	}
-	for _, m := range a.owners.Of(groups[c.Shards[0]]) {
-		owner := shardmap.Replica{VM: platform.VM{ID: m.ID, AvailabilityZone: m.AvailabilityZone}, Record: r.records.Record(m.ID)}
-		switch {
-		case m.ID == r.node && zones[r.zone]:
-			c.Own = true
-		case m.ID == r.node:
-		case zones[m.AvailabilityZone]:
-			c.Near = append(c.Near, owner)
-		default:
-			c.Far = append(c.Far, owner)
-		}
-	}
-}
-
-// leafZones returns the availability zones in which at least half of the shards
-// have a leaf.
-func (r *relays) leafZones(shards []int, groups []string) map[string]bool {
-	counts := make(map[string]int)
-	for _, shard := range shards {
-		seen := make(map[string]bool)
-		for _, replica := range r.groups.Replicas(groups[shard]) {
-			if zone := replica.VM.AvailabilityZone; !seen[zone] {
-				seen[zone] = true
-				counts[zone]++
-			}
-		}
-	}
-	zones := make(map[string]bool)
-	for zone, n := range counts {
-		if 2*n >= len(shards) {
-			zones[zone] = true
-		}
-	}
-	return zones
-}
-
 // silentAfter is the time without any result after which a batch that was given up
 // speaks against its node.
 const silentAfter = 20 * time.Millisecond
@@ -277,7 +184,7 @@
 // prepare opens the streams to the relays that this node asks first, one after another
 // so that they take little of its processor at a time.
 func (r *relays) prepare(ctx context.Context) {
-	a := r.assignment()
+	a := r.division()
 	if a == nil || a.owners == nil {
 		return
 	}
@@ -298,7 +205,7 @@
 // holders returns the number of nodes that relay to a group and whether this node is
 // one of them; 0 when all nodes send to it.
 func (r *relays) holders(group string) (n int, holds bool) {
-	a := r.assignment()
+	a := r.division()
 	if a == nil || a.owners == nil {
 		return 0, true
 	}
@@ -310,7 +217,7 @@
 // does not while the division is not known, nor to leafs that are to have relays once
 // a route names their group.
 func (r *relays) connectsTo(group string) bool {
-	a := r.assignment()
+	a := r.division()
 	switch {
 	case a == nil:
 		return false
--- a/internal/node/gateway/relays_test.go
+++ b/internal/node/gateway/relays_test.go
@@ -118,10 +118,10 @@
 	moved, places := 0, 0
 	for _, g := range rt.Shards {
 		old := map[string]bool{}
-		for _, m := range before.assignment().owners.Of(g) {
+		for _, m := range before.division().owners.Of(g) {
 			old[m.ID] = true
 		}
-		for _, m := range after.assignment().owners.Of(g) {
+		for _, m := range after.division().owners.Of(g) {
 			places++
 			if !old[m.ID] {
 				moved++
--- a/internal/transport/mesh/mesh.go
+++ b/internal/transport/mesh/mesh.go
@@ -153,7 +153,7 @@
 // Suspect takes evidence that a node does not answer: it is probed at once, so that
 // all nodes learn soon whether it is lost.
 func (m *Mesh) Suspect(id string) {
-	m.act(func(now time.Time) membership.Actions { return m.view.LostConnection(now, id) })
+	m.act(func(now time.Time) membership.Actions { return m.view.Suspect(now, id) })
 }
 
 // isSeed reports whether the node's own address is among the seeds.
