Refuse as not run what no leaf ran at relays either

Change: shards at relays without a result are counted; once none is left and no leaf may have run the request, the answer is 503 with Retry-After.

--- a/internal/transport/forward/answer.go
+++ b/internal/transport/forward/answer.go
@@ -159,7 +159,7 @@
 	if x.ran {
 		return false
 	}
-	return len(x.pending) == 0 && len(x.bundles) == 0
+	return len(x.pending) == 0 && x.atRelays == 0
 }
 
 // retryAfter advises the caller of a request that did not run.
--- a/internal/transport/forward/exchange.go
+++ b/internal/transport/forward/exchange.go
@@ -55,6 +55,8 @@
 	// bundles are the shards that other nodes were asked for.
 	bundles []*bundle
 	passed  chan passedEvent
+	// atRelays counts the shards at relays that may still run them.
+	atRelays int
 	// ran is true once a leaf may have run the request.
 	ran bool
 	// sends counts the attempts at leafs, by kind, and batches those at relays.
--- a/internal/transport/forward/pass.go
+++ b/internal/transport/forward/pass.go
@@ -86,6 +86,8 @@
 	once  sync.Once
 	// notRun are the shards that the relay ran nothing of.
 	notRun []int
+	// open is the number of shards without a result.
+	open int
 }
 
 // finish records once what the batch says about its relay.
@@ -183,7 +185,8 @@
 	b.cancel = func() { before(); cancel() }
 	owner.Record.Begin(now)
 	x.batches++
-	e := passedEvent{bundle: b, relay: &relayCall{assignment: a, owner: owner, began: now}}
+	x.atRelays += len(a.shards)
+	e := passedEvent{bundle: b, relay: &relayCall{assignment: a, owner: owner, began: now, open: len(a.shards)}}
 	go func() {
 		defer cancel()
 		err := x.f.Relays.Do(ctx, owner.VM.ID, batch, func(r peer.Result) {
--- a/internal/transport/forward/pass_test.go
+++ b/internal/transport/forward/pass_test.go
@@ -216,6 +216,37 @@
 	})
 }
 
+// TestNothingRanAtRelays holds that a query that no leaf ran is refused as not run also
+// where relays were asked, and that one which a relay may have run is not.
+func TestNothingRanAtRelays(t *testing.T) {
+	shed := ending(ms, notRun)
+	tests := []struct {
+		name   string
+		leafs  map[string]behaviour
+		fail   error
+		status int
+	}{
+		{"all leafs refuse", map[string]behaviour{"a/1": shed, "b/1": shed, "c/1": shed}, nil, 503},
+		{"a leaf of the relay failed", map[string]behaviour{"a/1": ending(ms, lost), "b/1": shed, "c/1": shed}, nil, 502},
+		{"the relay is lost", map[string]behaviour{"a/1": shed, "b/1": shed, "c/1": shed}, peer.ErrLost, 502},
+		{"the relay takes no batch and leafs refuse", map[string]behaviour{"a/1": shed, "b/1": shed, "c/1": shed}, peer.ErrDraining, 503},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				rt := queryRoute(3, 0.3) // any shard is enough, so the end of the last one decides
+				entry, relay := newRig(t, rt, test.leafs), newRig(t, rt, test.leafs)
+				entry.Relays = &fakeRelays{owners: map[string]peer.Handler{"near": relay.Forwarder}, fail: map[string]error{"near": test.fail}, records: leaf.NewTable()}
+				answer, took := entry.do(t.Context(), http.MethodGet, "/x")
+				if answer.Code != test.status || (answer.Header().Get("Retry-After") != "") != (test.status == 503) || took > 20*ms {
+					t.Errorf("status %d with Retry-After %q after %v, want %d", answer.Code, answer.Header().Get("Retry-After"), took, test.status)
+				}
+				time.Sleep(time.Second)
+			})
+		})
+	}
+}
+
 // TestSilentRelays answers the pattern of relays that lose power: the next query
 // leaves one out that answered nothing, and tries it again after a while.
 func TestSilentRelays(t *testing.T) {
--- a/internal/transport/forward/passed.go
+++ b/internal/transport/forward/passed.go
@@ -15,9 +15,12 @@
 // passedEnded takes the reply of a shard, or the end of a batch.
 func (x *exchange) passedEnded(now time.Time, e passedEvent) {
 	if e.ended {
+		x.atRelays -= e.relay.open
 		x.bundleEnded(now, e)
 		return
 	}
+	x.atRelays--
+	e.relay.open--
 	shard := e.relay.shards[e.result.Index]
 	switch e.result.Status {
 	case contract.Status_STATUS_OK:
