--- a/internal/transport/forward/merged.go
+++ b/internal/transport/forward/merged.go
@@ -79,15 +79,15 @@
 	shards  int
 }
 
-// parseParts reads the result of a shard of a batch. The parts of further shards
-// share the records of the first.
-func parseParts(result peer.Result, batch int) ([]shardPart, error) {
+// parseParts reads a result of a relay for a shard of a batch of so many. The parts of
+// further shards share the records of the first.
+func parseParts(relay string, result peer.Result, batch int) ([]shardPart, error) {
 	var lead contract.Part
 	if err := proto.Unmarshal(result.Body, &lead); err != nil {
-		return nil, fault.Wrap(err, fault.StepPeer, "", "part of shard %d not readable", result.Index)
+		return nil, fault.Wrap(err, fault.StepPeer, relay, "part of shard %d not readable", result.Index)
 	}
 	if lead.Receipt == "" {
-		return nil, fault.New(fault.StepPeer, "", "part of shard %d has no receipt", result.Index)
+		return nil, fault.New(fault.StepPeer, relay, "part of shard %d has no receipt", result.Index)
 	}
 	first := part{receipt: lead.Receipt, records: lead.Records}
 	if len(lead.Others) == 0 {
@@ -100,7 +100,7 @@
 	for _, other := range lead.Others {
 		index := int(other.Index)
 		if index >= batch || seen[index] || other.Receipt == "" {
-			return nil, fault.New(fault.StepPeer, "", "merged part names shard %d of %d, receipt %q", index, batch, other.Receipt)
+			return nil, fault.New(fault.StepPeer, relay, "merged part names shard %d of %d, receipt %q", index, batch, other.Receipt)
 		}
 		seen[index] = true
 		parts = append(parts, shardPart{index, part{receipt: other.Receipt, merged: together}})
--- a/internal/transport/forward/passed.go
+++ b/internal/transport/forward/passed.go
@@ -41,7 +41,7 @@
 	if len(e.result.Body) == 0 {
 		return
 	}
-	parts, err := parseParts(e.result, len(e.relay.shards))
+	parts, err := parseParts(e.relay.owner.VM.ID, e.result, len(e.relay.shards))
 	if err != nil {
 		x.f.broken("part", x.req, err)
 		return
