Count the way to another zone as work in flight, not as a factor

So the preference for leafs of the own zone, a factor of 1.8, kept work at a near leaf that had requests in flight while the far one had fewer. Ruled out: the machine's load (time is virtual); the number of leafs compared (the test has two a shard). Change: the way to another zone counts as 0.8 requests in flight there. Where little is in flight that is the same preference; a busy leaf spills over. Test, failing before: a case of TestChoose.

--- a/internal/coordination/replica/replica.go
+++ b/internal/coordination/replica/replica.go
@@ -15,10 +15,10 @@
 const (
 	// untestedLatency is assumed for a leaf without a reply.
 	untestedLatency = time.Millisecond
-	// crossingFactor is how much worse a leaf of the own availability zone must
-	// be before another availability zone is preferred. It lies above the spread of
-	// the latency of sound leafs and below setAsideFactor.
-	crossingFactor = 1.8
+	// crossingRuns is what the way to another availability zone counts, in subrequests
+	// in flight there. It lies above the spread of the latency of sound leafs, and
+	// below 1, so that a busy leaf of the own availability zone spills over.
+	crossingRuns = 0.8
 	// compareAll is the largest number of replicas that are all compared. Among more,
 	// two random ones keep nodes from all choosing the same.
 	compareAll = 3
@@ -161,23 +161,25 @@
 }
 
 func zoneCost(vm *platform.VM, availabilityZone string, stats *leaf.Stats) float64 {
-	cost := statsCost(stats)
 	if vm.AvailabilityZone != availabilityZone {
-		cost *= crossingFactor
+		return runsCost(stats, crossingRuns)
 	}
-	return cost
+	return statsCost(stats)
 }
 
 func failures(s *leaf.Stats) int {
 	return s.Failures + max(0, s.Unanswered-unansweredAllowance)
 }
 
-func statsCost(s *leaf.Stats) float64 {
+func statsCost(s *leaf.Stats) float64 { return runsCost(s, 0) }
+
+// runsCost is the cost with so many subrequests in flight beside those counted.
+func runsCost(s *leaf.Stats, beside float64) float64 {
 	latency := s.Latency
 	if latency == 0 {
 		latency = untestedLatency
 	}
-	cost := float64(latency) * float64(s.InFlight+1)
+	cost := float64(latency) * (float64(s.InFlight+1) + beside)
 	for range min(failures(s), maxPenalizedFailures) {
 		cost *= failurePenalty
 	}
--- a/internal/coordination/replica/replica_test.go
+++ b/internal/coordination/replica/replica_test.go
@@ -44,6 +44,8 @@
 		{"fewer failures", []shardmap.Replica{replicaOf("a", ms, 0, 2), replicaOf("a", 3*ms, 0, 0)}, 0, 1},
 		{"one of three is sound", []shardmap.Replica{replicaOf("a", 90*ms, 1, 0), replicaOf("b", 80*ms, 1, 0), replicaOf("c", 10*ms, 0, 0)}, 0, 2},
 		{"the sound one of three is of the own zone", []shardmap.Replica{replicaOf("b", 90*ms, 1, 0), replicaOf("a", 10*ms, 1, 0), replicaOf("c", 80*ms, 1, 0)}, 0, 1},
+		{"spill over when the own is busier", []shardmap.Replica{replicaOf("b", ms, 1, 0), replicaOf("a", ms, 2, 0)}, 0, 0},
+		{"equally busy, the own", []shardmap.Replica{replicaOf("b", ms, 1, 0), replicaOf("a", ms, 1, 0)}, 0, 1},
 		{"the only one left", []shardmap.Replica{replicaOf("a", ms, 0, 0), replicaOf("a", 9*ms, 0, 5)}, Set(0).With(0), 1},
 	}
 	for _, test := range tests {
