Join a fleet that starts by lists of random members; keep requests of a source without a copy

Cause of TestCallsDoNotGrowWithNodes (traced by noting each node's members, readers and the age of its copy at each watch, twelve runs at once): nodes that start ask a reader for its list before it has one, pass it over for a second and take its place as readers of the platform. Ruled out: a copy held for overdue alone (one call each, and in the same runs).

Found beside it: members that start at once spread by gossip of 40 a message. A node that starts now requests the list of a random member each 100 ms until it agrees with its own, with hashes of what it knows; a first reply is bounded.

--- a/internal/coordination/membership/membership.go
+++ b/internal/coordination/membership/membership.go
@@ -66,6 +66,20 @@
 	syncAfterMismatches = 5
 	// minSyncInterval is the shortest time between two exchanges that a node starts.
 	minSyncInterval = 5 * time.Second
+	// joinPullInterval is the time between two lists that a node that has just started
+	// requests from other members. It stops when its list agrees with another one,
+	// minJoinPeriod after it discovered the first member at the earliest, since other
+	// nodes may have started with it, and maxJoinPeriod after it at the latest.
+	joinPullInterval = 100 * time.Millisecond
+	minJoinPeriod    = time.Second
+	maxJoinPeriod    = 5 * time.Second
+	// maxFirstReply bounds the members that a node which is not known yet receives in
+	// reply to its first message, so that the cost of a seed does not grow with the
+	// square of the nodes that start at once. It requests the others from random members.
+	maxFirstReply = 60
+	// maxSyncUpdates bounds the members of a reply, which must fit into a datagram; of
+	// more members random ones are sent.
+	maxSyncUpdates = 400
 	// tombstoneTTL is the time for which a dead member or one that left is kept.
 	tombstoneTTL = 10 * time.Minute
 	// recheckInterval is the time between two probes of members that are considered
@@ -115,6 +129,9 @@
 	present    []string // ids of present members, sorted, without self
 	neighbours []string
 
+	joinSince   time.Time // when the first member was discovered; zero before
+	nextPull    time.Time
+	joined      bool // another member had the same list
 	lastTick    time.Time
 	nextGossip  time.Time
 	nextRecheck time.Time
--- a/internal/coordination/membership/probe.go
+++ b/internal/coordination/membership/probe.go
@@ -53,6 +53,7 @@
 		m.recheckDead(&a)
 		m.expireTombstones(now)
 	}
+	m.pullList(now, &a)
 	if !now.Before(m.nextGossip) {
 		m.gossip(now, &a)
 	}
--- a/internal/coordination/membership/receive.go
+++ b/internal/coordination/membership/receive.go
@@ -23,6 +23,7 @@
 	}
 	// Large exchanges are not gossiped: nodes that lack the updates notice by digest.
 	exchange := message.Kind == membership.Sync || message.Kind == membership.SyncReply
+	_, senderKnown := m.members[message.From]
 	spread := !exchange || len(message.Updates) <= maxGossipUpdates
 	for _, update := range message.Updates {
 		if exchange && m.contradictsView(update) {
@@ -44,7 +45,10 @@
 	case membership.ConfirmAlive:
 		m.onConfirmAlive(now, message)
 	case membership.Sync:
-		m.replyToSync(message, &a)
+		m.replyToSync(message, senderKnown, &a)
+	case membership.SyncReply:
+		agrees := len(message.Updates) == 0 && message.Digest == m.digest
+		m.joined = m.joined || agrees && now.Sub(m.joinSince) >= minJoinPeriod
 	}
 	return a
 }
@@ -158,22 +162,73 @@
 	return list
 }
 
+// pullList requests the list of a random member while this node joins: gossip takes
+// seconds to spread the members of a large fleet that starts at once.
+func (m *Membership) pullList(now time.Time, a *Actions) {
+	m.refresh()
+	if m.joined || len(m.present) == 0 || now.Before(m.nextPull) {
+		return
+	}
+	if m.joinSince.IsZero() {
+		m.joinSince = now
+	}
+	if now.Sub(m.joinSince) >= maxJoinPeriod {
+		m.joined = true
+		return
+	}
+	m.nextPull = now.Add(joinPullInterval)
+	peer := m.present[m.random.IntN(len(m.present))]
+	m.send(peer, membership.Message{Kind: membership.Sync, Updates: []membership.Member{m.self}, Known: m.hashes()}, a)
+}
+
+// hashes returns a hash of each member that this node knows, without itself.
+func (m *Membership) hashes() []uint32 {
+	hashes := make([]uint32, 0, len(m.members))
+	for _, e := range m.members {
+		hashes = append(hashes, uint32(digestOf(e.Member)))
+	}
+	return hashes
+}
+
 // replyToSync sends back members that the sender lacks or has an older state of.
-func (m *Membership) replyToSync(message membership.Message, a *Actions) {
+func (m *Membership) replyToSync(message membership.Message, senderKnown bool, a *Actions) {
+	var updates []membership.Member
+	if message.Digest != m.digest {
+		updates = m.newerThan(message)
+	}
+	limit := maxSyncUpdates
+	if !senderKnown {
+		limit = maxFirstReply
+	}
+	if len(updates) > limit {
+		// The first one is this node unless the sender knows it.
+		others := updates[1:]
+		m.random.Shuffle(len(others), func(i, j int) { others[i], others[j] = others[j], others[i] })
+		updates = updates[:limit]
+	}
+	// A reply without updates shows the sender that the lists agree.
+	m.send(message.From, membership.Message{Kind: membership.SyncReply, Updates: updates}, a)
+}
+
+// newerThan returns the members that the sender of a Sync lacks or has an older state of.
+func (m *Membership) newerThan(message membership.Message) []membership.Member {
 	received := make(map[string]membership.Member, len(message.Updates))
 	for _, member := range message.Updates {
 		received[member.ID] = member
 	}
+	known := make(map[uint32]bool, len(message.Known))
+	for _, hash := range message.Known {
+		known[hash] = true
+	}
 	var updates []membership.Member
 	for _, member := range m.allMembers() {
-		known, ok := received[member.ID]
-		if !ok || member.Outranks(known) {
-			updates = append(updates, member)
+		theirs, ok := received[member.ID]
+		if ok && !member.Outranks(theirs) || known[uint32(digestOf(member))] {
+			continue
 		}
+		updates = append(updates, member)
 	}
-	if len(updates) > 0 {
-		m.send(message.From, membership.Message{Kind: membership.SyncReply, Updates: updates}, a)
-	}
+	return updates
 }
 
 // queueUpdate adds an update to those that are gossiped, in place of an older one of
--- a/internal/protocol/membership/codec.go
+++ b/internal/protocol/membership/codec.go
@@ -16,6 +16,7 @@
 	fieldSubjectID    = 5
 	fieldSubjectStart = 6
 	fieldUpdate       = 7
+	fieldKnown        = 8
 
 	fieldID         = 1
 	fieldAddress    = 2
@@ -25,9 +26,12 @@
 	fieldState      = 6
 )
 
-// MaxUpdates bounds the updates of one message.
+// MaxUpdates bounds the updates, and the hashes, of one message.
 const MaxUpdates = 5000
 
+// hashBytes is the size of an encoded hash.
+const hashBytes = 4
+
 // ErrMalformed means that the bytes are not a valid message.
 var ErrMalformed = errors.New("malformed membership message")
 
@@ -48,9 +52,35 @@
 		b = protowire.AppendTag(b, fieldUpdate, protowire.BytesType)
 		b = protowire.AppendBytes(b, update)
 	}
+	return appendKnown(b, m.Known)
+}
+
+// appendKnown appends hashes as a packed field.
+func appendKnown(b []byte, hashes []uint32) []byte {
+	if len(hashes) == 0 {
+		return b
+	}
+	b = protowire.AppendTag(b, fieldKnown, protowire.BytesType)
+	b = protowire.AppendVarint(b, uint64(len(hashes)*hashBytes))
+	for _, hash := range hashes {
+		b = protowire.AppendFixed32(b, hash)
+	}
 	return b
 }
 
+func decodeKnown(b []byte) ([]uint32, error) {
+	if len(b)%hashBytes != 0 || len(b) > MaxUpdates*hashBytes {
+		return nil, fmt.Errorf("%w: %d bytes of hashes", ErrMalformed, len(b))
+	}
+	hashes := make([]uint32, 0, len(b)/hashBytes)
+	for len(b) > 0 {
+		hash, n := protowire.ConsumeFixed32(b)
+		hashes = append(hashes, hash)
+		b = b[n:]
+	}
+	return hashes, nil
+}
+
 func appendMember(b []byte, m Member) []byte {
 	b = appendString(b, fieldID, m.ID)
 	b = appendString(b, fieldAddress, m.Address)
@@ -100,6 +130,10 @@
 			update, err := decodeMember(bytes)
 			m.Updates = append(m.Updates, update)
 			return err
+		case fieldKnown:
+			var err error
+			m.Known, err = decodeKnown(bytes)
+			return err
 		}
 		return nil
 	})
--- a/internal/protocol/membership/codec_test.go
+++ b/internal/protocol/membership/codec_test.go
@@ -38,6 +38,7 @@
 			Digest:  rapid.Uint64().Draw(t, "digest"),
 			Subject: Subject{ID: rapid.String().Draw(t, "subject"), Start: rapid.Uint64().Draw(t, "subject start")},
 			Updates: rapid.SliceOfN(members, 0, 5).Draw(t, "updates"),
+			Known:   rapid.SliceOfN(rapid.Uint32(), 0, 5).Draw(t, "known"),
 		}
 		got, err := Decode(m.Append(nil))
 		if err != nil {
@@ -46,6 +47,9 @@
 		if len(m.Updates) == 0 {
 			m.Updates = nil
 		}
+		if len(m.Known) == 0 {
+			m.Known = nil
+		}
 		if !reflect.DeepEqual(got, m) {
 			t.Fatalf("got %+v, want %+v", got, m)
 		}
@@ -56,7 +60,7 @@
 // malformed, and that no random bytes decode to a message without a sender.
 func TestDecodeRejectsMalformed(t *testing.T) {
 	valid := Message{Kind: Gossip, From: "a", Updates: []Member{{ID: "b", State: Alive}}}.Append(nil)
-	for _, b := range [][]byte{nil, valid[:1], valid[:len(valid)-1], {0xff}, Message{Kind: Ping}.Append(nil), Message{Kind: 99, From: "a"}.Append(nil)} {
+	for _, b := range [][]byte{nil, valid[:1], valid[:len(valid)-1], {0xff}, Message{Kind: Ping}.Append(nil), Message{Kind: 99, From: "a"}.Append(nil), append(Message{Kind: Sync, From: "a"}.Append(nil), 8<<3|2, 3, 1, 2, 3)} {
 		if _, err := Decode(b); !errors.Is(err, ErrMalformed) {
 			t.Errorf("Decode(%x): %v", b, err)
 		}
--- a/internal/protocol/membership/membership.go
+++ b/internal/protocol/membership/membership.go
@@ -81,9 +81,10 @@
 	Suspect
 	// ConfirmAlive answers a Suspect: Subject recently responded to the sender.
 	ConfirmAlive
-	// Sync carries all members and asks for a SyncReply.
+	// Sync asks for a SyncReply. It carries all members, or Known and the sender.
 	Sync
-	// SyncReply carries the entries that were missing or outdated in a Sync.
+	// SyncReply carries the members that were missing or outdated in a Sync, or random
+	// ones of them if they are many.
 	SyncReply
 )
 
@@ -104,4 +105,6 @@
 	Digest  uint64
 	Subject Subject
 	Updates []Member
+	// Known holds a hash of each member that the sender of a Sync knows already.
+	Known []uint32
 }
--- a/internal/state/mirror/mirror.go
+++ b/internal/state/mirror/mirror.go
@@ -70,6 +70,7 @@
 		k.recordDifference(next, listing.Version)
 	} else {
 		k.oldest = listing.Version
+		k.notify()
 	}
 	k.objects = next
 	k.known = true
@@ -135,13 +136,18 @@
 	}
 }
 
+// notify wakes the waiting calls of AwaitKnown and Changes. The caller holds k.mu.
+func (k *kind) notify() {
+	close(k.wake)
+	k.wake = make(chan struct{})
+}
+
 // advance raises the version and the time of confirmation, and wakes the waiting
-// calls of Changes. The caller holds k.mu.
+// calls. The caller holds k.mu.
 func (k *kind) advance(version uint64, confirmed time.Time) {
 	if version > k.version {
 		k.version = version
-		close(k.wake)
-		k.wake = make(chan struct{})
+		k.notify()
 	}
 	if confirmed.After(k.confirmed) {
 		k.confirmed = confirmed
@@ -171,6 +177,28 @@
 	return platform.Listing{Objects: objects, Version: k.version}, k.confirmed, true
 }
 
+// AwaitKnown waits until a kind is known, at most for wait.
+func (m *Mirror) AwaitKnown(ctx context.Context, name platform.Kind, wait time.Duration) {
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	k := m.kind(name)
+	for {
+		k.mu.Lock()
+		known, wake := k.known, k.wake
+		k.mu.Unlock()
+		if known {
+			return
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-timer.C:
+			return
+		case <-wake:
+		}
+	}
+}
+
 // Changes waits until a kind has changes after a version, at most for wait. It
 // returns the changes and the version to continue from. It fails with ErrTooOld
 // when they are no longer retained and with ErrUnavailable while the kind is
--- a/internal/state/mirror/mirror_test.go
+++ b/internal/state/mirror/mirror_test.go
@@ -121,3 +121,21 @@
 		t.Errorf("%d changes after an entry changed, want 1", len(changes))
 	}
 }
+
+// TestAwaitKnown checks that a request for a list made before the first one arrives,
+// also one of an empty platform, is answered as soon as it does.
+func TestAwaitKnown(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		m := New()
+		start := time.Now()
+		time.AfterFunc(100*time.Millisecond, func() { m.Replace(testKind, platform.Listing{}, time.Now()) })
+		m.AwaitKnown(t.Context(), testKind, 50*time.Millisecond)
+		if waited := time.Since(start); waited != 50*time.Millisecond {
+			t.Errorf("gave up after %v, want after 50 ms", waited)
+		}
+		m.AwaitKnown(t.Context(), testKind, time.Second)
+		if waited := time.Since(start); waited != 100*time.Millisecond {
+			t.Errorf("waited for %v, want 100 ms", waited)
+		}
+	})
+}
--- a/internal/transport/mesh/follow.go
+++ b/internal/transport/mesh/follow.go
@@ -28,10 +28,14 @@
 	// reader, so that other nodes are chosen. In an outage of the platform this applies to
 	// all nodes, and the outage may be over when this time ends.
 	platformRejectionTTL = 1 * time.Second
-	// emptySourceTTL is how long a source that has no copy at all is passed over. It is
-	// short, since the source soon has a copy when all nodes start or the platform
-	// recovers. It must not be shorter than the wait between two attempts, or no other
-	// source would be tried.
+	// firstCopyWait is how long a source that has no copy yet keeps a request for it. When
+	// all nodes start, their sources get a copy soon; were they passed over instead, other
+	// nodes would take their place as readers of the platform.
+	firstCopyWait = 400 * time.Millisecond
+	// emptySourceTTL is how long a source that has no copy after firstCopyWait is passed
+	// over. It is short, since the source soon has a copy when the platform recovers. It
+	// must not be shorter than the wait between two attempts, or no other source would be
+	// tried.
 	emptySourceTTL = 1 * time.Second
 	// maxFollowWait is the longest wait of a poll of another node. It bounds how long
 	// the loss of a source goes undetected.
@@ -145,7 +149,7 @@
 }
 
 func (c *Client) listPeer(ctx context.Context, id string, kind platform.Kind) (platform.Listing, error) {
-	reply, confirmed, err := c.follow(ctx, id, kind, &contract.FollowRequest{List: true})
+	reply, confirmed, err := c.follow(ctx, id, kind, &contract.FollowRequest{List: true, WaitMs: uint32(firstCopyWait.Milliseconds())})
 	if err != nil {
 		return platform.Listing{}, err
 	}
--- a/internal/transport/mesh/mesh_test.go
+++ b/internal/transport/mesh/mesh_test.go
@@ -9,6 +9,7 @@
 	"sync"
 	"sync/atomic"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/apex/log"
@@ -206,6 +207,27 @@
 	}
 }
 
+// TestSourceWithoutCopyKeepsRequest guards against nodes that pass over a source which
+// has no copy yet, as all sources when the fleet starts, and read the platform in its
+// place: the source keeps a request for its list until it has one.
+func TestSourceWithoutCopyKeepsRequest(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		m, err := New(Config{Node: "source", Address: "127.0.0.1:1", Mirror: mirror.New(), Log: &log.Logger{Handler: discard.Default}}, echo{})
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer m.cancel()
+		time.AfterFunc(firstCopyWait/2, func() {
+			m.cfg.Mirror.Replace(platform.KindRouting, platform.Listing{Version: 1}, time.Now())
+		})
+		request := &contract.FollowRequest{Hello: peer.DefaultConfig("other", 1).Hello(), Kind: string(platform.KindRouting), List: true, WaitMs: uint32(firstCopyWait.Milliseconds())}
+		reply, err := service{m}.Follow(t.Context(), request)
+		if err != nil || !reply.Known {
+			t.Errorf("reply %v, error %v, want the list", reply, err)
+		}
+	})
+}
+
 // TestOutage guards against a lasting failure after a short outage of the whole
 // platform, in which all nodes mark each other as stale: all must receive the next
 // change soon after.
--- a/internal/transport/mesh/service.go
+++ b/internal/transport/mesh/service.go
@@ -19,7 +19,9 @@
 	}
 	reply := &contract.FollowReply{Hello: s.mesh.peerConfig.Hello(), Known: true}
 	kind := platform.Kind(request.Kind)
+	wait := time.Duration(request.WaitMs) * time.Millisecond
 	if request.List {
+		s.mesh.cfg.Mirror.AwaitKnown(ctx, kind, wait)
 		listing, confirmed, ok := s.mesh.cfg.Mirror.List(kind)
 		reply.Known = ok
 		reply.Version = listing.Version
@@ -29,7 +31,6 @@
 		setAge(reply, confirmed)
 		return reply, nil
 	}
-	wait := time.Duration(request.WaitMs) * time.Millisecond
 	maxAge := time.Duration(request.MaxAgeMs) * time.Millisecond
 	if maxAge > 0 && time.Since(s.mesh.cfg.Mirror.Confirmed(kind)) > maxAge {
 		wait = 0
