--- a/cmd/hickorydock/caller_test.go
+++ b/cmd/hickorydock/caller_test.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"encoding/json"
-	"net"
 	"net/http/httptest"
 	"regexp"
 	"testing"
@@ -15,6 +14,7 @@
 	"github.com/hickorydock/hickorydock/internal/protocol/note"
 	"github.com/hickorydock/hickorydock/internal/protocol/query"
 	"github.com/hickorydock/hickorydock/internal/transport/credentials"
+	"github.com/hickorydock/hickorydock/internal/transport/loopback"
 	"github.com/hickorydock/hickorydock/internal/transport/server"
 	"github.com/hickorydock/hickorydock/internal/transport/tracing"
 )
@@ -32,7 +32,7 @@
 			env.Defer(node.Close)
 			env.Setenv("URL", node.URL)
 			for _, name := range []string{"PLATFORM", "CALLERS", "ADMIN", "PEERS"} {
-				address, err := freeAddress()
+				address, err := loopback.Reserve()
 				if err != nil {
 					return err
 				}
@@ -67,14 +67,6 @@
 	ts.Fatalf("no output of %v matched %q", args[1:], args[0])
 }
 
-func freeAddress() (string, error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return "", err
-	}
-	return l.Addr().String(), l.Close()
-}
-
 // cannedServices has the services whole, half, mixed, broken and closed. cannedQueries
 // answers them with all shards, one shard missing, items of two snapshots, an error,
 // and all shards for callers with the token.
--- a/cmd/hickorydock/processes_test.go
+++ b/cmd/hickorydock/processes_test.go
@@ -11,9 +11,11 @@
 	"time"
 
 	"github.com/rogpeppe/go-internal/testscript"
+
+	"github.com/hickorydock/hickorydock/internal/transport/loopback"
 )
 
-// addressVariables are set to free loopback addresses in each script.
+// addressVariables are set to reserved loopback addresses in each script.
 var addressVariables = []string{"PLATFORM", "LEAF_A", "LEAF_B", "CALLERS", "ADMIN", "PEERS"}
 
 // TestProcesses runs the cases in testdata/processes, in which every component of
@@ -28,7 +30,7 @@
 		Dir: "testdata/processes",
 		Setup: func(env *testscript.Env) error {
 			for _, name := range addressVariables {
-				address, err := freeAddress()
+				address, err := loopback.Reserve()
 				if err != nil {
 					return err
 				}
--- a/internal/transport/mesh/mesh_test.go
+++ b/internal/transport/mesh/mesh_test.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"net"
 	"slices"
 	"strconv"
 	"sync"
@@ -22,6 +21,7 @@
 	"github.com/hickorydock/hickorydock/internal/protocol/platform"
 	"github.com/hickorydock/hickorydock/internal/state/mirror"
 	"github.com/hickorydock/hickorydock/internal/transport/follow"
+	"github.com/hickorydock/hickorydock/internal/transport/loopback"
 	"github.com/hickorydock/hickorydock/internal/transport/peer"
 )
 
@@ -114,25 +114,26 @@
 	return n.latest == value, n.changed
 }
 
-func freeAddress(t *testing.T) string {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+// reserveAddress returns a loopback address for a process of the test.
+func reserveAddress(t *testing.T) string {
+	t.Helper()
+	address, err := loopback.Reserve()
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer l.Close()
-	return l.Addr().String()
+	return address
 }
 
 // startNodes starts nodes that follow the routing table, each through the platform
 // client that clientOf returns for it.
 func startNodes(t *testing.T, count int, clientOf func(i int) platform.Client) []*node {
 	t.Helper()
-	seed := freeAddress(t)
+	seed := reserveAddress(t)
 	var nodes []*node
 	for i := range count {
 		address := seed
 		if i > 0 {
-			address = freeAddress(t)
+			address = reserveAddress(t)
 		}
 		m, err := New(Config{
 			Node: fmt.Sprintf("n%d", i), AvailabilityZone: fmt.Sprintf("az-%d", i%2), Address: address, Seeds: []string{seed},
