Count the sheds of a leaf in its cost

Ruled out: leafs that are really full (their alternative answered in 15 ms), and the halving of budgets on sheds (not used by gateways).

The cost of a leaf now grows with the square of the expected number of attempts, from a moving average of sheds. Two leafs that shed alike still share the load (test). Tests failed first: 270 of 900 requests rejected, 180 allowed by the share of retries.

--- a/internal/coordination/replica/replica.go
+++ b/internal/coordination/replica/replica.go
@@ -38,6 +38,8 @@
 	toleratedUnanswered = 1
 	// failurePenalty multiplies the cost once for each failure since the last answer.
 	failurePenalty = 4
+	// maxShedShare bounds the share of sheds in the cost, which is otherwise infinite.
+	maxShedShare = 0.9
 	// maxPenalisedFailures bounds how often failurePenalty is applied.
 	maxPenalisedFailures = 6
 )
@@ -188,5 +190,12 @@
 	for range min(failures(s), maxPenalisedFailures) {
 		cost *= failurePenalty
 	}
-	return cost
+	return cost * shedCost(s)
+}
+
+// shedCost is the factor by which sheds raise the cost of a leaf: the expected number of
+// subrequests until one is accepted, squared, since each retry also uses up the budget.
+func shedCost(s *leaf.Stats) float64 {
+	attempts := 1 / (1 - min(s.ShedShare, maxShedShare))
+	return attempts * attempts
 }
--- a/internal/state/leaf/leaf.go
+++ b/internal/state/leaf/leaf.go
@@ -19,6 +19,8 @@
 	minWeight = 0.02
 	// silentAfter is the time without a reply after which a leaf counts as silent.
 	silentAfter = 100 * time.Millisecond
+	// shedWeight is the weight of a new reply in the moving average of sheds.
+	shedWeight = 0.3
 	// decayTime is the time since the last reply after which a new sample replaces the
 	// moving average.
 	decayTime = time.Second
@@ -35,6 +37,8 @@
 	// Unanswered counts subrequests that were cancelled while the leaf had not
 	// replied to anything for silentAfter; it is 0 after a reply.
 	Unanswered int
+	// ShedShare is the moving average of the share of replies that shed a subrequest.
+	ShedShare float64
 	// LastSend is the time of the last subrequest sent; zero before the first.
 	LastSend time.Time
 	// LastReply is the time of the last reply; zero before the first.
@@ -114,8 +118,13 @@
 		r.stats.Failures = 0
 		r.stats.Unanswered = 0
 		r.observe(now, elapsed)
+		r.stats.ShedShare -= shedWeight * r.stats.ShedShare
 		r.stats.LastReply = now
-	case Shed, SnapshotUnavailable:
+	case Shed:
+		r.stats.Unanswered = 0
+		r.stats.ShedShare += shedWeight * (1 - r.stats.ShedShare)
+		r.stats.LastReply = now
+	case SnapshotUnavailable:
 		r.stats.Unanswered = 0
 		r.stats.LastReply = now
 	case Errored:
