Count failures in the lasting cost of a leaf as well as sheds

The moving average now counts failures too. In the model of a leaf that loses two of five replies beside a sound one, 27 of 900 are lost in place of 47 (45 allowed by the share of shards that a query may miss).

--- a/internal/coordination/replica/replica.go
+++ b/internal/coordination/replica/replica.go
@@ -38,8 +38,8 @@
 	toleratedUnanswered = 1
 	// failurePenalty multiplies the cost once for each failure since the last answer.
 	failurePenalty = 4
-	// maxShedShare bounds the share of sheds in the cost, which is otherwise infinite.
-	maxShedShare = 0.9
+	// maxFailureShare bounds the share of failures in the cost, which is otherwise infinite.
+	maxFailureShare = 0.9
 	// maxPenalisedFailures bounds how often failurePenalty is applied.
 	maxPenalisedFailures = 6
 )
@@ -190,12 +190,13 @@
 	for range min(failures(s), maxPenalisedFailures) {
 		cost *= failurePenalty
 	}
-	return cost * shedCost(s)
+	return cost * attemptCost(s)
 }
 
-// shedCost is the factor by which sheds raise the cost of a leaf: the expected number of
-// subrequests until one is accepted, squared, since each retry also uses up the budget.
-func shedCost(s *leaf.Stats) float64 {
-	attempts := 1 / (1 - min(s.ShedShare, maxShedShare))
+// attemptCost is the factor by which sheds and failures raise the cost of a leaf: the
+// expected number of subrequests until one is answered, squared, since each retry also
+// uses up the budget.
+func attemptCost(s *leaf.Stats) float64 {
+	attempts := 1 / (1 - min(s.FailureShare, maxFailureShare))
 	return attempts * attempts
 }
--- a/internal/state/leaf/leaf.go
+++ b/internal/state/leaf/leaf.go
@@ -19,8 +19,8 @@
 	minWeight = 0.02
 	// silentAfter is the time without a reply after which a leaf counts as silent.
 	silentAfter = 100 * time.Millisecond
-	// shedWeight is the weight of a new reply in the moving average of sheds.
-	shedWeight = 0.3
+	// failureWeight is the weight of a new result in the moving average of failures.
+	failureWeight = 0.3
 	// decayTime is the time since the last reply after which a new sample replaces the
 	// moving average.
 	decayTime = time.Second
@@ -37,8 +37,9 @@
 	// Unanswered counts subrequests that were cancelled while the leaf had not
 	// replied to anything for silentAfter; it is 0 after a reply.
 	Unanswered int
-	// ShedShare is the moving average of the share of replies that shed a subrequest.
-	ShedShare float64
+	// FailureShare is the moving average of the share of subrequests that the leaf shed
+	// or that failed. Unlike Failures, it outlasts an answered one.
+	FailureShare float64
 	// LastSend is the time of the last subrequest sent; zero before the first.
 	LastSend time.Time
 	// LastReply is the time of the last reply; zero before the first.
@@ -118,17 +119,18 @@
 		r.stats.Failures = 0
 		r.stats.Unanswered = 0
 		r.observe(now, elapsed)
-		r.stats.ShedShare -= shedWeight * r.stats.ShedShare
+		r.countFailure(0)
 		r.stats.LastReply = now
 	case Shed:
 		r.stats.Unanswered = 0
-		r.stats.ShedShare += shedWeight * (1 - r.stats.ShedShare)
+		r.countFailure(1)
 		r.stats.LastReply = now
 	case SnapshotUnavailable:
 		r.stats.Unanswered = 0
 		r.stats.LastReply = now
 	case Errored:
 		r.stats.Failures++
+		r.countFailure(1)
 	case Cancelled:
 		r.countSilence(now)
 		if elapsed > r.stats.Latency {
@@ -137,6 +139,11 @@
 	}
 }
 
+// countFailure adds a result to the share of failures: 1 for a failure, 0 for an answer.
+func (r *Record) countFailure(failure float64) {
+	r.stats.FailureShare += failureWeight * (failure - r.stats.FailureShare)
+}
+
 // countSilence counts a cancelled subrequest of a leaf that has not replied for
 // silentAfter. A busy leaf whose attempts are superseded still replies to others.
 func (r *Record) countSilence(now time.Time) {
