Spread what is read of the platform over trees; leave room at leafs after a power failure

Cause: the two readers sent everything they read to all other nodes: at 295 nodes about 150 copies of the list of 1,362 leafs each, nearly all to other availability zones. Nodes now form a tree by hash in each zone, at most 8 fetch from one, and one way leads into a zone without a reader. A node polls its source three times in the wait of a watch, so that the ages of the copies on a way stay within the bound.

Room at leafs. A leaf counts the dead connections for seconds (4 relays of 5 connections each, cap 26). Relays now keep to half of the cap, and after a reset of a fresh connection calls fail unsent for 250 ms, so that they go to another leaf or relay without an attempt. Ruled out: leafs that crash (their other connections lived).

--- a/internal/coordination/reader/reader.go
+++ b/internal/coordination/reader/reader.go
@@ -1,7 +1,8 @@
 // Package reader decides which nodes read the platform and from which node each of
-// the others fetches what was read, so that the calls to the platform do not grow with
-// the number of nodes. The functions are pure, and every node that knows the same
-// members chooses the same readers.
+// the others fetches what was read, so that neither the calls to the platform nor the
+// traffic of one node grow with the number of nodes. The others form a tree in each
+// availability zone. The functions are pure, and every node that knows the same members
+// chooses the same readers and trees.
 package reader
 
 import (
@@ -18,6 +19,8 @@
 	// Count is the number of nodes that read the platform: one, and a second in case
 	// the platform rejects the first or the first stops.
 	Count = 2
+	// fanout is the number of nodes that fetch from one node of their availability zone.
+	fanout = 8
 	// JoinWait is how long a starting node waits to discover other members before it
 	// reads the platform itself.
 	JoinWait = 300 * time.Millisecond
@@ -33,12 +36,21 @@
 // alive and not known to be stale, it chooses those with the highest hashes, in
 // different availability zones where possible.
 func Readers(members []membership.Member, stale []string) []string {
+	return readersOf(byHash(members, stale))
+}
+
+// byHash returns the nodes that are alive and not known to be stale, by descending hash.
+func byHash(members []membership.Member, stale []string) []membership.Member {
 	alive := slices.DeleteFunc(slices.Clone(members), func(m membership.Member) bool {
 		return m.State != membership.Alive || slices.Contains(stale, m.ID)
 	})
 	slices.SortFunc(alive, func(a, b membership.Member) int {
 		return cmp.Compare(xxhash.Sum64String(b.ID), xxhash.Sum64String(a.ID))
 	})
+	return alive
+}
+
+func readersOf(alive []membership.Member) []string {
 	var chosen []string
 	zones := make(map[string]bool)
 	for pass := range 2 {
@@ -53,6 +65,46 @@
 	return chosen
 }
 
+// parent returns the node that self fetches from. In each availability zone the nodes
+// form a tree by hash, in which each has up to fanout children. Its root is a reader or,
+// in a zone without one, a node that fetches from one of the readers.
+func parent(alive []membership.Member, readers []string, input Input) string {
+	zone := zoneOf(input.Members, input.Self)
+	var tree []string
+	for _, m := range alive {
+		if m.AvailabilityZone == zone {
+			tree = append(tree, m.ID)
+		}
+	}
+	slices.SortStableFunc(tree, func(a, b string) int {
+		return cmp.Compare(rank(readers, a), rank(readers, b))
+	})
+	position := slices.Index(tree, input.Self)
+	if position < 0 { // a node that leaves or that the platform rejects
+		position = len(tree)
+	}
+	if position == 0 {
+		return readers[int(input.Random*float64(len(readers)))]
+	}
+	return tree[(position-1)/fanout]
+}
+
+// rank is the position of a reader, or that after the last one for another node.
+func rank(readers []string, id string) int {
+	if i := slices.Index(readers, id); i >= 0 {
+		return i
+	}
+	return len(readers)
+}
+
+func zoneOf(members []membership.Member, id string) string {
+	i := slices.IndexFunc(members, func(m membership.Member) bool { return m.ID == id })
+	if i < 0 {
+		return ""
+	}
+	return members[i].AvailabilityZone
+}
+
 // Input is the state of a node when it chooses a source.
 type Input struct {
 	Self    string
@@ -88,7 +140,8 @@
 // overdue or whose sources failed several times reads the platform itself, unless the
 // platform rejected it.
 func Choose(input Input) Source {
-	readers := Readers(input.Members, input.Stale)
+	alive := byHash(input.Members, input.Stale)
+	readers := readersOf(alive)
 	others := slices.DeleteFunc(slices.Clone(readers), func(id string) bool { return id == input.Self })
 	switch {
 	case isJoining(input):
@@ -98,7 +151,7 @@
 	case (input.Overdue || len(input.Stale) >= failedSourceLimit) && !slices.Contains(input.Stale, input.Self):
 		return Source{Platform: true}
 	case len(others) > 0:
-		return Source{Peer: others[int(input.Random*float64(len(others)))]}
+		return Source{Peer: parent(alive, readers, input)}
 	case len(input.Members) <= 1 || input.Empty || input.Random < fallbackProbability:
 		return Source{Platform: true}
 	default:
--- a/internal/coordination/share/share.go
+++ b/internal/coordination/share/share.go
@@ -58,6 +58,17 @@
 // same view of the membership.
 func (s Share) Total() int { return s.Holders * s.PerHolder }
 
+// RestartSafe returns the maximum number of connections of one relay to a leaf with the
+// given cap such that all relays can connect anew while the leaf still holds the
+// connections from before a power failure. Nodes that connect directly have too few
+// connections to leave that room.
+func (s Share) RestartSafe(limit int) int {
+	if s.Mode == Direct {
+		return s.PerHolder
+	}
+	return min(s.PerHolder, max(limit/2/s.Holders, MinDirectConnections))
+}
+
 // Reserve returns the default reserve of a connection cap: connections that are not
 // divided among the nodes, but kept for replacements and for nodes that wrongly assume
 // that another node has been removed.
--- a/internal/coordination/share/share_test.go
+++ b/internal/coordination/share/share_test.go
@@ -48,6 +48,27 @@
 	}
 }
 
+// TestRelaysReconnectAfterPowerFailure guards against leafs that reset the connections
+// of relays which restart after a power failure: a leaf keeps the old connections, on
+// which nothing arrives any more, for seconds, and they count against its cap.
+func TestRelaysReconnectAfterPowerFailure(t *testing.T) {
+	for _, limit := range []int{26, 43, 62, 110, 175} {
+		for _, live := range []int{12, 82, 295} {
+			s, err := ConnectionShare(limit, live, Reserve(limit))
+			if err != nil {
+				t.Fatal(err)
+			}
+			each := s.RestartSafe(limit)
+			if s.Mode == Relayed && 2*s.Holders*each > limit {
+				t.Errorf("cap %d, %d nodes: %d relays of %d connections, and as many before the failure", limit, live, s.Holders, each)
+			}
+			if each < MinDirectConnections {
+				t.Errorf("cap %d, %d nodes: %d connections each leave none for a retry", limit, live, each)
+			}
+		}
+	}
+}
+
 func TestDirectShareUsesNoRelays(t *testing.T) {
 	for live, want := range map[int]int{7: 3, 11: 1, 14: 1, 21: 1, 22: 0, 610: 0} {
 		got, err := DirectShare(25, live, Reserve(25))
--- a/internal/node/gateway/relays.go
+++ b/internal/node/gateway/relays.go
@@ -180,7 +180,7 @@
 	if err != nil {
 		return 1
 	}
-	return max(min(s.PerHolder, maxConnectionsPerLeaf), 1)
+	return max(min(s.RestartSafe(limit), maxConnectionsPerLeaf), 1)
 }
 
 // prepare opens the streams to this node's preferred relays, one after another to limit
--- a/internal/transport/leafwire/conn.go
+++ b/internal/transport/leafwire/conn.go
@@ -107,18 +107,20 @@
 }
 
 // closeWithoutReply closes a connection that broke before a reply began and ends its
-// call. A nil err means that the connection has no call.
+// call. A nil err means that the connection has no call. The pool counts the connection as
+// closed before the call ends, so that what follows the call does not wait for it.
 func (c *conn) closeWithoutReply(err error) {
-	fresh := false
-	if err != nil {
-		c.pool.mu.Lock()
-		call := c.call
-		c.pool.mu.Unlock()
-		fresh = !c.hadReply && !call.cancelled
-		c.endCall(call, Reply{Result: subrequest.ConnectionLost, Sent: true, Err: err}, false)
+	if err == nil {
+		c.close()
+		return
 	}
-	_ = c.netConn.Close()
+	c.pool.mu.Lock()
+	call := c.call
+	fresh := !c.hadReply && !call.cancelled
+	c.pool.mu.Unlock()
 	c.pool.connClosed(c, fresh)
+	c.endCall(call, Reply{Result: subrequest.ConnectionLost, Sent: true, Err: err}, false)
+	_ = c.netConn.Close()
 }
 
 func (c *conn) close() {
--- a/internal/transport/leafwire/leafwire.go
+++ b/internal/transport/leafwire/leafwire.go
@@ -17,6 +17,7 @@
 
 	"github.com/hickorydock/hickorydock/internal/coordination/quarantine"
 	"github.com/hickorydock/hickorydock/internal/coordination/subrequest"
+	"github.com/hickorydock/hickorydock/internal/protocol/fault"
 	"github.com/hickorydock/hickorydock/internal/protocol/platform"
 	"github.com/hickorydock/hickorydock/internal/protocol/route"
 	"github.com/hickorydock/hickorydock/internal/state/leaf"
@@ -38,12 +39,17 @@
 	reducedLimitPeriod = 5 * time.Second
 	// redialDelay is the delay before the next dial after a failed one.
 	redialDelay = 100 * time.Millisecond
+	// refusalPeriod is the time after a leaf without open connections has reset a fresh one
+	// in which calls to it fail unsent, since it would reset the next one too.
+	refusalPeriod = 250 * time.Millisecond
 )
 
 // Errors of calls.
 var (
 	// ErrCancelled means that the call was cancelled by its caller.
 	ErrCancelled = errors.New("call cancelled")
+	// ErrRefused means that the leaf has just reset a fresh connection.
+	ErrRefused = errors.New("leaf accepts no connection")
 	// ErrRequestIDMismatch means that a reply carries the ID of another request.
 	ErrRequestIDMismatch = errors.New("reply carries the ID of another request")
 )
@@ -162,14 +168,20 @@
 	call.pool = p
 	p.mu.Lock()
 	idle := p.takeIdle(call.StartedAt)
-	if idle == nil {
+	switch {
+	case idle != nil:
+		idle.assign(call)
+		p.mu.Unlock()
+		idle.write(call)
+	case p.open == 0 && call.StartedAt.Before(p.refusedUntil):
+		call.ended = true
+		p.mu.Unlock()
+		call.Reply = Reply{Result: subrequest.Unsent, Err: fault.Wrap(ErrRefused, fault.StepConnect, call.Leaf.Address, "leaf %s", call.Leaf.ID)}
+		call.Done <- call
+	default:
 		p.enqueue(call)
 		p.mu.Unlock()
-		return
 	}
-	idle.assign(call)
-	p.mu.Unlock()
-	idle.write(call)
 }
 
 // Cancel cancels a call. If the call was sent, Cancel closes its connection, which
--- a/internal/transport/leafwire/pool.go
+++ b/internal/transport/leafwire/pool.go
@@ -26,6 +26,8 @@
 	// connection.
 	reducedLimit int
 	reducedUntil time.Time
+	// refusedUntil is the end of refusalPeriod.
+	refusedUntil time.Time
 	// dialAfter is the time before which no connection is dialled after a failed dial,
 	// unless no connection is open.
 	dialAfter time.Time
@@ -159,6 +161,9 @@
 	if fresh {
 		p.reducedLimit = max(p.open, 1)
 		p.reducedUntil = now.Add(reducedLimitPeriod)
+		if p.open == 0 {
+			p.refusedUntil = now.Add(refusalPeriod)
+		}
 	}
 	if len(p.waiting) > 0 && p.open < p.connectionLimit(now) {
 		p.open++
--- a/internal/transport/mesh/follow.go
+++ b/internal/transport/mesh/follow.go
@@ -40,9 +40,12 @@
 	// maxFollowWait is the longest wait of a poll of another node. It bounds how long
 	// the loss of a source goes undetected.
 	maxFollowWait = 600 * time.Millisecond
+	// followsPerWatch is the number of polls of other nodes in the wait of a watch. As many
+	// nodes on the way from the reader add one wait of a watch to the age of a copy.
+	followsPerWatch = 3
 	// overdueHalfWaits is the age, in halves of the wait of a watch, after which a
-	// node's copy is overdue. Four are usual: the reader waits once, and so does the
-	// node that follows it.
+	// node's copy is overdue. Four are usual: the reader waits once, and the nodes on the
+	// way from it as long together.
 	overdueHalfWaits = 5
 	// sourceRetryDelay is the delay before a node looks for a source again.
 	sourceRetryDelay = 50 * time.Millisecond
@@ -252,7 +255,7 @@
 
 // watchPeer follows another node for one reply. It returns the version to continue from.
 func (c *Client) watchPeer(ctx context.Context, id string, kind platform.Kind, from uint64, each func(platform.Event) error) (uint64, error) {
-	reply, confirmed, err := c.follow(ctx, id, kind, &contract.FollowRequest{From: from, WaitMs: uint32(min(c.watchWait, maxFollowWait).Milliseconds())})
+	reply, confirmed, err := c.follow(ctx, id, kind, &contract.FollowRequest{From: from, WaitMs: uint32(min(c.watchWait/followsPerWatch, maxFollowWait).Milliseconds())})
 	if err != nil {
 		if errors.Is(err, platform.ErrTooOld) {
 			return from, err
@@ -272,8 +275,8 @@
 	return platform.Object{Kind: kind, Name: o.Name, Version: o.Version, Value: o.Value}
 }
 
-// maxAge is how long ago the platform may have confirmed a source's copy: a source that
-// follows another node itself adds another wait.
+// maxAge is how long ago the platform may have confirmed a source's copy: see
+// overdueHalfWaits.
 func (c *Client) maxAge() time.Duration { return 2*c.watchWait + c.watchWait/2 + replyMargin }
 
 // follow sends one request to a node. A node that fails, or whose copy is missing or too
