Gossip within the availability zone, and request only what differs

A model of 295 nodes that restart one after the other shows the rest: each change goes from each node to four random nodes in three rounds, five of six of them in other zones, and a node whose digest differs sends its whole list. Three of four messages of gossip now stay in the zone, and a request for a list carries hashes.

--- a/internal/coordination/membership/join_test.go
+++ b/internal/coordination/membership/join_test.go
@@ -128,3 +128,56 @@
 		})
 	}
 }
+
+// TestRollingRestartBetweenZones guards against the traffic of membership between
+// availability zones while the nodes of a large fleet are restarted one after the other:
+// each node hears of each change, and must not hear of it from other zones again and
+// again. What changed is known everywhere soon all the same.
+func TestRollingRestartBetweenZones(t *testing.T) {
+	const (
+		size     = 295
+		restarts = 20
+		interval = 200 * time.Millisecond // between two restarts
+		settled  = 1500 * time.Millisecond
+		// maxBytes is the number of bytes between zones for each node and restart.
+		maxBytes = 1 << 10
+	)
+	f := startFleet(t, size, 50)
+	for elapsed := time.Duration(0); elapsed < 8*time.Second; elapsed += TickInterval {
+		f.step(elapsed)
+	}
+	between := 0
+	count := f.drop
+	f.drop = func(p Packet) bool {
+		if f.nodes[p.Message.From].self.AvailabilityZone != f.nodes[p.To].self.AvailabilityZone {
+			between += len(p.Message.Append(nil))
+		}
+		return count(p)
+	}
+	var restarted []string
+	for i := range restarts {
+		id := joinMember(10 * i).ID
+		f.dispatch(id, f.nodes[id].Stop(f.now))
+		f.deliver()
+		next := joinMember(10 * i)
+		next.Start += size
+		f.nodes[id] = New(Config{Self: next, Seed: uint64(i)})
+		join := membership.Message{Kind: membership.Sync, From: id, Updates: []membership.Member{next}}
+		f.inFlight = append(f.inFlight, Packet{To: f.seeds[i%len(f.seeds)], Message: join})
+		restarted = append(restarted, id)
+		f.run(interval)
+	}
+	f.run(settled)
+	for _, id := range restarted {
+		f.requireState(t, id, membership.Alive)
+		for viewer, m := range f.nodes {
+			if known, _ := m.Lookup(id); known.Start != f.nodes[id].self.Start {
+				t.Errorf("%s knows the former process of %s", viewer, id)
+			}
+		}
+	}
+	t.Logf("%d bytes between zones for each node and restart", between/size/restarts)
+	if most := size * restarts * maxBytes; between > most {
+		t.Errorf("%d bytes between zones, %d for each node and restart, want at most %d", between, between/size/restarts, maxBytes)
+	}
+}
--- a/internal/coordination/membership/receive.go
+++ b/internal/coordination/membership/receive.go
@@ -111,13 +111,19 @@
 	}
 }
 
-// startSync exchanges all members with another node, at most once per minSyncInterval.
+// startSync requests what this node lacks from another one, at most once per
+// minSyncInterval. The other node does the same when it finds that the lists differ.
 func (m *Membership) startSync(now time.Time, peer string, a *Actions) {
 	if now.Before(m.nextSync) {
 		return
 	}
 	m.nextSync = now.Add(minSyncInterval)
-	m.send(peer, membership.Message{Kind: membership.Sync, Updates: m.allMembers()}, a)
+	m.requestList(peer, a)
+}
+
+// requestList requests the members that this node lacks or has an older state of.
+func (m *Membership) requestList(peer string, a *Actions) {
+	m.send(peer, membership.Message{Kind: membership.Sync, Updates: []membership.Member{m.self}, Known: m.hashes()}, a)
 }
 
 // onSuspect counts another node's suspicion, or confirms that the member is alive.
@@ -177,8 +183,7 @@
 		return
 	}
 	m.nextPull = now.Add(joinPullInterval)
-	peer := m.present[m.random.IntN(len(m.present))]
-	m.send(peer, membership.Message{Kind: membership.Sync, Updates: []membership.Member{m.self}, Known: m.hashes()}, a)
+	m.requestList(m.present[m.random.IntN(len(m.present))], a)
 }
 
 // hashes returns a hash of each member that this node knows, without itself.
@@ -256,12 +261,29 @@
 		updates[i] = m.pendingUpdates[i].member
 		m.pendingUpdates[i].rounds++
 	}
-	for _, i := range m.random.Perm(len(m.present))[:min(gossipFanout, len(m.present))] {
-		m.send(m.present[i], membership.Message{Kind: membership.Gossip, Updates: updates}, a)
+	for _, target := range m.gossipTargets() {
+		m.send(target, membership.Message{Kind: membership.Gossip, Updates: updates}, a)
 	}
 	m.pendingUpdates = slices.DeleteFunc(m.pendingUpdates, func(u pendingUpdate) bool { return u.rounds >= gossipRounds })
 }
 
+// gossipTargets returns random members, all but one of them in this node's availability
+// zone if there are as many, since traffic between zones is slower and costs more.
+func (m *Membership) gossipTargets() []string {
+	var local, remote []string
+	for _, i := range m.random.Perm(len(m.present)) {
+		id := m.present[i]
+		if m.members[id].AvailabilityZone == m.self.AvailabilityZone {
+			local = append(local, id)
+		} else {
+			remote = append(remote, id)
+		}
+	}
+	local = local[:min(len(local), gossipFanout-min(len(remote), 1))]
+	remote = remote[:min(len(remote), gossipFanout-len(local))]
+	return append(local, remote...)
+}
+
 func (m *Membership) send(to string, message membership.Message, a *Actions) {
 	packet := Packet{To: to, Message: message}
 	if e, ok := m.members[to]; ok {
