--- a/internal/node/gateway/wiring.go
+++ b/internal/node/gateway/wiring.go
@@ -56,11 +56,15 @@
 	return &relays{node: s.Node.ID, zone: s.Node.AvailabilityZone, routing: routes, groups: groups, records: leaf.NewTable(), log: logger}
 }
 
-func newLeafClient(s settings.Settings, a Adapter, r *relays, m *metrics.Metrics) *leafwire.Client {
+func newLeafClient(s settings.Settings, a Adapter, r *relays, m *metrics.Metrics, logger log.Interface) *leafwire.Client {
+	maxConnections := func(group string) int { return r.maxConnections(group, int(s.Forward.ExpectedNodes)) }
 	return leafwire.New(leafwire.Config{
 		Names:          a.Headers(),
 		OnConnect:      m.LeafConnected,
-		MaxConnections: func(group string) int { return r.maxConnections(group, int(s.Forward.ExpectedNodes)) },
+		MaxConnections: maxConnections,
+		OnRefused: func(vm platform.VM, open int) {
+			logger.WithFields(log.Fields{"leaf": vm.ID, "group": vm.Group, "open": open, "limit": maxConnections(vm.Group)}).Warn("leaf reset a fresh connection")
+		},
 	})
 }
 
--- a/internal/transport/leafwire/leafwire.go
+++ b/internal/transport/leafwire/leafwire.go
@@ -124,6 +124,10 @@
 	// OnConnect is called for each opened connection; the function that it returns is
 	// called when the connection is closed. It may be nil.
 	OnConnect func() (closed func())
+	// OnRefused is called when a leaf resets a fresh connection, once in
+	// reducedLimitPeriod for each leaf, with the number of the other connections to it. It
+	// may be nil.
+	OnRefused func(vm platform.VM, open int)
 }
 
 // Client sends calls. It is safe for concurrent use.
@@ -140,6 +144,9 @@
 	if cfg.OnConnect == nil {
 		cfg.OnConnect = func() func() { return func() {} }
 	}
+	if cfg.OnRefused == nil {
+		cfg.OnRefused = func(platform.VM, int) {}
+	}
 	return &Client{cfg: cfg}
 }
 
--- a/internal/transport/leafwire/leafwire_test.go
+++ b/internal/transport/leafwire/leafwire_test.go
@@ -289,10 +289,15 @@
 		}
 	})
 	client := newClient(t, 2, leaf.vm())
+	refused := make(chan string, 10)
+	client.cfg.OnRefused = func(vm platform.VM, _ int) { refused <- vm.ID }
 	call, done := start(client, leaf.vm(), "")
 	if reply := await(t, done); reply.Result != subrequest.ConnectionLost {
 		t.Fatalf("first call: %+v", reply)
 	}
+	if id := <-refused; id != leaf.vm().ID || len(refused) != 0 {
+		t.Errorf("leaf %q is reported to refuse connections, and %d more", id, len(refused))
+	}
 	refusedUntil := call.pool.refusedUntil
 	for range 5 {
 		_, done = startAt(client, leaf.vm(), "", refusedUntil.Add(-time.Millisecond))
--- a/internal/transport/leafwire/pool.go
+++ b/internal/transport/leafwire/pool.go
@@ -155,18 +155,29 @@
 func (p *pool) connClosed(c *conn, fresh bool) {
 	now := time.Now()
 	p.mu.Lock()
-	defer p.mu.Unlock()
 	p.open--
 	p.removeIdle(c)
+	firstRefusal := fresh && !now.Before(p.reducedUntil)
 	if fresh {
-		p.reducedLimit = max(p.open, 1)
-		p.reducedUntil = now.Add(reducedLimitPeriod)
-		if p.open == 0 {
-			p.refusedUntil = now.Add(refusalPeriod)
-		}
+		p.recordRefusal(now)
 	}
+	open := p.open
 	if len(p.waiting) > 0 && p.open < p.connectionLimit(now) {
 		p.open++
 		go p.dial()
 	}
+	p.mu.Unlock()
+	if firstRefusal {
+		p.client.cfg.OnRefused(p.vm, open)
+	}
+}
+
+// recordRefusal reduces the connection limit after the leaf has reset a fresh
+// connection. The caller must hold mu.
+func (p *pool) recordRefusal(now time.Time) {
+	p.reducedLimit = max(p.open, 1)
+	p.reducedUntil = now.Add(reducedLimitPeriod)
+	if p.open == 0 {
+		p.refusedUntil = now.Add(refusalPeriod)
+	}
 }
