Let restarted nodes leave the platform to others

A node that has just started knows few members and may take itself for a reader, which pages through the list of leafs (28 calls at the large site). Within its first 2 s a node now leaves the platform to a reader that started earlier. When all start together nothing changes. TestRestartedNodeLeavesPlatformToOthers failed first.

--- a/internal/coordination/reader/reader.go
+++ b/internal/coordination/reader/reader.go
@@ -24,6 +24,9 @@
 	// JoinWait is how long a starting node waits to discover other members before it
 	// reads the platform itself.
 	JoinWait = 300 * time.Millisecond
+	// newcomerPeriod is the time since its start in which a node, which may not know all
+	// members yet, leaves the platform to readers that started at least that much earlier.
+	newcomerPeriod = 2 * time.Second
 	// failedSourceLimit is the number of recently failed sources from which on a node
 	// reads the platform itself instead of trying another source.
 	failedSourceLimit = 3
@@ -146,10 +149,12 @@
 	switch {
 	case isJoining(input):
 		return Source{}
-	case len(others) < len(readers):
+	case len(others) < len(readers) && !isNewcomer(input, others):
 		return Source{Platform: true}
 	case (input.Overdue || len(input.Stale) >= failedSourceLimit) && !slices.Contains(input.Stale, input.Self):
 		return Source{Platform: true}
+	case len(others) < len(readers) && len(others) > 0:
+		return Source{Peer: others[0]}
 	case len(others) > 0:
 		return Source{Peer: parent(alive, readers, input)}
 	case len(input.Members) <= 1 || input.Empty || input.Random < fallbackProbability:
@@ -159,6 +164,25 @@
 	}
 }
 
+// isNewcomer reports whether the node has just started and one of the other readers runs
+// for longer, so that it has a copy.
+func isNewcomer(input Input, others []string) bool {
+	if input.SinceStart >= newcomerPeriod || len(others) == 0 {
+		return false
+	}
+	ownStart := startOf(input.Members, input.Self)
+	return startOf(input.Members, others[0])+uint64(newcomerPeriod.Microseconds()) < ownStart
+}
+
+// startOf is when a member started, in the unit of membership.StartAt; 0 if it is unknown.
+func startOf(members []membership.Member, id string) uint64 {
+	i := slices.IndexFunc(members, func(m membership.Member) bool { return m.ID == id })
+	if i < 0 {
+		return 0
+	}
+	return members[i].Start
+}
+
 // isJoining reports whether the node still waits to discover other members. Seeds read
 // the platform at once, so that the other nodes have a source to read from.
 func isJoining(input Input) bool {
--- a/internal/coordination/reader/reader_test.go
+++ b/internal/coordination/reader/reader_test.go
@@ -208,3 +208,33 @@
 		t.Errorf("a node that discovers no other node: %+v, want the platform", got)
 	}
 }
+
+// TestRestartedNodeLeavesPlatformToOthers guards against the calls of nodes that are
+// restarted one after the other: each knows few members at first, by which it may be a
+// reader, and would page through all lists. When all nodes start together, those that
+// the hashes choose read at once.
+func TestRestartedNodeLeavesPlatformToOthers(t *testing.T) {
+	members := fleet(5)
+	for i := range members {
+		members[i].Start = membership.StartAt(time.Unix(1000, 0))
+	}
+	self := Readers(members, nil)[0]
+	i := slices.IndexFunc(members, func(m membership.Member) bool { return m.ID == self })
+	tests := []struct {
+		name       string
+		later      time.Duration // start of the node after that of the others
+		sinceStart time.Duration
+		platform   bool
+	}{
+		{"restarted", time.Minute, 100 * time.Millisecond, false},
+		{"restarted a while ago", time.Minute, newcomerPeriod, true},
+		{"all have started", 300 * time.Millisecond, 100 * time.Millisecond, true},
+	}
+	for _, test := range tests {
+		members[i].Start = membership.StartAt(time.Unix(1000, 0).Add(test.later))
+		got := Choose(Input{Self: self, Members: members, SinceStart: test.sinceStart, Random: 0.5})
+		if got.Platform != test.platform || !got.Platform && (got.Peer == "" || got.Peer == self) {
+			t.Errorf("%s: source %+v, want the platform %v", test.name, got, test.platform)
+		}
+	}
+}
