--- a/internal/coordination/membership/receive.go
+++ b/internal/coordination/membership/receive.go
@@ -23,6 +23,7 @@
 	}
 	// Large exchanges are not gossiped: nodes that lack the updates notice by digest.
 	exchange := message.Kind == membership.Sync || message.Kind == membership.SyncReply
+	_, senderKnown := m.members[message.From]
 	spread := !exchange || len(message.Updates) <= maxGossipUpdates
 	for _, update := range message.Updates {
 		if exchange && m.contradictsView(update) {
@@ -44,7 +45,10 @@
 	case membership.ConfirmAlive:
 		m.onConfirmAlive(now, message)
 	case membership.Sync:
-		m.replyToSync(message, &a)
+		m.replyToSync(message, senderKnown, &a)
+	case membership.SyncReply:
+		agrees := len(message.Updates) == 0 && message.Digest == m.digest
+		m.joined = m.joined || agrees && now.Sub(m.joinSince) >= minJoinPeriod
 	}
 	return a
 }
@@ -107,13 +111,19 @@
 	}
 }
 
-// startSync exchanges all members with another node, at most once per minSyncInterval.
+// startSync requests what this node lacks from another one, at most once per
+// minSyncInterval. The other node does the same when it finds that the lists differ.
 func (m *Membership) startSync(now time.Time, peer string, a *Actions) {
 	if now.Before(m.nextSync) {
 		return
 	}
 	m.nextSync = now.Add(minSyncInterval)
-	m.send(peer, membership.Message{Kind: membership.Sync, Updates: m.allMembers()}, a)
+	m.requestList(peer, a)
+}
+
+// requestList requests the members that this node lacks or has an older state of.
+func (m *Membership) requestList(peer string, a *Actions) {
+	m.send(peer, membership.Message{Kind: membership.Sync, Updates: []membership.Member{m.self}, Known: m.hashes()}, a)
 }
 
 // onSuspect counts another node's suspicion, or confirms that the member is alive.
@@ -158,22 +168,72 @@
 	return list
 }
 
+// pullList requests the list of a random member while this node joins: gossip takes
+// seconds to spread the members of a large fleet that starts at once.
+func (m *Membership) pullList(now time.Time, a *Actions) {
+	m.refresh()
+	if m.joined || len(m.present) == 0 || now.Before(m.nextPull) {
+		return
+	}
+	if m.joinSince.IsZero() {
+		m.joinSince = now
+	}
+	if now.Sub(m.joinSince) >= maxJoinPeriod {
+		m.joined = true
+		return
+	}
+	m.nextPull = now.Add(joinPullInterval)
+	m.requestList(m.present[m.random.IntN(len(m.present))], a)
+}
+
+// hashes returns a hash of each member that this node knows, without itself.
+func (m *Membership) hashes() []uint32 {
+	hashes := make([]uint32, 0, len(m.members))
+	for _, e := range m.members {
+		hashes = append(hashes, uint32(digestOf(e.Member)))
+	}
+	return hashes
+}
+
 // replyToSync sends back members that the sender lacks or has an older state of.
-func (m *Membership) replyToSync(message membership.Message, a *Actions) {
+func (m *Membership) replyToSync(message membership.Message, senderKnown bool, a *Actions) {
+	var updates []membership.Member
+	if message.Digest != m.digest {
+		updates = m.newerThan(message)
+	}
+	limit := maxSyncUpdates
+	if !senderKnown {
+		limit = maxFirstReply
+	}
+	if len(updates) > limit {
+		// The first one is this node unless the sender knows it.
+		others := updates[1:]
+		m.random.Shuffle(len(others), func(i, j int) { others[i], others[j] = others[j], others[i] })
+		updates = updates[:limit]
+	}
+	// A reply without updates shows the sender that the lists agree.
+	m.send(message.From, membership.Message{Kind: membership.SyncReply, Updates: updates}, a)
+}
+
+// newerThan returns the members that the sender of a Sync lacks or has an older state of.
+func (m *Membership) newerThan(message membership.Message) []membership.Member {
 	received := make(map[string]membership.Member, len(message.Updates))
 	for _, member := range message.Updates {
 		received[member.ID] = member
 	}
+	known := make(map[uint32]bool, len(message.Known))
+	for _, hash := range message.Known {
+		known[hash] = true
+	}
 	var updates []membership.Member
 	for _, member := range m.allMembers() {
-		known, ok := received[member.ID]
-		if !ok || member.Outranks(known) {
-			updates = append(updates, member)
+		theirs, ok := received[member.ID]
+		if ok && !member.Outranks(theirs) || known[uint32(digestOf(member))] {
+			continue
 		}
+		updates = append(updates, member)
 	}
-	if len(updates) > 0 {
-		m.send(message.From, membership.Message{Kind: membership.SyncReply, Updates: updates}, a)
-	}
+	return updates
 }
 
 // queueUpdate adds an update to those that are gossiped, in place of an older one of
@@ -201,12 +261,29 @@
 		updates[i] = m.pendingUpdates[i].member
 		m.pendingUpdates[i].rounds++
 	}
-	for _, i := range m.random.Perm(len(m.present))[:min(gossipFanout, len(m.present))] {
-		m.send(m.present[i], membership.Message{Kind: membership.Gossip, Updates: updates}, a)
+	for _, target := range m.gossipTargets() {
+		m.send(target, membership.Message{Kind: membership.Gossip, Updates: updates}, a)
 	}
 	m.pendingUpdates = slices.DeleteFunc(m.pendingUpdates, func(u pendingUpdate) bool { return u.rounds >= gossipRounds })
 }
 
+// gossipTargets returns random members, all but one of them in this node's availability
+// zone if there are as many, since traffic between zones is slower and costs more.
+func (m *Membership) gossipTargets() []string {
+	var local, remote []string
+	for _, i := range m.random.Perm(len(m.present)) {
+		id := m.present[i]
+		if m.members[id].AvailabilityZone == m.self.AvailabilityZone {
+			local = append(local, id)
+		} else {
+			remote = append(remote, id)
+		}
+	}
+	local = local[:min(len(local), gossipFanout-min(len(remote), 1))]
+	remote = remote[:min(len(remote), gossipFanout-len(local))]
+	return append(local, remote...)
+}
+
 func (m *Membership) send(to string, message membership.Message, a *Actions) {
 	packet := Packet{To: to, Message: message}
 	if e, ok := m.members[to]; ok {
--- a/internal/transport/leafwire/pool.go
+++ b/internal/transport/leafwire/pool.go
@@ -26,6 +26,8 @@
 	// connection.
 	reducedLimit int
 	reducedUntil time.Time
+	// refusedUntil is the end of refusalPeriod.
+	refusedUntil time.Time
 	// dialAfter is the time before which no connection is dialled after a failed dial,
 	// unless no connection is open.
 	dialAfter time.Time
@@ -83,7 +85,12 @@
 	}
 	defer p.client.cfg.OnConnect()()
 	c := newConn(p, raw)
-	p.assignOrIdle(c)
+	p.mu.Lock()
+	first := p.assignNextOrIdle(c)
+	p.mu.Unlock()
+	if first != nil {
+		c.write(first)
+	}
 	c.readLoop()
 }
 
@@ -107,26 +114,22 @@
 	}
 }
 
-// assignOrIdle assigns a connection to the first waiting call, or adds it to the idle
-// ones.
-func (p *pool) assignOrIdle(c *conn) {
-	p.mu.Lock()
-	if len(p.waiting) == 0 {
-		removed := p.removed
-		if !removed {
-			p.idle = append(p.idle, c)
-		}
-		p.mu.Unlock()
-		if removed {
-			_ = c.netConn.Close() // readLoop updates the connection count
-		}
-		return
+// assignNextOrIdle assigns a connection to the first waiting call, which the caller then
+// writes, or returns nil and adds the connection to the idle ones. A connection of a
+// removed leaf is closed instead. The caller must hold mu.
+func (p *pool) assignNextOrIdle(c *conn) *Call {
+	switch {
+	case len(p.waiting) > 0:
+		call := p.waiting[0]
+		p.waiting = p.waiting[1:]
+		c.assign(call)
+		return call
+	case p.removed:
+		_ = c.netConn.Close() // readLoop updates the connection count
+	default:
+		p.idle = append(p.idle, c)
 	}
-	call := p.waiting[0]
-	p.waiting = p.waiting[1:]
-	c.assign(call)
-	p.mu.Unlock()
-	c.write(call)
+	return nil
 }
 
 // activeCall returns the call of a connection that is readable or closed. A connection
@@ -152,15 +155,29 @@
 func (p *pool) connClosed(c *conn, fresh bool) {
 	now := time.Now()
 	p.mu.Lock()
-	defer p.mu.Unlock()
 	p.open--
 	p.removeIdle(c)
+	firstRefusal := fresh && !now.Before(p.reducedUntil)
 	if fresh {
-		p.reducedLimit = max(p.open, 1)
-		p.reducedUntil = now.Add(reducedLimitPeriod)
+		p.recordRefusal(now)
 	}
+	open := p.open
 	if len(p.waiting) > 0 && p.open < p.connectionLimit(now) {
 		p.open++
 		go p.dial()
 	}
+	p.mu.Unlock()
+	if firstRefusal {
+		p.client.cfg.OnRefused(p.vm, open)
+	}
+}
+
+// recordRefusal reduces the connection limit after the leaf has reset a fresh
+// connection. The caller must hold mu.
+func (p *pool) recordRefusal(now time.Time) {
+	p.reducedLimit = max(p.open, 1)
+	p.reducedUntil = now.Add(reducedLimitPeriod)
+	if p.open == 0 {
+		p.refusedUntil = now.Add(refusalPeriod)
+	}
 }
--- a/internal/transport/mesh/follow.go
+++ b/internal/transport/mesh/follow.go
@@ -28,17 +28,24 @@
 	// reader, so that other nodes are chosen. In an outage of the platform this applies to
 	// all nodes, and the outage may be over when this time ends.
 	platformRejectionTTL = 1 * time.Second
-	// emptySourceTTL is how long a source that has no copy at all is passed over. It is
-	// short, since the source soon has a copy when all nodes start or the platform
-	// recovers. It must not be shorter than the wait between two attempts, or no other
-	// source would be tried.
+	// firstCopyWait is how long a source that has no copy yet keeps a request for it. When
+	// all nodes start, their sources get a copy soon; were they passed over instead, other
+	// nodes would take their place as readers of the platform.
+	firstCopyWait = 400 * time.Millisecond
+	// emptySourceTTL is how long a source that has no copy after firstCopyWait is passed
+	// over. It is short, since the source soon has a copy when the platform recovers. It
+	// must not be shorter than the wait between two attempts, or no other source would be
+	// tried.
 	emptySourceTTL = 1 * time.Second
 	// maxFollowWait is the longest wait of a poll of another node. It bounds how long
 	// the loss of a source goes undetected.
 	maxFollowWait = 600 * time.Millisecond
+	// followsPerWatch is the number of polls of other nodes in the wait of a watch. As many
+	// nodes on the way from the reader add one wait of a watch to the age of a copy.
+	followsPerWatch = 3
 	// overdueHalfWaits is the age, in halves of the wait of a watch, after which a
-	// node's copy is overdue. Four are usual: the reader waits once, and so does the
-	// node that follows it.
+	// node's copy is overdue. Four are usual: the reader waits once, and the nodes on the
+	// way from it as long together.
 	overdueHalfWaits = 5
 	// sourceRetryDelay is the delay before a node looks for a source again.
 	sourceRetryDelay = 50 * time.Millisecond
@@ -145,7 +152,7 @@
 }
 
 func (c *Client) listPeer(ctx context.Context, id string, kind platform.Kind) (platform.Listing, error) {
-	reply, confirmed, err := c.follow(ctx, id, kind, &contract.FollowRequest{List: true})
+	reply, confirmed, err := c.follow(ctx, id, kind, &contract.FollowRequest{List: true, WaitMs: uint32(firstCopyWait.Milliseconds())})
 	if err != nil {
 		return platform.Listing{}, err
 	}
@@ -248,7 +255,7 @@
 
 // watchPeer follows another node for one reply. It returns the version to continue from.
 func (c *Client) watchPeer(ctx context.Context, id string, kind platform.Kind, from uint64, each func(platform.Event) error) (uint64, error) {
-	reply, confirmed, err := c.follow(ctx, id, kind, &contract.FollowRequest{From: from, WaitMs: uint32(min(c.watchWait, maxFollowWait).Milliseconds())})
+	reply, confirmed, err := c.follow(ctx, id, kind, &contract.FollowRequest{From: from, WaitMs: uint32(min(c.watchWait/followsPerWatch, maxFollowWait).Milliseconds())})
 	if err != nil {
 		if errors.Is(err, platform.ErrTooOld) {
 			return from, err
@@ -268,8 +275,8 @@
 	return platform.Object{Kind: kind, Name: o.Name, Version: o.Version, Value: o.Value}
 }
 
-// maxAge is how long ago the platform may have confirmed a source's copy: a source that
-// follows another node itself adds another wait.
+// maxAge is how long ago the platform may have confirmed a source's copy: see
+// overdueHalfWaits.
 func (c *Client) maxAge() time.Duration { return 2*c.watchWait + c.watchWait/2 + replyMargin }
 
 // follow sends one request to a node. A node that fails, or whose copy is missing or too
--- a/internal/transport/mesh/mesh_test.go
+++ b/internal/transport/mesh/mesh_test.go
@@ -3,12 +3,12 @@
 import (
 	"context"
 	"fmt"
-	"net"
 	"slices"
 	"strconv"
 	"sync"
 	"sync/atomic"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/apex/log"
@@ -21,6 +21,7 @@
 	"github.com/hickorydock/hickorydock/internal/protocol/platform"
 	"github.com/hickorydock/hickorydock/internal/state/mirror"
 	"github.com/hickorydock/hickorydock/internal/transport/follow"
+	"github.com/hickorydock/hickorydock/internal/transport/loopback"
 	"github.com/hickorydock/hickorydock/internal/transport/peer"
 )
 
@@ -113,25 +114,26 @@
 	return n.latest == value, n.changed
 }
 
-func freeAddress(t *testing.T) string {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+// reserveAddress returns a loopback address for a process of the test.
+func reserveAddress(t *testing.T) string {
+	t.Helper()
+	address, err := loopback.Reserve()
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer l.Close()
-	return l.Addr().String()
+	return address
 }
 
 // startNodes starts nodes that follow the routing table, each through the platform
 // client that clientOf returns for it.
 func startNodes(t *testing.T, count int, clientOf func(i int) platform.Client) []*node {
 	t.Helper()
-	seed := freeAddress(t)
+	seed := reserveAddress(t)
 	var nodes []*node
 	for i := range count {
 		address := seed
 		if i > 0 {
-			address = freeAddress(t)
+			address = reserveAddress(t)
 		}
 		m, err := New(Config{
 			Node: fmt.Sprintf("n%d", i), AvailabilityZone: fmt.Sprintf("az-%d", i%2), Address: address, Seeds: []string{seed},
@@ -206,6 +208,27 @@
 	}
 }
 
+// TestSourceWithoutCopyKeepsRequest guards against nodes that pass over a source which
+// has no copy yet, as all sources when the fleet starts, and read the platform in its
+// place: the source keeps a request for its list until it has one.
+func TestSourceWithoutCopyKeepsRequest(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		m, err := New(Config{Node: "source", Address: "127.0.0.1:1", Mirror: mirror.New(), Log: &log.Logger{Handler: discard.Default}}, echo{})
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer m.cancel()
+		time.AfterFunc(firstCopyWait/2, func() {
+			m.cfg.Mirror.Replace(platform.KindRouting, platform.Listing{Version: 1}, time.Now())
+		})
+		request := &contract.FollowRequest{Hello: peer.DefaultConfig("other", 1).Hello(), Kind: string(platform.KindRouting), List: true, WaitMs: uint32(firstCopyWait.Milliseconds())}
+		reply, err := service{m}.Follow(t.Context(), request)
+		if err != nil || !reply.Known {
+			t.Errorf("reply %v, error %v, want the list", reply, err)
+		}
+	})
+}
+
 // TestOutage guards against a lasting failure after a short outage of the whole
 // platform, in which all nodes mark each other as stale: all must receive the next
 // change soon after.
