Send the shards of a query to relays in a zone of their leafs

What crosses to the entry is about 35 KB; the rest is between relays and leafs: each shard has leafs in three of six zones, clusters hold shards at random, so a relay has no leaf in its zone for about half of its shards and fetches their whole results from other zones.

The shards of a cluster are now divided by the zones of their leafs: those with one in the entry's zone go to a relay there, the others to one in the zone that most of them have in common. The assignment of relays, and so of connections, does not depend on leafs. Clusters hold up to 24 groups in place of 12, so that a query goes to as many relays as before. Tried on paper and left: clusters by zone of the leafs, since a leaf that is replaced would move relays.

TestResultsAreMergedInTheZoneOfTheirLeafs failed first: 64 to 72 of 180 shards went to a zone without their leafs, at most 9 after (a twentieth allowed).

--- a/internal/node/gateway/relays.go
+++ b/internal/node/gateway/relays.go
@@ -22,8 +22,8 @@
 )
 
 // groupsPerCluster is the number of groups that share their relays: a query of about a
-// hundred shards then goes to about eight relays.
-const groupsPerCluster = 12
+// hundred shards then goes to four to eight relays, by the zones of the leafs.
+const groupsPerCluster = 24
 
 // assignment holds which nodes relay to which groups, for one routing table and one
 // list of members.
--- a/internal/node/gateway/relays_bench_test.go
+++ b/internal/node/gateway/relays_bench_test.go
@@ -26,12 +26,17 @@
 	store := &routing.Store{}
 	store.Put(routing.NewIndex(table, nil))
 	r := &relays{node: "n000", zone: "az-0", routing: store, groups: group.NewStore(leaf.NewTable()), records: leaf.NewTable(), log: &log.Logger{Handler: discard.Default}}
+	r.setMembers(membersIn(4, nodes))
+	return r, &store.Current().Table.Routes[0]
+}
+
+// membersIn returns live members that are spread over availability zones.
+func membersIn(zones, nodes int) []membership.Member {
 	members := make([]membership.Member, nodes)
 	for i := range members {
-		members[i] = membership.Member{ID: fmt.Sprintf("n%03d", i), AvailabilityZone: fmt.Sprintf("az-%d", i%4), State: membership.Alive}
+		members[i] = membership.Member{ID: fmt.Sprintf("n%03d", i), AvailabilityZone: fmt.Sprintf("az-%d", i%zones), State: membership.Alive}
 	}
-	r.setMembers(members)
-	return r, &store.Current().Table.Routes[0]
+	return members
 }
 
 func BenchmarkAssign(b *testing.B) {
--- a/internal/node/gateway/relays_test.go
+++ b/internal/node/gateway/relays_test.go
@@ -18,6 +18,7 @@
 	"github.com/hickorydock/hickorydock/internal/protocol/membership"
 	"github.com/hickorydock/hickorydock/internal/protocol/platform"
 	"github.com/hickorydock/hickorydock/internal/protocol/route"
+	"github.com/hickorydock/hickorydock/internal/state/shardmap"
 	"github.com/hickorydock/hickorydock/internal/transport/leafwire"
 )
 
@@ -110,6 +111,52 @@
 	}
 }
 
+// TestResultsAreMergedInTheZoneOfTheirLeafs has leafs in three of six availability zones,
+// in other ones for each shard: what a relay fetches from another zone is ten times what
+// it hands on. Nearly all shards must go to relays, still few ones, in a zone of their
+// leafs, whichever node queries them.
+func TestResultsAreMergedInTheZoneOfTheirLeafs(t *testing.T) {
+	const (
+		nodes      = 295
+		zones      = 6
+		leafsEach  = 3
+		shards     = 180
+		maxRelays  = 20
+		maxOutside = shards / 20
+	)
+	for own := range zones {
+		r, rt := newTestRelays(nodes, shards, 175)
+		r.setMembers(membersIn(zones, nodes))
+		r.zone = fmt.Sprintf("az-%d", own)
+		for i, name := range rt.Shards {
+			for k := range leafsEach {
+				zone := fmt.Sprintf("az-%d", (i+k)%zones)
+				r.groups.Put(route.Leaf{VM: platform.VM{ID: name + zone, Group: name, AvailabilityZone: zone}})
+			}
+		}
+		parts := r.Clusters(rt)
+		if len(parts) > maxRelays {
+			t.Errorf("from %s: a query goes to %d relays, want at most %d", r.zone, len(parts), maxRelays)
+		}
+		outside, sent := 0, 0
+		for _, c := range parts {
+			sent += len(c.Shards)
+			for _, shard := range c.Shards {
+				served := slices.ContainsFunc(r.groups.Replicas(rt.Shards[shard]), func(leaf shardmap.Replica) bool {
+					return c.Direct && leaf.VM.AvailabilityZone == r.zone ||
+						len(c.Preferred) > 0 && leaf.VM.AvailabilityZone == c.Preferred[0].VM.AvailabilityZone
+				})
+				if !served {
+					outside++
+				}
+			}
+		}
+		if sent != shards || outside > maxOutside {
+			t.Errorf("from %s: of %d shards sent, %d go to a zone without their leafs, want at most %d", r.zone, sent, outside, maxOutside)
+		}
+	}
+}
+
 // TestFewRelaysMoveWhenNodeJoins guards against leafs with too many connections while
 // nodes discover a new one at different times: they must agree on most relays, since a
 // leaf's connections are counted by owner.
