--- a/internal/coordination/membership/join_test.go
+++ b/internal/coordination/membership/join_test.go
@@ -130,9 +130,9 @@
 }
 
 // TestRollingRestartBetweenZones guards against the traffic of membership between
-// availability zones while the nodes of a large fleet are restarted one after the other:
-// each node hears of each change, and must not hear of it from other zones again and
-// again. What changed is known everywhere soon all the same.
+// availability zones while the nodes of a large fleet are restarted one after the other.
+// Each node forwards each change, so nearly all of these messages must stay in one zone.
+// A change still has to be known everywhere soon.
 func TestRollingRestartBetweenZones(t *testing.T) {
 	const (
 		size     = 295
