Follow a platform that is restored from an older copy

Cause: a store that comes back from a copy some seconds old gives its revisions out again. Lists and changes were ordered by revision alone: a mirror ignored everything until the revisions had caught up, and then took new changes for ones that it had. Leafs that had left were used again with the copy, and a node that started read an older routing table.

Change: a version of the platform holds the store's era above its revision, so that every comparison of versions is right across a restore. The adapter reads the era from each reply, refuses replies of an earlier era and ends a watch whose era is over. A mirror starts its history anew in a new era and keeps the newest routing table; a node in an earlier era is no source for one in a later era, nor is a node of an earlier release, which hands on revisions alone. After a restore a node holds entries of leafs that had left, began to leave or started again, until the registrations of leafs that are gone have expired (three heartbeats and two seconds) or the leaf registers again. A node that has read the platform on its start also asks a longer running member for its routing table.

Weighed: a pair of era and revision in every message and call (twice the fields, and peers of the earlier release would need a second protocol); differences between the list before a restore and the one after it as changes for followers (wrong for a follower that had seen changes which its source had not: TestRandomRestores finds it).

Tests seen failing on the code before: TestWatchAcrossRestore, TestUpdateAcrossRestore, TestLateReplyOfEarlierEra, TestListSpansRestore, TestUnusableEra (the adapter of the last release); TestPlatformRestored with mirrors that order by revision; TestRandomRestores and TestRestoredPlatform with the history kept across eras; TestRestoredRegistrations and TestLeafBackAfterRestore without the hold.

--- a/internal/coordination/reader/reader.go
+++ b/internal/coordination/reader/reader.go
@@ -170,8 +170,30 @@
 	if input.SinceStart >= newcomerPeriod || len(others) == 0 {
 		return false
 	}
-	ownStart := startOf(input.Members, input.Self)
-	return startOf(input.Members, others[0])+uint64(newcomerPeriod.Microseconds()) < ownStart
+	return runsLonger(startOf(input.Members, others[0]), startOf(input.Members, input.Self))
+}
+
+// runsLonger reports whether a member that started at start runs so much longer than one
+// that started at ownStart that it has a copy of the platform's objects already.
+func runsLonger(start, ownStart uint64) bool {
+	return start+uint64(newcomerPeriod.Microseconds()) < ownStart
+}
+
+// LongerRunning returns a member that runs for longer than a node, if possible one of the
+// same availability zone, or "" if there is none.
+func LongerRunning(members []membership.Member, self string) string {
+	zone, ownStart := zoneOf(members, self), startOf(members, self)
+	found := ""
+	for _, m := range members {
+		if m.State != membership.Alive || !runsLonger(m.Start, ownStart) {
+			continue
+		}
+		if m.AvailabilityZone == zone {
+			return m.ID
+		}
+		found = m.ID
+	}
+	return found
 }
 
 // startOf is when a member started, in the unit of membership.StartAt; 0 if it is unknown.
--- a/internal/node/gateway/control_test.go
+++ b/internal/node/gateway/control_test.go
@@ -45,13 +45,13 @@
 	logger := &log.Logger{Handler: discard.Default}
 	groups := group.NewStore(leaf.NewTable())
 	return &controller{
-		adapter:         plainAdapter{},
-		routing:         routes,
-		groups:          groups,
-		leafClient:      leafwire.New(leafwire.Config{MaxConnections: func(string) int { return 1 }}),
-		relays:          &relays{routing: routes, groups: groups, records: leaf.NewTable(), log: logger},
-		log:             logger,
-		pendingRemovals: map[string]*time.Timer{},
+		adapter:    plainAdapter{},
+		routing:    routes,
+		groups:     groups,
+		heartbeat:  time.Second,
+		leafClient: leafwire.New(leafwire.Config{MaxConnections: func(string) int { return 1 }}),
+		relays:     &relays{routing: routes, groups: groups, records: leaf.NewTable(), log: logger},
+		log:        logger,
 	}
 }
 
--- a/internal/node/gateway/gateway.go
+++ b/internal/node/gateway/gateway.go
@@ -22,7 +22,6 @@
 	"github.com/hickorydock/hickorydock/internal/protocol/settings"
 	"github.com/hickorydock/hickorydock/internal/state/group"
 	"github.com/hickorydock/hickorydock/internal/state/leaf"
-	"github.com/hickorydock/hickorydock/internal/state/mirror"
 	"github.com/hickorydock/hickorydock/internal/state/routing"
 	"github.com/hickorydock/hickorydock/internal/transport/admin"
 	"github.com/hickorydock/hickorydock/internal/transport/guard"
@@ -91,7 +90,7 @@
 		fx.Provide(
 			func() log.Interface { return g.logger },
 			func() Adapter { return adapter },
-			metrics.New, tracing.FromSettings, leaf.NewTable, group.NewStore, mirror.New, newRouting, newRelays, newMesh, newLeafClient, newForwarder, newController, newCallerServer,
+			metrics.New, tracing.FromSettings, leaf.NewTable, group.NewStore, newMirror, newRouting, newRelays, newMesh, newLeafClient, newForwarder, newController, newCallerServer,
 			func(cs *callerServer) admin.ReadinessChecker { return cs },
 		),
 		guard.Module,
--- a/internal/node/gateway/wiring.go
+++ b/internal/node/gateway/wiring.go
@@ -22,6 +22,21 @@
 	"github.com/hickorydock/hickorydock/internal/transport/tracing"
 )
 
+// newMirror returns a mirror that keeps the newest routing table, also when the platform is
+// restored from a copy with an older one.
+func newMirror(a Adapter) *mirror.Mirror {
+	m := mirror.New()
+	m.Keep(platform.KindRouting, func(held, next platform.Object) bool {
+		heldTable, err := a.DecodeTable(held)
+		if err != nil {
+			return false
+		}
+		nextTable, err := a.DecodeTable(next)
+		return err != nil || heldTable.Version > nextTable.Version
+	})
+	return m
+}
+
 // newMesh connects the node to the other gateways.
 func newMesh(s settings.Settings, localMirror *mirror.Mirror, f *forward.Forwarder, r *relays, g *guard.Guard, logger log.Interface, lifecycle fx.Lifecycle) (*mesh.Mesh, error) {
 	m, err := mesh.New(mesh.Config{
@@ -86,15 +101,15 @@
 func newController(s settings.Settings, a Adapter, peerMesh *mesh.Mesh, routes *routing.Store, groups *group.Store, leafClient *leafwire.Client, r *relays, f *forward.Forwarder, m *metrics.Metrics, logger log.Interface, lifecycle fx.Lifecycle) *controller {
 	client := mesh.NewClient(a.Client(s), peerMesh, s.Forward.WatchWait())
 	c := &controller{
-		adapter:         a,
-		client:          client,
-		routing:         routes,
-		groups:          groups,
-		leafClient:      leafClient,
-		relays:          r,
-		metrics:         m,
-		log:             logger,
-		pendingRemovals: make(map[string]*time.Timer),
+		adapter:    a,
+		client:     client,
+		routing:    routes,
+		groups:     groups,
+		leafClient: leafClient,
+		relays:     r,
+		metrics:    m,
+		log:        logger,
+		heartbeat:  s.Forward.LeafHeartbeat(),
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	r.onAssignment = func() {
@@ -102,7 +117,7 @@
 		f.RedistributeSlack()
 		r.prepare(ctx)
 	}
-	f.OnMisdirected = func(id string) { c.removeLeaf(id, "another leaf has its address") }
+	f.OnMisdirected = c.leafMisdirected
 	done := make(chan struct{})
 	lifecycle.Append(fx.StartStopHook(
 		func() { go func() { defer close(done); c.run(ctx) }() },
--- a/internal/protocol/settings/settings.go
+++ b/internal/protocol/settings/settings.go
@@ -118,6 +118,7 @@
 	LingerMS       float64 `toml:"linger_ms" min:"0" max:"10000" doc:"Time that an attempt which is no longer needed may run on, in milliseconds, so that its connection is kept."`
 	ApplyMS        float64 `toml:"apply_ms" min:"100" max:"600000" doc:"Time within which a change of the routing table must be in force, in milliseconds."`
 	DrainMS        float64 `toml:"drain_ms" min:"100" max:"600000" doc:"Time within which a leaf that leaves must get no new work, in milliseconds."`
+	HeartbeatMS    float64 `toml:"leaf_heartbeat_ms" min:"10" max:"600000" doc:"Time between two heartbeats of a leaf at the platform, in milliseconds; without three of them its registration expires."`
 	GraceS         float64 `toml:"grace_s" min:"0.1" max:"3600" doc:"Time between SIGTERM and the end of the process that the platform allows, in seconds."`
 }
 
@@ -130,6 +131,9 @@
 // Linger is LingerMS as a duration.
 func (f Forward) Linger() time.Duration { return fromMilliseconds(f.LingerMS) }
 
+// LeafHeartbeat is HeartbeatMS as a duration.
+func (f Forward) LeafHeartbeat() time.Duration { return fromMilliseconds(f.HeartbeatMS) }
+
 // Grace is GraceS as a duration.
 func (f Forward) Grace() time.Duration { return time.Duration(f.GraceS * float64(time.Second)) }
 
@@ -160,7 +164,7 @@
 		Stop:     Stop{LimitMS: 30_000},
 		Log:      Log{Level: "info"},
 		Trace:    Trace{SampleShare: 0.01},
-		Forward:  Forward{CallerTripMS: 3, MergeReserveMS: 4, ExtraShare: 0.2, ExtraSlack: 10, ExpectedNodes: 8, LingerMS: 200, ApplyMS: 3000, DrainMS: 3000, GraceS: 10},
+		Forward:  Forward{CallerTripMS: 3, MergeReserveMS: 4, ExtraShare: 0.2, ExtraSlack: 10, ExpectedNodes: 8, LingerMS: 200, ApplyMS: 3000, DrainMS: 3000, HeartbeatMS: 1200, GraceS: 10},
 		Commands: Commands{RetentionS: 24 * 3600, WritesPerSecond: 20, FleetWritesPerSecond: 200},
 	}
 }
--- a/internal/standin/platform/platform.go
+++ b/internal/standin/platform/platform.go
@@ -59,6 +59,8 @@
 	// ChangeLogSize is the number of changes kept for each kind; 0 means
 	// DefaultChangeLogSize.
 	ChangeLogSize int
+	// Era is the era of the first versions.
+	Era uint64
 	// Faults are the initial faults.
 	Faults Faults
 }
@@ -82,7 +84,7 @@
 		options.ChangeLogSize = DefaultChangeLogSize
 	}
 	p := &Platform{
-		store:         newStore(options.ChangeLogSize),
+		store:         newStore(options.ChangeLogSize, options.Era),
 		random:        rand.New(rand.NewPCG(options.Seed, options.Seed)),
 		faultsChanged: make(chan struct{}),
 		calls:         make(map[Call]uint64),
--- a/internal/standin/platform/poll.go
+++ b/internal/standin/platform/poll.go
@@ -73,12 +73,7 @@
 	p.store.mu.Lock()
 	defer p.store.mu.Unlock()
 	p.store.version++
-	for _, log := range p.store.logs {
-		log.changes = nil
-		log.compacted = p.store.version
-		close(log.nextChange)
-		log.nextChange = make(chan struct{})
-	}
+	p.store.dropChanges()
 }
 
 // currentVersion returns the version of the store, which every change of any
--- a/internal/standin/platform/store.go
+++ b/internal/standin/platform/store.go
@@ -38,9 +38,10 @@
 	logs    map[platform.Kind]*changeLog
 }
 
-func newStore(logSize int) *store {
+func newStore(logSize int, era uint64) *store {
 	return &store{
 		logSize: logSize,
+		version: firstVersion(era, 0),
 		objects: make(map[key]platform.Object),
 		logs:    make(map[platform.Kind]*changeLog),
 	}
@@ -159,12 +160,13 @@
 }
 
 // since returns the changes of a kind after version from, and a channel that is
-// closed at the next one.
+// closed at the next one. It fails with ErrTooOld if the changes are no longer kept or if
+// from is a version that the store never reached or has lost.
 func (s *store) since(kind platform.Kind, from uint64) ([]change, <-chan struct{}, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	log := s.logOf(kind)
-	if from < log.compacted {
+	if from < log.compacted || from > s.version {
 		return nil, nil, platform.ErrTooOld
 	}
 	first, _ := slices.BinarySearchFunc(log.changes, from+1, func(c change, version uint64) int {
--- a/internal/state/mirror/mirror.go
+++ b/internal/state/mirror/mirror.go
@@ -1,6 +1,7 @@
 // Package mirror holds a node's copy of the platform's objects with their latest
 // changes, so that other nodes can watch them at this node. Each kind has its own
-// lock.
+// lock. A copy never goes back to a lower version; see platform.NewVersion for the order
+// of versions when the platform is restored from an older copy of its own.
 package mirror
 
 import (
@@ -36,6 +37,8 @@
 	// confirmed is when the platform last confirmed this state.
 	confirmed time.Time
 	wake      chan struct{} // closed at the next change
+	// keep is set by Mirror.Keep.
+	keep func(held, next platform.Object) bool
 }
 
 // New returns an empty mirror.
@@ -52,29 +55,59 @@
 	return k
 }
 
-// Replace stores a list that the platform confirmed at the given time. Watchers
-// receive the differences as changes of the list's version. A list older than the
-// stored one is ignored.
-func (m *Mirror) Replace(name platform.Kind, listing platform.Listing, confirmed time.Time) {
+// Keep makes a kind keep a held object instead of the next one of the same name while
+// keep returns true, for objects whose values the platform may only raise. It also keeps
+// held objects that are missing after a restore of the platform. It must be called before
+// the first Replace.
+func (m *Mirror) Keep(name platform.Kind, keep func(held, next platform.Object) bool) {
+	k := m.kind(name)
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.keep = keep
+}
+
+// Replace stores a list that the platform confirmed at the given time and returns true.
+// Watchers receive the differences as changes of the list's version, or list again if the
+// platform was restored. Replace returns false for a list older than the stored one, which
+// it ignores.
+func (m *Mirror) Replace(name platform.Kind, listing platform.Listing, confirmed time.Time) bool {
 	k := m.kind(name)
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	if k.known && listing.Version < k.version {
-		return
+		return false
 	}
+	restored := k.known && platform.Era(listing.Version) > platform.Era(k.version)
 	next := make(map[string]platform.Object, len(listing.Objects))
 	for _, object := range listing.Objects {
 		next[object.Name] = object
 	}
-	if k.known {
+	k.keepHeld(next, restored)
+	if k.known && !restored {
 		k.recordDifference(next, listing.Version)
 	} else {
+		// A watcher may have seen changes that this node has not and that were lost.
+		k.changes = nil
 		k.oldest = listing.Version
 		k.notify()
 	}
 	k.objects = next
 	k.known = true
 	k.advance(listing.Version, confirmed)
+	return true
+}
+
+// keepHeld puts the objects that Keep demands into next. The caller holds k.mu.
+func (k *kind) keepHeld(next map[string]platform.Object, restored bool) {
+	if k.keep == nil {
+		return
+	}
+	for id, held := range k.objects {
+		object, listed := next[id]
+		if listed && k.keep(held, object) || !listed && restored {
+			next[id] = held
+		}
+	}
 }
 
 // recordDifference records the changes that lead to next. The caller holds k.mu.
@@ -114,7 +147,8 @@
 // An object rewritten with the same value, as by a heartbeat, is not a change. The
 // caller holds k.mu.
 func (k *kind) apply(event platform.Event, version uint64) {
-	if old, ok := k.objects[event.Object.Name]; ok && !event.Deleted && bytes.Equal(old.Value, event.Object.Value) {
+	old, held := k.objects[event.Object.Name]
+	if held && !event.Deleted && (bytes.Equal(old.Value, event.Object.Value) || k.keep != nil && k.keep(old, event.Object)) {
 		return
 	}
 	if event.Deleted {
@@ -162,6 +196,14 @@
 	return k.confirmed
 }
 
+// Era is the era of a kind's version; 0 when it is unknown.
+func (m *Mirror) Era(name platform.Kind) uint64 {
+	k := m.kind(name)
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return platform.Era(k.version)
+}
+
 // List returns all objects of a kind, sorted by name. ok is false while the kind
 // is unknown.
 func (m *Mirror) List(name platform.Kind) (listing platform.Listing, confirmed time.Time, ok bool) {
@@ -202,18 +244,18 @@
 // Changes waits until a kind has changes after a version, at most for wait. It
 // returns the changes and the version to continue from. It fails with ErrTooOld
 // when they are no longer retained and with ErrUnavailable while the kind is
-// unknown.
+// unknown or this node's copy is of an earlier era than from.
 func (m *Mirror) Changes(ctx context.Context, name platform.Kind, from uint64, wait time.Duration) (changes []platform.Event, version uint64, confirmed time.Time, err error) {
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
 	k := m.kind(name)
 	for {
 		k.mu.Lock()
-		known, oldest, wake := k.known, k.oldest, k.wake
+		known, era, oldest, wake := k.known, platform.Era(k.version), k.oldest, k.wake
 		changes, version, confirmed = k.changesSince(from), max(k.version, from), k.confirmed
 		k.mu.Unlock()
 		switch {
-		case !known:
+		case !known, era < platform.Era(from):
 			return nil, 0, time.Time{}, platform.ErrUnavailable
 		case from < oldest:
 			return nil, 0, time.Time{}, platform.ErrTooOld
--- a/internal/transport/mesh/follow.go
+++ b/internal/transport/mesh/follow.go
@@ -5,6 +5,7 @@
 	"errors"
 	"math/rand/v2"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/apex/log"
@@ -14,6 +15,7 @@
 	contract "github.com/hickorydock/hickorydock/internal/protocol/peer"
 	"github.com/hickorydock/hickorydock/internal/protocol/platform"
 	"github.com/hickorydock/hickorydock/internal/transport/follow"
+	"github.com/hickorydock/hickorydock/internal/transport/peer"
 )
 
 const (
@@ -65,6 +67,9 @@
 	// watchWait is how long a watch waits for a change.
 	watchWait time.Duration
 
+	// readsPlatform is true once this node has read a list from the platform itself.
+	readsPlatform atomic.Bool
+
 	mu    sync.Mutex
 	stale map[string]time.Time // sources that are passed over, with the end of that time
 	links map[platform.Kind]*link
@@ -147,21 +152,35 @@
 		c.platformRejected(ctx, err)
 		return listing, err
 	}
-	c.mesh.cfg.Mirror.Replace(kind, listing, requestedAt)
+	c.readsPlatform.Store(true)
+	if !c.mesh.cfg.Mirror.Replace(kind, listing, requestedAt) && platform.Era(listing.Version) < c.mesh.cfg.Mirror.Era(kind) {
+		return platform.Listing{}, fault.Wrap(platform.ErrUnavailable, fault.StepPlatform, "", "list %s: reply is of an earlier era", kind)
+	}
 	return listing, nil
 }
 
+// listPeer returns all objects of a kind from another node, or this node's own copy if it
+// is of a later version.
 func (c *Client) listPeer(ctx context.Context, id string, kind platform.Kind) (platform.Listing, error) {
+	listing, confirmed, err := c.fetchList(ctx, id, kind)
+	if err != nil || c.mesh.cfg.Mirror.Replace(kind, listing, confirmed) {
+		return listing, err
+	}
+	own, _, _ := c.mesh.cfg.Mirror.List(kind)
+	return own, nil
+}
+
+// fetchList returns another node's copy of a kind and when the platform confirmed it.
+func (c *Client) fetchList(ctx context.Context, id string, kind platform.Kind) (platform.Listing, time.Time, error) {
 	reply, confirmed, err := c.follow(ctx, id, kind, &contract.FollowRequest{List: true, WaitMs: uint32(firstCopyWait.Milliseconds())})
 	if err != nil {
-		return platform.Listing{}, err
+		return platform.Listing{}, confirmed, err
 	}
 	listing := platform.Listing{Version: reply.Version}
 	for _, object := range reply.Objects {
 		listing.Objects = append(listing.Objects, decode(kind, object))
 	}
-	c.mesh.cfg.Mirror.Replace(kind, listing, confirmed)
-	return listing, nil
+	return listing, confirmed, nil
 }
 
 // Watch follows a kind until ctx ends, each or the platform returns an error, the changes
@@ -297,6 +316,8 @@
 	case !reply.Known:
 		ttl = emptySourceTTL
 		err = fault.Wrap(platform.ErrUnavailable, fault.StepPeer, id, "follow %s: node has no copy", kind)
+	case reply.GetHello().GetVersion() < peer.VersionWithEras && c.mesh.cfg.Mirror.Era(kind) > 0:
+		err = fault.Wrap(platform.ErrUnavailable, fault.StepPeer, id, "follow %s: node does not know the era of its copy", kind)
 	case reply.TooOld:
 		return nil, confirmed, fault.Wrap(platform.ErrTooOld, fault.StepPeer, id, "follow %s", kind)
 	case time.Duration(reply.AgeMs)*time.Millisecond > c.maxAge():
--- a/internal/transport/mesh/mesh_test.go
+++ b/internal/transport/mesh/mesh_test.go
@@ -127,6 +127,12 @@
 // startNodes starts nodes that follow the routing table, each through the platform
 // client that clientOf returns for it.
 func startNodes(t *testing.T, count int, clientOf func(i int) platform.Client) []*node {
+	t.Helper()
+	return startConfigured(t, count, clientOf, func(int, *Mesh) {})
+}
+
+// startConfigured calls configure with each node before it starts.
+func startConfigured(t *testing.T, count int, clientOf func(i int) platform.Client, configure func(i int, m *Mesh)) []*node {
 	t.Helper()
 	seed := reserveAddress(t)
 	var nodes []*node
@@ -135,42 +141,49 @@
 		if i > 0 {
 			address = reserveAddress(t)
 		}
-		m, err := New(Config{
-			Node: fmt.Sprintf("n%d", i), AvailabilityZone: fmt.Sprintf("az-%d", i%2), Address: address, Seeds: []string{seed},
-			Mirror: mirror.New(), Log: &log.Logger{Handler: discard.Default},
-		}, echo{})
-		if err != nil {
-			t.Fatal(err)
-		}
-		if err := m.Start(); err != nil {
-			t.Fatal(err)
-		}
-		n := &node{Mesh: m, changed: make(chan struct{})}
-		client := NewClient(clientOf(i), m, testWait)
-		ctx, cancel := context.WithCancel(context.Background())
-		w := &follow.Watcher{
-			Client: client, Kind: platform.KindRouting, Backoff: backoff.PlatformFollow,
-			OnList: func(l platform.Listing) {
-				for _, o := range l.Objects {
-					n.set(o)
-				}
-			},
-			OnEvent: func(e platform.Event) { n.set(e.Object) },
-			OnError: func(error) {},
-		}
-		var running sync.WaitGroup
-		running.Go(func() { w.Run(ctx) })
-		t.Cleanup(func() {
-			cancel()
-			client.Close()
-			running.Wait()
-			m.Close(ctx)
-		})
-		nodes = append(nodes, n)
+		nodes = append(nodes, startNode(t, i, address, seed, clientOf(i), configure))
 	}
 	return nodes
 }
 
+// startNode starts one node, which joins through seed.
+func startNode(t *testing.T, i int, address, seed string, store platform.Client, configure func(i int, m *Mesh)) *node {
+	t.Helper()
+	m, err := New(Config{
+		Node: fmt.Sprintf("n%d", i), AvailabilityZone: fmt.Sprintf("az-%d", i%2), Address: address, Seeds: []string{seed},
+		Mirror: mirror.New(), Log: &log.Logger{Handler: discard.Default},
+	}, echo{})
+	if err != nil {
+		t.Fatal(err)
+	}
+	configure(i, m)
+	if err := m.Start(); err != nil {
+		t.Fatal(err)
+	}
+	n := &node{Mesh: m, changed: make(chan struct{})}
+	client := NewClient(store, m, testWait)
+	ctx, cancel := context.WithCancel(context.Background())
+	w := &follow.Watcher{
+		Client: client, Kind: platform.KindRouting, Backoff: backoff.PlatformFollow,
+		OnList: func(l platform.Listing) {
+			for _, o := range l.Objects {
+				n.set(o)
+			}
+		},
+		OnEvent: func(e platform.Event) { n.set(e.Object) },
+		OnError: func(error) {},
+	}
+	var running sync.WaitGroup
+	running.Go(func() { w.Run(ctx) })
+	t.Cleanup(func() {
+		cancel()
+		client.Close()
+		running.Wait()
+		m.Close(ctx)
+	})
+	return n
+}
+
 // awaitAll waits until all nodes have received a value.
 func awaitAll(t *testing.T, nodes []*node, value string, limit time.Duration) {
 	t.Helper()
--- a/internal/transport/metrics/metrics.go
+++ b/internal/transport/metrics/metrics.go
@@ -71,6 +71,7 @@
 	forwardAttempts       *prometheus.CounterVec
 	routingVersion        prometheus.Gauge
 	listedLeafs           prometheus.Gauge
+	platformEra           prometheus.Gauge
 }
 
 // latencyBuckets are upper bounds in seconds. They are close together around the
@@ -109,11 +110,12 @@
 	m.forwardAttempts = counterVec("forward_attempts_total", "Attempts sent to leafs for forwarded requests, by route and kind: first, hedge or retry.", "route", "kind")
 	m.routingVersion = gauge("routing_version", "Version of the current routing table of this node.")
 	m.listedLeafs = gauge("leafs_listed", "Leafs in the platform's list.")
+	m.platformEra = gauge("platform_era", "Era of the platform, which rises when it is restored from an older copy.")
 	m.registry.MustRegister(
 		collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}),
 		m.queryDuration, m.queryCoverage, m.queriesInFlight, m.subrequests, m.cancelledSubrequests, m.refusals, m.refusedSubrequests, m.admissionLimit, m.admissionWaiting, m.invariantViolations,
 		m.catalogueRevision, m.oldRevisions, m.platformCalls, m.leafConnections, m.leafConnectionsOpened, m.quarantineEntries, m.peers,
-		m.forwardDuration, m.forwardCoverage, m.forwardAttempts, m.routingVersion, m.listedLeafs,
+		m.forwardDuration, m.forwardCoverage, m.forwardAttempts, m.routingVersion, m.listedLeafs, m.platformEra,
 	)
 	return m
 }
@@ -291,6 +293,13 @@
 	}
 }
 
+// SetPlatformEra sets the era of the platform.
+func (m *Metrics) SetPlatformEra(era uint64) {
+	if m != nil {
+		m.platformEra.Set(float64(era))
+	}
+}
+
 // SetListedLeafs sets the number of leafs in the platform's list.
 func (m *Metrics) SetListedLeafs(n int) {
 	if m != nil {
--- a/internal/transport/peer/config.go
+++ b/internal/transport/peer/config.go
@@ -16,8 +16,10 @@
 
 // Versions of the messages that this build supports.
 const (
-	Version       = 1
+	Version       = 2
 	LowestVersion = 1
+	// VersionWithEras is the first version whose platform versions hold an era.
+	VersionWithEras = 2
 )
 
 // Config identifies one side of a stream and sets what it accepts.
