Send nothing new to leafs that leave or ask for a pause

A leaf's reply may say that the leaf is leaving, or ask by a rejection with Retry-After for no requests for some seconds. Neither was read: a leaf that leaves got work until the platform's list said so, and one that asked for a pause got every request that its cost allowed.

A leaf that says that it is leaving gets no new work in this run, whatever the list says later; its next run has a new record. Calls that wait for a connection to such a leaf go to another one without counting as attempts. A request that too few leafs are left for is refused before anything is sent, with the time until enough of them return if the caller still waits then. A relay says that such shards were rejected, so that no other relay is tried.

Ruled out: telling all other nodes of a leaf that leaves. Each that sends to it learns it with its next answer; a report to each of hundreds of nodes from each of them costs more than the requests it saves.

Tests, seen failing without the reading of notices: TestLeafSaysThatItIsLeaving, TestEveryLeafLeaves, TestLeafAsksForPause, TestOnlyLeafAsksForPause, TestShardsAskForPause.

--- a/internal/coordination/replica/replica.go
+++ b/internal/coordination/replica/replica.go
@@ -108,7 +108,7 @@
 func IsWorthHedging(r shardmap.Replica, delay time.Duration) bool {
 	s := r.Record.Stats()
 	s.InFlight = 0
-	return !s.Draining && statsCost(&s) <= ejectionFactor*float64(delay)
+	return s.IsUsable() && statsCost(&s) <= ejectionFactor*float64(delay)
 }
 
 // IsFailing reports whether the last subrequests of r failed or were not answered.
@@ -132,8 +132,8 @@
 }
 
 // pick returns a random replica that is not in tried, preferably one in the given
-// availability zone; the index is None when there is none. Draining leafs receive no
-// new work, even when no other leaf is available.
+// availability zone; the index is None when there is none. Leafs that drain or have asked
+// for a pause receive no new work, even when no other leaf is available.
 func pick(replicas []shardmap.Replica, tried Set, availabilityZone string, random uint32) candidate {
 	n := min(len(replicas), 64)
 	fallback := candidate{index: None}
@@ -148,7 +148,7 @@
 			continue
 		}
 		stats := replicas[i].Record.Stats()
-		if stats.Draining {
+		if !stats.IsUsable() {
 			continue
 		}
 		if local {
--- a/internal/protocol/route/route.go
+++ b/internal/protocol/route/route.go
@@ -121,4 +121,6 @@
 	Missing string
 	// NotRun is present on a reply that declares that nothing ran.
 	NotRun string
+	// Leaving is "1" on each reply of a leaf that is leaving.
+	Leaving string
 }
--- a/internal/state/leaf/leaf.go
+++ b/internal/state/leaf/leaf.go
@@ -46,8 +46,16 @@
 	LastReply time.Time
 	// Draining is true when the leaf is leaving.
 	Draining bool
+	// PausedUntil is when the pause ends that the leaf has asked for; zero without one.
+	PausedUntil time.Time
 }
 
+// IsPaused reports whether the leaf has asked for a pause that has not ended.
+func (s *Stats) IsPaused() bool { return !s.PausedUntil.IsZero() }
+
+// IsUsable reports whether the leaf may get new work.
+func (s *Stats) IsUsable() bool { return !s.Draining && !s.IsPaused() }
+
 // DrainState holds what each source reports about whether a leaf is leaving;
 // coordination/drain updates it.
 type DrainState struct {
@@ -171,6 +179,27 @@
 	r.stats.Draining = r.drain.IsDraining()
 }
 
+// Pause records that the leaf asks for no requests until a time, and reports whether it was
+// not paused before. Resume ends the pause.
+func (r *Record) Pause(until time.Time) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	started := !r.stats.IsPaused()
+	if until.After(r.stats.PausedUntil) {
+		r.stats.PausedUntil = until
+	}
+	return started
+}
+
+// Resume ends a pause that ends at now or before.
+func (r *Record) Resume(now time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if !now.Before(r.stats.PausedUntil) {
+		r.stats.PausedUntil = time.Time{}
+	}
+}
+
 // SetHoldings stores the tag of a leaf's holdings and reports whether it changed.
 func (r *Record) SetHoldings(tag string) bool {
 	r.mu.Lock()
--- a/internal/transport/forward/attemptend.go
+++ b/internal/transport/forward/attemptend.go
@@ -21,6 +21,7 @@
 	if reply.Result == subrequest.OK {
 		window.Observe(now, elapsed)
 	}
+	f.handleNotices(now, call)
 	if reply.Misdirected && f.OnMisdirected != nil {
 		f.OnMisdirected(call.Leaf.ID)
 	}
--- a/internal/transport/forward/attempts.go
+++ b/internal/transport/forward/attempts.go
@@ -17,7 +17,7 @@
 // startShard sends the first attempt of a shard.
 func (x *exchange) startShard(now time.Time, shard int) {
 	replicas := x.view.Replicas[shard]
-	if len(replicas) == 0 {
+	if len(replicas) == 0 || x.query.IsSettled(shard) {
 		return
 	}
 	run := &x.shards[shard]
@@ -174,9 +174,7 @@
 			x.delayed = append(x.delayed, d)
 			continue
 		}
-		if !x.query.IsSettled(d.shard) {
-			x.send(now, d.shard, d.attempt)
-		}
+		x.sendDelayed(now, d)
 	}
 	for _, cluster := range x.clusters {
 		if !cluster.hedgeAt.IsZero() && !cluster.hedgeAt.After(now) {
@@ -186,6 +184,19 @@
 	}
 }
 
+// sendDelayed sends an attempt that the quarantine has delayed, unless its leaf takes no new
+// requests any more.
+func (x *exchange) sendDelayed(now time.Time, d delayedAttempt) {
+	if x.query.IsSettled(d.shard) {
+		return
+	}
+	if !isUsable(x.view.Replicas[d.shard][d.attempt.Replica]) {
+		x.handleResult(now, d.shard, subrequest.Unsent)
+		return
+	}
+	x.send(now, d.shard, d.attempt)
+}
+
 // attemptEnded processes the end of an attempt.
 func (x *exchange) attemptEnded(now time.Time, call *leafwire.Call) {
 	delete(x.pending, call)
--- a/internal/transport/forward/exchange.go
+++ b/internal/transport/forward/exchange.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/hickorydock/hickorydock/internal/coordination/budget"
@@ -134,14 +135,34 @@
 	if x.message == nil {
 		x.message = x.f.encodeMessage(x.req)
 	}
-	if !x.startAtRelays(now) {
-		for shard := range x.shards {
-			x.startShard(now, shard)
-		}
+	if x.startAtRelays(now) {
+		return true
+	}
+	x.failUnusableShards(now)
+	if x.query.CannotReachMinCoverage() {
+		return false
+	}
+	for shard := range x.shards {
+		x.startShard(now, shard)
 	}
 	return true
 }
 
+// failUnusableShards fails the shards that have no leaf which takes new requests, so that a
+// request that cannot be served is refused before anything is sent.
+func (x *exchange) failUnusableShards(now time.Time) {
+	for shard, replicas := range x.view.Replicas {
+		if len(replicas) > 0 && !slices.ContainsFunc(replicas, isUsable) {
+			x.failShard(now, shard, query.ReasonNoReplica)
+		}
+	}
+}
+
+func isUsable(r shardmap.Replica) bool {
+	stats := r.Record.Stats()
+	return stats.IsUsable()
+}
+
 // run processes the request until its response can be sent. It returns false if the
 // caller disconnected.
 func (x *exchange) run(ctx context.Context) bool {
--- a/internal/transport/forward/fake_test.go
+++ b/internal/transport/forward/fake_test.go
@@ -26,7 +26,7 @@
 
 const ms = time.Millisecond
 
-var testNames = route.HeaderNames{RequestID: "Id", TimeLeft: "Left", Target: "Target", Receipt: "Receipt", Receipts: "Receipts", Missing: "Missing", NotRun: "Not-Run"}
+var testNames = route.HeaderNames{RequestID: "Id", TimeLeft: "Left", Target: "Target", Receipt: "Receipt", Receipts: "Receipts", Missing: "Missing", NotRun: "Not-Run", Leaving: "Leaving"}
 
 // behaviour returns the reply of a leaf to a call and the time after which it is sent.
 type behaviour func(call *leafwire.Call) (after time.Duration, reply leafwire.Reply)
@@ -77,6 +77,20 @@
 	}
 }
 
+func (c *fakeLeafClient) FailWaiting(id string) {
+	c.mu.Lock()
+	var waiting []*leafwire.Call
+	for _, call := range c.started {
+		if after, _ := c.leafs[call.Leaf.ID](call); call.Leaf.ID == id && after == noConnection && !c.ended[call] {
+			waiting = append(waiting, call)
+		}
+	}
+	c.mu.Unlock()
+	for _, call := range waiting {
+		c.end(call, leafwire.Reply{Result: subrequest.Unsent, Err: leafwire.ErrStayAway})
+	}
+}
+
 // sends returns the number of calls to each leaf.
 func (c *fakeLeafClient) sends() map[string]int {
 	c.mu.Lock()
@@ -123,6 +137,7 @@
 type fakeObserver struct {
 	mu         sync.Mutex
 	outcomes   map[string]int
+	notices    map[string]int
 	violations []string
 }
 
@@ -132,6 +147,11 @@
 	o.outcomes[outcome]++
 }
 func (o *fakeObserver) ForwardAttempts(string, string, int) {}
+func (o *fakeObserver) LeafNotice(notice string) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.notices[notice]++
+}
 func (o *fakeObserver) InvariantViolated(name string) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
@@ -152,7 +172,7 @@
 	store := &routing.Store{}
 	rt.Name, rt.Host, rt.Prefix = "r", "h", "/"
 	store.Put(routing.NewIndex(route.Table{Version: 1, Routes: []route.Route{rt}, Limits: route.Limits{BodyBytes: 100}}, func(_ *route.Route, err error) { t.Fatal(err) }))
-	r := &rig{leafClient: &fakeLeafClient{leafs: leafs, ended: map[*leafwire.Call]bool{}}, observer: &fakeObserver{outcomes: map[string]int{}}, groups: group.NewStore(leaf.NewTable())}
+	r := &rig{leafClient: &fakeLeafClient{leafs: leafs, ended: map[*leafwire.Call]bool{}}, observer: &fakeObserver{outcomes: map[string]int{}, notices: map[string]int{}}, groups: group.NewStore(leaf.NewTable())}
 	for id := range leafs {
 		name, _, _ := strings.Cut(id, "/")
 		r.groups.Put(route.Leaf{VM: platform.VM{ID: id, Group: name}})
--- a/internal/transport/forward/forward.go
+++ b/internal/transport/forward/forward.go
@@ -65,6 +65,8 @@
 	ForwardDone(route, outcome string, elapsed time.Duration, covered, total int)
 	// ForwardAttempts counts n attempts at leafs.
 	ForwardAttempts(route, kind string, n int)
+	// LeafNotice counts a reply in which a leaf asks for no new requests.
+	LeafNotice(notice string)
 	// InvariantViolated counts an invariant violation.
 	InvariantViolated(name string)
 }
@@ -74,6 +76,7 @@
 	Start(call *leafwire.Call)
 	Cancel(call *leafwire.Call)
 	Withdraw(call *leafwire.Call) bool
+	FailWaiting(id string)
 }
 
 // Forwarder serves requests of callers. It is safe for concurrent use.
--- /dev/null
+++ b/internal/transport/forward/notices_test.go
@@ -0,0 +1,227 @@
+package forward
+
+import (
+	"fmt"
+	"net/http"
+	"strconv"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/hickorydock/hickorydock/internal/coordination/subrequest"
+	"github.com/hickorydock/hickorydock/internal/protocol/platform"
+	"github.com/hickorydock/hickorydock/internal/protocol/route"
+	"github.com/hickorydock/hickorydock/internal/transport/leafwire"
+)
+
+// singleRoute is a route to one leaf of group a.
+func singleRoute(idempotent bool) route.Route {
+	return route.Route{Idempotent: idempotent, Timeout: time.Second, TargetLatency: 100 * ms, MaxAttempts: 3, Groups: []route.Share{{Group: "a", Weight: 1}}}
+}
+
+// leavingLeaf replies successfully and says that it is leaving.
+func leavingLeaf(call *leafwire.Call) (time.Duration, leafwire.Reply) {
+	reply := ok(call)
+	reply.Header.Set("Leaving", "1")
+	return 5 * ms, reply
+}
+
+// pausingLeaf rejects each call and asks for a pause.
+func pausingLeaf(retryAfter string) behaviour {
+	return endingAfter(ms, leafwire.Reply{Result: subrequest.NotRun, Status: 503, Header: http.Header{"Retry-After": {retryAfter}}})
+}
+
+// load sends requests one after another, with a pause between two, and fails the test for
+// each that is not served.
+func (r *rig) load(t *testing.T, between, length time.Duration) {
+	t.Helper()
+	for end := time.Now().Add(length); time.Now().Before(end); time.Sleep(between) {
+		if response, _ := r.do(t.Context(), http.MethodGet, "/"+strconv.Itoa(int(time.Now().UnixNano()))); response.Code != http.StatusOK {
+			t.Errorf("status %d", response.Code)
+		}
+	}
+}
+
+// sendsBetween returns the number of calls to a leaf that started in a span.
+func (c *fakeLeafClient) sendsBetween(leaf string, from, to time.Time) (n int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, call := range c.started {
+		if call.Leaf.ID == leaf && !call.StartedAt.Before(from) && call.StartedAt.Before(to) {
+			n++
+		}
+	}
+	return n
+}
+
+// TestLeafSaysThatItIsLeaving: one leaf of two begins to leave under load. Its answers
+// count, and it gets no new work once one has said so, also when the list shows it as live
+// again. Its next run does.
+func TestLeafSaysThatItIsLeaving(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		leafs := map[string]behaviour{"a/1": leavingLeaf, "a/2": replyingAfter(5 * ms)}
+		r := newRig(t, singleRoute(true), leafs)
+		r.load(t, 10*ms, time.Second)
+		if got := r.leafClient.sends()["a/1"]; got != 1 {
+			t.Errorf("%d requests to the leaf that leaves, want the first one only", got)
+		}
+		listed := route.Leaf{VM: platform.VM{ID: "a/1", Group: "a", State: platform.VMLive}}
+		r.groups.Put(listed)
+		r.load(t, 10*ms, time.Second)
+		if got := r.leafClient.sends()["a/1"]; got != 1 {
+			t.Errorf("%d requests to the leaf after it was listed as live", got)
+		}
+		if r.observer.notices[noticeLeaving] != 1 {
+			t.Errorf("notices %v", r.observer.notices)
+		}
+		leafs["a/1"] = replyingAfter(5 * ms)
+		listed.Incarnation++
+		r.groups.Put(listed)
+		r.load(t, 10*ms, time.Second)
+		if got := r.leafClient.sends()["a/1"]; got == 1 {
+			t.Error("no request to the next run of the leaf")
+		}
+	})
+}
+
+// TestEveryLeafLeaves: requests are refused at once, not run, with when to come back.
+func TestEveryLeafLeaves(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newRig(t, singleRoute(true), map[string]behaviour{"a/1": leavingLeaf})
+		r.do(t.Context(), http.MethodGet, "/x")
+		response, took := r.do(t.Context(), http.MethodGet, "/y")
+		if response.Code != 503 || took != 0 || response.Header().Get("Retry-After") == "" {
+			t.Errorf("status %d after %v, headers %v", response.Code, took, response.Header())
+		}
+	})
+}
+
+// TestLeafAsksForPause: a leaf that turns requests away asks for 2 s without any. The
+// request goes to the other leaf, and so do all others until then.
+func TestLeafAsksForPause(t *testing.T) {
+	for _, idempotent := range []bool{true, false} {
+		t.Run(fmt.Sprint(idempotent), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				r := newRig(t, singleRoute(idempotent), map[string]behaviour{"a/1": pausingLeaf("2"), "a/2": replyingAfter(5 * ms)})
+				start := time.Now()
+				r.load(t, 10*ms, 4*time.Second)
+				const asked = 2 * time.Second
+				if got := r.leafClient.sendsBetween("a/1", start.Add(50*ms), start.Add(asked)); got != 0 {
+					t.Errorf("%d requests to the leaf during its pause", got)
+				}
+				if got := r.leafClient.sendsBetween("a/1", start.Add(asked), start.Add(2*asked)); got == 0 {
+					t.Error("no request to the leaf after its pause")
+				}
+			})
+		})
+	}
+}
+
+// TestOnlyLeafAsksForPause: the first request is rejected by the leaf; those after it are
+// refused at once and say when the pause ends, if their callers still wait then.
+func TestOnlyLeafAsksForPause(t *testing.T) {
+	tests := []struct {
+		asked    string
+		min, max float64 // of Retry-After, in seconds
+	}{
+		{"0.4", 0.3, 0.5},
+		{"30", 0.05, 0.5}, // beyond the timeout of the route
+	}
+	for _, test := range tests {
+		synctest.Test(t, func(t *testing.T) {
+			r := newRig(t, singleRoute(true), map[string]behaviour{"a/1": pausingLeaf(test.asked)})
+			for i := range 10 {
+				response, took := r.do(t.Context(), http.MethodGet, "/x")
+				retryAfter, err := strconv.ParseFloat(response.Header().Get("Retry-After"), 64)
+				if response.Code != 503 || err != nil || retryAfter < test.min || retryAfter > test.max || i > 0 && took > 0 {
+					t.Errorf("asked for %s s: status %d after %v, Retry-After %q", test.asked, response.Code, took, response.Header().Get("Retry-After"))
+				}
+				time.Sleep(5 * ms)
+			}
+			if got := r.leafClient.sends()["a/1"]; got != 1 {
+				t.Errorf("%d requests to the leaf", got)
+			}
+		})
+	}
+}
+
+// TestUnusablePause: a value that is no usable number of seconds has no effect.
+func TestUnusablePause(t *testing.T) {
+	for _, value := range []string{"", "0", "-3", "soon", "1e99", "NaN"} {
+		synctest.Test(t, func(t *testing.T) {
+			r := newRig(t, singleRoute(true), map[string]behaviour{"a/1": pausingLeaf(value)})
+			for range 5 {
+				r.do(t.Context(), http.MethodGet, "/x")
+			}
+			if got := r.leafClient.sends()["a/1"]; got != 5 || r.observer.notices[noticePause] != 0 {
+				t.Errorf("%q: %d of 5 requests to the leaf, notices %v", value, got, r.observer.notices)
+			}
+		})
+	}
+}
+
+// TestShardsAskForPause: a query is served without the shards whose leafs pause as long as
+// its coverage allows, and refused at once when too few are left.
+func TestShardsAskForPause(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		leafs := map[string]behaviour{"a/1": replyingAfter(5 * ms), "b/1": replyingAfter(5 * ms), "c/1": pausingLeaf("0.3")}
+		r := newRig(t, queryRoute(3, 0.6), leafs)
+		for range 10 {
+			if response, _ := r.do(t.Context(), http.MethodGet, "/x"); response.Code != 200 || response.Header().Get("Missing") != "1" {
+				t.Errorf("status %d with %q missing", response.Code, response.Header().Get("Missing"))
+			}
+		}
+		if got := r.leafClient.sends()["c/1"]; got != 1 {
+			t.Errorf("%d requests to the leaf that pauses", got)
+		}
+		leafs["b/1"] = pausingLeaf("0.3")
+		r.do(t.Context(), http.MethodGet, "/x")
+		response, took := r.do(t.Context(), http.MethodGet, "/x")
+		if response.Code != 503 || took != 0 {
+			t.Errorf("status %d after %v", response.Code, took)
+		}
+		time.Sleep(time.Second) // until the attempts of the first request have ended
+	})
+}
+
+// TestWaitingCallsOfPausedLeaf: calls that wait for a connection to a leaf when it asks for
+// a pause go to the other leaf.
+func TestWaitingCallsOfPausedLeaf(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newRig(t, singleRoute(true), map[string]behaviour{"a/1": func(call *leafwire.Call) (time.Duration, leafwire.Reply) {
+			if call.Message.ID == "first" {
+				return pausingLeaf("2")(call)
+			}
+			return unreachable(call)
+		}})
+		replica := r.groups.Replicas("a")[0]
+		done := map[string]chan *leafwire.Call{}
+		for _, id := range []string{"waiting", "first"} {
+			done[id] = make(chan *leafwire.Call, 1)
+			r.leafClient.Start(&leafwire.Call{Message: &leafwire.Message{ID: id}, Leaf: replica.VM, Record: replica.Record, Done: done[id]})
+		}
+		r.handleNotices(time.Now(), <-done["first"])
+		select {
+		case call := <-done["waiting"]:
+			if call.Reply.Result != subrequest.Unsent {
+				t.Errorf("reply %+v", call.Reply)
+			}
+		default:
+			t.Error("a call still waits for the leaf")
+		}
+		time.Sleep(3 * time.Second)
+	})
+}
+
+// TestReplyOfAnotherLeaf: what a reply says that another leaf at the same address has sent
+// says nothing of the leaf that the request was for.
+func TestReplyOfAnotherLeaf(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		misdirected := leafwire.Reply{Result: subrequest.NotRun, Status: 421, Misdirected: true, Header: http.Header{"Leaving": {"1"}, "Retry-After": {"5"}}}
+		r := newRig(t, singleRoute(true), map[string]behaviour{"a/1": endingAfter(ms, misdirected)})
+		r.do(t.Context(), http.MethodGet, "/x")
+		if stats := r.groups.Replicas("a")[0].Record.Stats(); !stats.IsUsable() {
+			t.Errorf("stats %+v", stats)
+		}
+	})
+}
--- a/internal/transport/forward/response.go
+++ b/internal/transport/forward/response.go
@@ -1,6 +1,7 @@
 package forward
 
 import (
+	"math"
 	"net/http"
 	"slices"
 	"strconv"
@@ -10,6 +11,7 @@
 	"github.com/apex/log"
 
 	"github.com/hickorydock/hickorydock/internal/coordination/gather"
+	"github.com/hickorydock/hickorydock/internal/coordination/pause"
 	"github.com/hickorydock/hickorydock/internal/coordination/subrequest"
 	"github.com/hickorydock/hickorydock/internal/coordination/topk"
 	"github.com/hickorydock/hickorydock/internal/protocol/query"
@@ -145,7 +147,7 @@
 	}
 	switch {
 	case x.isNotRun():
-		x.f.reject(w, x.req.id, http.StatusServiceUnavailable, x.retryAfter())
+		x.f.reject(w, x.req.id, http.StatusServiceUnavailable, x.retryAfter(time.Now()))
 		x.recordOutcome(outcomeNotRun, log.InfoLevel)
 	case time.Now().Before(x.req.deadline):
 		x.f.reject(w, x.req.id, http.StatusBadGateway, 0)
@@ -164,8 +166,13 @@
 	return len(x.pending) == 0 && x.pendingAtRelays == 0
 }
 
-// retryAfter returns the Retry-After of a request that did not run.
-func (x *exchange) retryAfter() time.Duration {
+// retryAfter returns the Retry-After of a request that did not run: the time until enough
+// leafs end the pause that they asked for, if the caller still waits then.
+func (x *exchange) retryAfter(now time.Time) time.Duration {
+	needed := int(math.Ceil(x.minCoverage() * float64(len(x.shards))))
+	if at, ok := pause.Until(x.view.Replicas, needed); ok && at.After(now) && at.Before(x.req.deadline) {
+		return at.Sub(now)
+	}
 	if x.totalSends() == 0 {
 		return noLeafRetryAfter
 	}
--- a/internal/transport/forward/serve.go
+++ b/internal/transport/forward/serve.go
@@ -9,6 +9,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"github.com/hickorydock/hickorydock/internal/coordination/hedge"
+	"github.com/hickorydock/hickorydock/internal/coordination/pause"
 	"github.com/hickorydock/hickorydock/internal/coordination/quarantine"
 	contract "github.com/hickorydock/hickorydock/internal/protocol/peer"
 	"github.com/hickorydock/hickorydock/internal/protocol/query"
@@ -106,7 +107,8 @@
 
 // replyFailures sends a failure for each shard without a reply, which says whether the
 // shard may have run. If no attempt was sent at all, the reason is that there is no
-// replica, since another relay may have one.
+// replica, since another relay may have one; but leafs that have asked for a pause must not
+// get the shard from another relay.
 func (x *exchange) replyFailures(reply func(peer.Result)) {
 	failure := peer.Result{Status: contract.Status_STATUS_FAILED, Reason: string(query.ReasonUpstreamError)}
 	if !x.mayHaveRun && len(x.pending) == 0 {
@@ -117,9 +119,14 @@
 		failure.Reason = string(query.ReasonNoReplica)
 	}
 	for shard := range x.shards {
-		if !x.query.HasReply(shard) {
-			failure.Index = shard
-			reply(failure)
+		if x.query.HasReply(shard) {
+			continue
 		}
+		result := failure
+		result.Index = shard
+		if at, ok := pause.Until(x.view.Replicas[shard:shard+1], 1); ok && !at.IsZero() {
+			result.Reason = string(query.ReasonShed)
+		}
+		reply(result)
 	}
 }
--- a/internal/transport/leafwire/leafwire.go
+++ b/internal/transport/leafwire/leafwire.go
@@ -50,6 +50,8 @@
 	ErrCancelled = errors.New("call cancelled")
 	// ErrRefused means that the leaf has just reset a fresh connection.
 	ErrRefused = errors.New("leaf accepts no connection")
+	// ErrStayAway means that the leaf leaves or has asked for a pause.
+	ErrStayAway = errors.New("leaf takes no new requests")
 	// ErrRequestIDMismatch means that a reply carries the ID of another request.
 	ErrRequestIDMismatch = errors.New("reply carries the ID of another request")
 )
@@ -229,6 +231,22 @@
 	return true
 }
 
+// FailWaiting ends the calls to a leaf that still wait for a connection as unsent.
+func (c *Client) FailWaiting(id string) {
+	value, ok := c.pools.Load(id)
+	if !ok {
+		return
+	}
+	p := value.(*pool)
+	p.mu.Lock()
+	failed := p.takeWaiting()
+	p.mu.Unlock()
+	for _, call := range failed {
+		call.Reply = Reply{Result: subrequest.Unsent, Err: fault.Wrap(ErrStayAway, fault.StepConnect, p.vm.Address, "leaf %s", id)}
+		call.Done <- call
+	}
+}
+
 // Warm opens a connection to a leaf if there is none.
 func (c *Client) Warm(vm platform.VM) {
 	p := c.pool(vm)
--- a/internal/transport/leafwire/pool.go
+++ b/internal/transport/leafwire/pool.go
@@ -101,11 +101,7 @@
 	p.dialAfter = time.Now().Add(redialDelay)
 	var failed []*Call
 	if p.open == 0 {
-		failed = p.waiting
-		p.waiting = nil
-	}
-	for _, call := range failed {
-		call.ended = true
+		failed = p.takeWaiting()
 	}
 	p.mu.Unlock()
 	for _, call := range failed {
@@ -114,6 +110,17 @@
 	}
 }
 
+// takeWaiting empties the queue and returns its calls, which the caller then delivers. The
+// caller must hold mu.
+func (p *pool) takeWaiting() []*Call {
+	calls := p.waiting
+	p.waiting = nil
+	for _, call := range calls {
+		call.ended = true
+	}
+	return calls
+}
+
 // assignNextOrIdle assigns a connection to the first waiting call, which the caller then
 // writes, or returns nil and adds the connection to the idle ones. A connection of a
 // removed leaf is closed instead. The caller must hold mu.
--- a/internal/transport/metrics/metrics.go
+++ b/internal/transport/metrics/metrics.go
@@ -69,6 +69,7 @@
 	forwardDuration       *prometheus.HistogramVec
 	forwardCoverage       *prometheus.HistogramVec
 	forwardAttempts       *prometheus.CounterVec
+	leafNotices           *prometheus.CounterVec
 	routingVersion        prometheus.Gauge
 	listedLeafs           prometheus.Gauge
 	platformEra           prometheus.Gauge
@@ -108,6 +109,7 @@
 	m.forwardDuration = histogramVec("forward_duration_seconds", "Time from a forwarded request's header to its response, by route and outcome.", latencyBuckets, "route", "outcome")
 	m.forwardCoverage = histogramVec("forward_coverage_ratio", "Share of shards that the response to a forwarded request covers, by route.", coverageBuckets, "route")
 	m.forwardAttempts = counterVec("forward_attempts_total", "Attempts sent to leafs for forwarded requests, by route and kind: first, hedge or retry.", "route", "kind")
+	m.leafNotices = counterVec("leaf_notices_total", "Replies in which a leaf asks for no new requests, by notice: leaving or pause. Repeated ones are not counted.", "notice")
 	m.routingVersion = gauge("routing_version", "Version of the current routing table of this node.")
 	m.listedLeafs = gauge("leafs_listed", "Leafs in the platform's list.")
 	m.platformEra = gauge("platform_era", "Era of the platform, which rises when it is restored from an older copy.")
@@ -115,7 +117,7 @@
 		collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}),
 		m.queryDuration, m.queryCoverage, m.queriesInFlight, m.subrequests, m.cancelledSubrequests, m.refusals, m.refusedSubrequests, m.admissionLimit, m.admissionWaiting, m.invariantViolations,
 		m.catalogueRevision, m.oldRevisions, m.platformCalls, m.leafConnections, m.leafConnectionsOpened, m.quarantineEntries, m.peers,
-		m.forwardDuration, m.forwardCoverage, m.forwardAttempts, m.routingVersion, m.listedLeafs, m.platformEra,
+		m.forwardDuration, m.forwardCoverage, m.forwardAttempts, m.leafNotices, m.routingVersion, m.listedLeafs, m.platformEra,
 	)
 	return m
 }
@@ -286,6 +288,13 @@
 	}
 }
 
+// LeafNotice counts a reply in which a leaf asks for no new requests.
+func (m *Metrics) LeafNotice(notice string) {
+	if m != nil {
+		m.leafNotices.WithLabelValues(notice).Inc()
+	}
+}
+
 // SetRoutingVersion sets the version of the node's current routing table.
 func (m *Metrics) SetRoutingVersion(version uint64) {
 	if m != nil {
