--- a/internal/transport/forward/notices_test.go
+++ b/internal/transport/forward/notices_test.go
@@ -11,7 +11,9 @@
 	"github.com/hickorydock/hickorydock/internal/coordination/subrequest"
 	"github.com/hickorydock/hickorydock/internal/protocol/platform"
 	"github.com/hickorydock/hickorydock/internal/protocol/route"
+	"github.com/hickorydock/hickorydock/internal/state/leaf"
 	"github.com/hickorydock/hickorydock/internal/transport/leafwire"
+	"github.com/hickorydock/hickorydock/internal/transport/peer"
 )
 
 // singleRoute is a route to one leaf of group a.
@@ -225,3 +227,36 @@
 		}
 	})
 }
+
+// TestPausedLeafsBehindRelay: the only leafs of one or two shards have asked a relay for a
+// pause. The relay sends them nothing more, and the entry node nothing in its place. Another
+// relay, which has not been asked, gets later queries only if this one had no leaf for any
+// shard. The other shards are served.
+func TestPausedLeafsBehindRelay(t *testing.T) {
+	for _, paused := range []int{1, 2} {
+		synctest.Test(t, func(t *testing.T) {
+			fast, pausing := replyingAfter(5*ms), pausingLeaf("2")
+			leafs := map[string]behaviour{"a/1": pausing, "b/1": fast, "c/1": fast}
+			if paused == 2 {
+				leafs["b/1"] = pausing
+			}
+			rt := queryRoute(3, 0.3)
+			entry, relay, other := newRig(t, rt, leafs), newRig(t, rt, leafs), newRig(t, rt, leafs)
+			entry.Relays = &fakeRelays{handlers: map[string]peer.Handler{"preferred": relay.Forwarder, "fallback": other.Forwarder}, records: leaf.NewTable()}
+			for range 3 {
+				response, _ := entry.do(t.Context(), http.MethodGet, "/x")
+				if response.Code != 200 || response.Header().Get("Missing") != strconv.Itoa(paused) {
+					t.Errorf("status %d with %q missing, want %d", response.Code, response.Header().Get("Missing"), paused)
+				}
+				time.Sleep(100 * ms)
+			}
+			if got := relay.leafClient.sends()["a/1"]; got != 1 {
+				t.Errorf("%d sends to the leaf by the relay", got)
+			}
+			if entry, other := entry.leafClient.sends()["a/1"], other.leafClient.sends()["a/1"]; entry > 0 || other > paused-1 {
+				t.Errorf("%d sends to the leaf by the entry node, %d by the other relay", entry, other)
+			}
+			time.Sleep(3 * time.Second)
+		})
+	}
+}
