--- a/internal/transport/leafwire/leafwire.go
+++ b/internal/transport/leafwire/leafwire.go
@@ -52,8 +52,9 @@
 	ErrRefused = errors.New("leaf accepts no connection")
 	// ErrStayAway means that the leaf leaves or has asked for a pause.
 	ErrStayAway = errors.New("leaf takes no new requests")
-	// ErrRequestIDMismatch means that a reply carries the ID of another request.
-	ErrRequestIDMismatch = errors.New("reply carries the ID of another request")
+	// ErrRequestIDMismatch means that a reply carries the ID of another request, or none
+	// although the leaf states it in other replies.
+	ErrRequestIDMismatch = errors.New("reply belongs to another request")
 )
 
 // Reply is the result of a call.
