Let a node take part again whose clock had been ahead

Cause: members are ordered by the time of day at which they started. A node that starts while its clock is ahead and restarts after the clock has jumped back has the lower start: to all others it had left, for the ten minutes of a tombstone, and it stopped taking part itself, as if a newer process with its id ran. Found by a test of malformed messages.

Change: a start in the future is that of a former process, and the node announces a later one. A start in the past above its own is still that of a newer process.

--- a/internal/coordination/membership/membership.go
+++ b/internal/coordination/membership/membership.go
@@ -7,6 +7,7 @@
 package membership
 
 import (
+	"math"
 	"math/rand/v2"
 	"slices"
 	"strings"
@@ -257,7 +258,7 @@
 // is gossiped to others.
 func (m *Membership) merge(now time.Time, update membership.Member, spread bool, a *Actions) {
 	if update.ID == m.self.ID {
-		m.mergeSelf(update)
+		m.mergeSelf(now, update)
 		return
 	}
 	e, known := m.members[update.ID]
@@ -289,16 +290,30 @@
 }
 
 // mergeSelf handles an update about this node: it refutes one that outranks its own state
-// and stops when a newer process with the same id runs.
-func (m *Membership) mergeSelf(update membership.Member) {
-	if update.Start > m.self.Start {
+// and stops when a newer process with the same id runs. A start in the future is that of a
+// former process, which started while the clock was ahead.
+func (m *Membership) mergeSelf(now time.Time, update membership.Member) {
+	switch {
+	case m.superseded || update.Start == math.MaxUint64:
+	case update.Start > membership.StartAt(now):
+		m.announceStart(update.Start + 1)
+	case update.Start > m.self.Start:
 		m.superseded = true
-		return
+	case update.Start == m.self.Start && update.Outranks(m.self):
+		m.refute(update.Refutation + 1)
 	}
-	if m.superseded || update.Start < m.self.Start || !update.Outranks(m.self) {
+}
+
+// announceStart raises the start that this node announces, so that it outranks a former
+// process with the same id.
+func (m *Membership) announceStart(start uint64) {
+	if start <= m.self.Start {
 		return
 	}
-	m.refute(update.Refutation + 1)
+	m.digest ^= digestOf(m.self)
+	m.self.Start = start
+	m.digest ^= digestOf(m.self)
+	m.queueUpdate(m.self)
 }
 
 func (m *Membership) refute(refutation uint32) {
