Let a message that makes a handler panic take down only its call

The goroutine that runs another node's batch, and the calls between gateways, did not recover from a panic, so one bad message could end the process. The guard that nodes of serve had for their calls is now one with that of gateways and also covers batches.

--- a/internal/transport/peer/config.go
+++ b/internal/transport/peer/config.go
@@ -32,6 +32,9 @@
 	MaxInFlight int
 	// MaxMessageBytes bounds a message in either direction, in bytes.
 	MaxMessageBytes int
+	// OnPanic is called with the call and the cause when the handler of a call of another
+	// node panics; only that call fails. It may be nil.
+	OnPanic func(call string, cause any)
 }
 
 // Defaults of Config.
--- a/internal/transport/peer/stream.go
+++ b/internal/transport/peer/stream.go
@@ -146,7 +146,7 @@
 func (x *stream) serve(ctx context.Context, b *contract.Batch) {
 	defer x.running.Done()
 	answered := &answeredShards{done: make([]bool, len(b.Shards))}
-	x.server.handler.Serve(ctx, b, func(r Result) {
+	x.runHandler(ctx, b, func(r Result) {
 		if answered.markDone(r.Index) {
 			x.queueResult(x.encode(b.Id, r))
 		}
@@ -167,6 +167,12 @@
 	x.checkIdle()
 }
 
+// runHandler runs a batch. If the handler panics, the shards without a result fail.
+func (x *stream) runHandler(ctx context.Context, b *contract.Batch, reply func(Result)) {
+	defer x.server.cfg.recovered("batch of request "+b.RequestId, func() {})
+	x.server.handler.Serve(ctx, b, reply)
+}
+
 // queueResult queues the result of a subrequest in flight. The subrequest no longer counts
 // as in flight before the sender can receive the result, so a sender that respects the
 // limit is not refused.
--- a/internal/transport/peering/peering.go
+++ b/internal/transport/peering/peering.go
@@ -8,6 +8,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net"
 	"sync"
 	"sync/atomic"
@@ -125,6 +126,9 @@
 	if cfg.MaxMessageBytes > 0 {
 		peerConfig.MaxMessageBytes = cfg.MaxMessageBytes
 	}
+	peerConfig.OnPanic = func(call string, cause any) {
+		cfg.Log.WithField("call", call).WithField("cause", fmt.Sprint(cause)).Error("call of a peer failed")
+	}
 	if cfg.Tracer == nil {
 		cfg.Tracer = tracing.Off()
 	}
@@ -147,7 +151,7 @@
 	}
 	options := peerConfig.ManagerOptions()
 	options.InactivityTimeout = acceptedIdleTimeout
-	n.server = drpcserver.NewWithOptions(callCounter{n, mux}, drpcserver.Options{Manager: options})
+	n.server = drpcserver.NewWithOptions(callCounter{n, peerConfig.Guarded(mux)}, drpcserver.Options{Manager: options})
 	return n, nil
 }
 
--- a/internal/transport/peering/service.go
+++ b/internal/transport/peering/service.go
@@ -4,10 +4,8 @@
 	"context"
 	"encoding/json"
 	"errors"
-	"fmt"
 
 	"storj.io/drpc"
-	"storj.io/drpc/drpcmux"
 
 	"github.com/hickorydock/hickorydock/internal/coordination/quarantine"
 	"github.com/hickorydock/hickorydock/internal/protocol/command"
@@ -20,7 +18,6 @@
 	errClosing   = errors.New("node is closing")
 	errNoHandler = errors.New("call is not taken here")
 	errSelf      = errors.New("node called itself")
-	errInternal  = errors.New("internal error")
 )
 
 // helloSlack bounds the size of the fields of a message besides its payload, in bytes.
@@ -32,23 +29,17 @@
 // callCounter counts calls until their streams have ended.
 type callCounter struct {
 	network *Network
-	mux     *drpcmux.Mux
+	handler drpc.Handler
 }
 
-// HandleRPC serves one call; a panic makes only that call fail.
-func (c callCounter) HandleRPC(stream drpc.Stream, rpc string) (err error) {
+// HandleRPC serves one call.
+func (c callCounter) HandleRPC(stream drpc.Stream, rpc string) error {
 	if !c.network.beginCall() {
 		return errClosing
 	}
 	// The reply is written out between the return of HandleRPC and the stream's end.
 	context.AfterFunc(stream.Context(), c.network.endCall)
-	defer func() {
-		if cause := recover(); cause != nil {
-			c.network.cfg.Log.WithField("call", rpc).WithField("cause", fmt.Sprint(cause)).Error("call of a peer failed")
-			err = errInternal
-		}
-	}()
-	return c.mux.HandleRPC(stream, rpc)
+	return c.handler.HandleRPC(stream, rpc)
 }
 
 // service handles the calls of other nodes.
