Let a fleet that starts find its members through the platform

Change: the platform holds the addresses of eight nodes. A node that starts calls them beside the seeds, and reads the platform at once if none answers. While all nodes start, 32 of them read the platform instead of two. Sources without a copy wait for one in turn, so with the addresses alone the lists spread more slowly.

Ruled out: every node reads the platform (100 MB through its link at 295 nodes).

Beside it: the client of the mesh is divided into three files, leafwire looks a pool up in one place, calls between gateways are guarded, and a test of the hold after a restore waits for the timer that ends at the same moment (it failed once for that).

--- a/internal/coordination/reader/reader.go
+++ b/internal/coordination/reader/reader.go
@@ -19,6 +19,8 @@
 	// Count is the number of nodes that read the platform: one, and a second in case
 	// the platform rejects the first or the first stops.
 	Count = 2
+	// startReaders is the number of nodes that read the platform when all nodes start.
+	startReaders = 32
 	// fanout is the number of nodes that fetch from one node of their availability zone.
 	fanout = 8
 	// JoinWait is how long a starting node waits to discover other members before it
@@ -125,6 +127,9 @@
 	// Overdue is true when the node's state was last confirmed too long ago, regardless
 	// of the sources that it tried.
 	Overdue bool
+	// Unanswered is true when the node has called the contacts that the platform lists and
+	// none has answered.
+	Unanswered bool
 	// Random is a random number in [0, 1).
 	Random float64
 }
@@ -149,6 +154,8 @@
 	switch {
 	case isJoining(input):
 		return Source{}
+	case startsFromPlatform(alive, input):
+		return Source{Platform: true}
 	case len(others) < len(readers) && !isNewcomer(input, others):
 		return Source{Platform: true}
 	case (input.Overdue || len(input.Stale) >= failedSourceLimit) && !slices.Contains(input.Stale, input.Self):
@@ -164,6 +171,17 @@
 	}
 }
 
+// startsFromPlatform reports whether the node is one of startReaders of a fleet that starts
+// as a whole. Were only Count nodes to read the platform, the copies would spread over a
+// tree whose nodes have none yet.
+func startsFromPlatform(alive []membership.Member, input Input) bool {
+	if !input.Empty || LongerRunning(input.Members, input.Self) != "" {
+		return false
+	}
+	first := alive[:min(len(alive), startReaders)]
+	return slices.ContainsFunc(first, func(m membership.Member) bool { return m.ID == input.Self })
+}
+
 // isNewcomer reports whether the node has just started and one of the other readers runs
 // for longer, so that it has a copy.
 func isNewcomer(input Input, others []string) bool {
@@ -206,7 +224,8 @@
 }
 
 // isJoining reports whether the node still waits to discover other members. Seeds read
-// the platform at once, so that the other nodes have a source to read from.
+// the platform at once, so that the other nodes have a source to read from, and so does a
+// node that none of the contacts answers, as one of the first of a fleet that starts.
 func isJoining(input Input) bool {
-	return input.HasSeeds && !input.IsSeed && len(input.Members) <= 1 && input.SinceStart < JoinWait
+	return input.HasSeeds && !input.IsSeed && !input.Unanswered && len(input.Members) <= 1 && input.SinceStart < JoinWait
 }
--- a/internal/coordination/reader/reader_test.go
+++ b/internal/coordination/reader/reader_test.go
@@ -238,3 +238,84 @@
 		}
 	}
 }
+
+// TestContacts: few nodes of a fleet of any size are contacts, also when some of them fail,
+// and the addresses of nodes that are gone do not pile up.
+func TestContacts(t *testing.T) {
+	for _, size := range []int{1, 7, 82, 610} {
+		members := fleet(size)
+		for range 3 {
+			var contacts []string
+			for _, m := range members {
+				if IsContact(members, m.ID) {
+					contacts = append(contacts, m.ID)
+				}
+			}
+			if want := min(len(members), contactCount); len(contacts) != want {
+				t.Errorf("%d of %d nodes are contacts, want %d", len(contacts), len(members), want)
+			}
+			members = slices.DeleteFunc(members, func(m membership.Member) bool { return m.ID == contacts[0] })
+			if len(members) == 0 {
+				break
+			}
+		}
+	}
+	members := fleet(maxContacts)
+	listed := []string{"gone-1"}
+	for _, m := range members {
+		if got := AbsentContacts(members, listed); len(listed) <= maxContacts && len(got) > 0 {
+			t.Errorf("contacts %v of %d are removed", got, len(listed))
+		}
+		listed = append(listed, m.ID)
+	}
+	if got := AbsentContacts(members, listed); len(got) != 1 || got[0] != "gone-1" {
+		t.Errorf("contacts %v are removed, want that of the absent node", got)
+	}
+}
+
+// TestFirstNodesOfFleet: of a fleet that starts before its seeds, the nodes that a contact
+// answers follow others and only the ones that none answers read the platform, without
+// waiting for the seeds.
+func TestFirstNodesOfFleet(t *testing.T) {
+	alone := Input{Self: "n000", Members: fleet(1), HasSeeds: true, Empty: true, SinceStart: JoinWait / 10, Random: 0.5}
+	if got := Choose(alone); got != (Source{}) {
+		t.Errorf("before the contacts were called: %+v", got)
+	}
+	alone.Unanswered = true
+	if got := Choose(alone); !got.Platform {
+		t.Errorf("when no contact answers: %+v", got)
+	}
+}
+
+// TestFleetStartReaders: when all nodes start, those of a small fleet read the platform
+// themselves, and a bounded number of a large one; when one node starts, it leaves the
+// platform to the others.
+func TestFleetStartReaders(t *testing.T) {
+	for size, want := range map[int]int{9: 9, 82: startReaders, 610: startReaders} {
+		members := fleet(size)
+		reading := 0
+		for _, m := range members {
+			if Choose(Input{Self: m.ID, Members: members, HasSeeds: true, Empty: true, SinceStart: JoinWait / 10, Random: 0.5}).Platform {
+				reading++
+			}
+		}
+		if reading != want {
+			t.Errorf("%d of %d nodes read the platform, want %d", reading, size, want)
+		}
+		restarted := &members[size/2]
+		restarted.Start = uint64(2 * newcomerPeriod.Microseconds())
+		if source := Choose(Input{Self: restarted.ID, Members: members, HasSeeds: true, Empty: true, SinceStart: JoinWait / 10, Random: 0.5}); source.Platform {
+			t.Errorf("one restarted node of %d reads the platform", size)
+		}
+	}
+}
+
+// TestFleetStartWithoutPlatform: a node that the platform rejects while all nodes start
+// follows another one.
+func TestFleetStartWithoutPlatform(t *testing.T) {
+	members := fleet(9)
+	source := Choose(Input{Self: "n003", Members: members, Stale: []string{"n003"}, HasSeeds: true, Empty: true, SinceStart: JoinWait / 10, Random: 0.5})
+	if source.Platform || source.Peer == "" {
+		t.Errorf("source %+v", source)
+	}
+}
--- a/internal/node/gateway/restore_test.go
+++ b/internal/node/gateway/restore_test.go
@@ -73,6 +73,7 @@
 		checkUsable(t, c, "listed again", "added", "restarts")
 		c.leafChanged(platform.Event{Deleted: true, Object: registration("left", 1, live)})
 		time.Sleep(drain.RestoreHold(c.heartbeat))
+		synctest.Wait()
 		checkUsable(t, c, "after the hold", "added", "begins", "restarts")
 	})
 }
@@ -92,6 +93,7 @@
 		c.leafChanged(platform.Event{Object: a})
 		checkUsable(t, c, "once one has registered again", "a")
 		time.Sleep(drain.RestoreHold(c.heartbeat))
+		synctest.Wait()
 		checkUsable(t, c, "after the hold", "a", "b")
 	})
 }
--- a/internal/protocol/platform/platform.go
+++ b/internal/protocol/platform/platform.go
@@ -28,6 +28,8 @@
 	KindRouting Kind = "routing"
 	// KindNode holds one object for each node, with its status.
 	KindNode Kind = "node"
+	// KindContact holds the addresses of a few gateways, for those that start.
+	KindContact Kind = "contact"
 )
 
 // CatalogueName is the name of the single object of KindCatalogue.
@@ -122,5 +124,11 @@
 	State            VMState `json:"state"`
 }
 
+// Contact is the value of an object of KindContact, which has the name of the node.
+type Contact struct {
+	// Address is host:port for traffic between nodes.
+	Address string `json:"address"`
+}
+
 // NodeGroup is the group of hickorydock's own VMs.
 const NodeGroup = "hickorydock"
--- a/internal/transport/leafwire/leafwire.go
+++ b/internal/transport/leafwire/leafwire.go
@@ -165,13 +165,21 @@
 }
 
 func (c *Client) pool(vm platform.VM) *pool {
-	if p, ok := c.pools.Load(vm.ID); ok {
-		return p.(*pool)
+	if p, ok := c.findPool(vm.ID); ok {
+		return p
 	}
 	p, _ := c.pools.LoadOrStore(vm.ID, &pool{client: c, vm: vm})
 	return p.(*pool)
 }
 
+func (c *Client) findPool(id string) (*pool, bool) {
+	found, ok := c.pools.Load(id)
+	if !ok {
+		return nil, false
+	}
+	return found.(*pool), true
+}
+
 // Start sends a call or queues it until a connection is free.
 func (c *Client) Start(call *Call) {
 	p := c.pool(call.Leaf)
@@ -234,11 +242,10 @@
 
 // FailWaiting ends the calls to a leaf that still wait for a connection as unsent.
 func (c *Client) FailWaiting(id string) {
-	value, ok := c.pools.Load(id)
+	p, ok := c.findPool(id)
 	if !ok {
 		return
 	}
-	p := value.(*pool)
 	p.mu.Lock()
 	failed := p.takeWaiting()
 	p.mu.Unlock()
@@ -262,36 +269,23 @@
 // Release closes the idle connections to a leaf that other nodes send to now, to free
 // connection capacity at the leaf for them. The leaf can still be called.
 func (c *Client) Release(id string) {
-	value, ok := c.pools.Load(id)
-	if !ok {
-		return
-	}
-	p := value.(*pool)
-	p.mu.Lock()
-	idle := p.idle
-	p.idle = nil
-	p.mu.Unlock()
-	for _, conn := range idle {
-		_ = conn.netConn.Close() // readLoop updates the connection count
+	if p, ok := c.findPool(id); ok {
+		p.closeIdle()
 	}
 }
 
 // RemoveLeaf closes the idle connections to a leaf that was removed. Calls in progress
 // are not interrupted.
 func (c *Client) RemoveLeaf(id string) {
-	value, ok := c.pools.LoadAndDelete(id)
+	found, ok := c.pools.LoadAndDelete(id)
 	if !ok {
 		return
 	}
-	p := value.(*pool)
+	p := found.(*pool)
 	p.mu.Lock()
 	p.removed = true
-	idle := p.idle
-	p.idle = nil
 	p.mu.Unlock()
-	for _, conn := range idle {
-		_ = conn.netConn.Close()
-	}
+	p.closeIdle()
 }
 
 // appendRequest encodes a call for its leaf.
--- a/internal/transport/leafwire/pool.go
+++ b/internal/transport/leafwire/pool.go
@@ -60,6 +60,17 @@
 	}
 }
 
+// closeIdle closes the idle connections; their readLoop updates the connection count.
+func (p *pool) closeIdle() {
+	p.mu.Lock()
+	idle := p.idle
+	p.idle = nil
+	p.mu.Unlock()
+	for _, conn := range idle {
+		_ = conn.netConn.Close()
+	}
+}
+
 // connectionLimit returns the maximum number of connections. The caller must hold mu.
 func (p *pool) connectionLimit(now time.Time) int {
 	limit := max(p.client.cfg.MaxConnections(p.vm.Group), 1)
--- /dev/null
+++ b/internal/transport/mesh/client.go
@@ -0,0 +1,98 @@
+package mesh
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/hickorydock/hickorydock/internal/coordination/reader"
+	"github.com/hickorydock/hickorydock/internal/protocol/platform"
+	"github.com/hickorydock/hickorydock/internal/transport/follow"
+)
+
+const (
+	// overdueHalfWaits is the age, in halves of the wait of a watch, after which a
+	// node's copy is overdue. Four are usual: the reader waits once, and the nodes on the
+	// way from it as long together.
+	overdueHalfWaits = 5
+	// joinPollDelay is the delay before a node that has no copy yet looks for members again.
+	joinPollDelay = 10 * time.Millisecond
+	// sourceRetryDelay is the delay before a node looks for a source again.
+	sourceRetryDelay = 50 * time.Millisecond
+)
+
+// Client is a platform.Client whose lists and watches are served by the readers of the
+// platform, or by the platform itself if this node is one of them.
+type Client struct {
+	platform.Client
+	mesh *Mesh
+	// watchWait is how long a watch waits for a change.
+	watchWait time.Duration
+
+	// readsPlatform is true once this node has read a list from the platform itself.
+	readsPlatform atomic.Bool
+	// unanswered is true once no contact has answered; see reader.Input.
+	unanswered atomic.Bool
+
+	mu    sync.Mutex
+	stale map[string]time.Time // sources that are passed over, with the end of that time
+	links map[platform.Kind]*link
+}
+
+// NewClient returns a client that shares the reads of the platform with other nodes.
+// watchWait is how long a watch waits for a change.
+func NewClient(store platform.Client, m *Mesh, watchWait time.Duration) *Client {
+	return &Client{Client: store, mesh: m, watchWait: watchWait, stale: make(map[string]time.Time), links: make(map[platform.Kind]*link)}
+}
+
+// source chooses the source to read a kind from now.
+func (c *Client) source(kind platform.Kind) reader.Source {
+	now := time.Now()
+	confirmed := c.mesh.cfg.Mirror.Confirmed(kind)
+	c.mu.Lock()
+	var stale []string
+	for id, until := range c.stale {
+		if now.Before(until) {
+			stale = append(stale, id)
+		} else {
+			delete(c.stale, id)
+		}
+	}
+	c.mu.Unlock()
+	return reader.Choose(reader.Input{
+		Self:       c.mesh.cfg.Node,
+		Members:    c.mesh.Members(),
+		SinceStart: now.Sub(c.mesh.started),
+		HasSeeds:   len(c.mesh.cfg.Seeds) > 0,
+		IsSeed:     c.mesh.isSeed(),
+		Stale:      stale,
+		Empty:      confirmed.IsZero(),
+		Overdue:    !confirmed.IsZero() && now.Sub(confirmed) > overdueHalfWaits*c.watchWait/2,
+		Unanswered: c.unanswered.Load(),
+		Random:     rand.Float64(),
+	})
+}
+
+// awaitSource chooses a source. A node that has just started waits to discover other
+// members first.
+func (c *Client) awaitSource(ctx context.Context, kind platform.Kind) (reader.Source, error) {
+	for first := true; ; first = false {
+		source := c.source(kind)
+		if source != (reader.Source{}) {
+			return source, nil
+		}
+		delay := sourceRetryDelay
+		switch {
+		case time.Since(c.mesh.started) <= reader.JoinWait:
+			delay = joinPollDelay
+		case !first:
+			return source, platform.ErrUnavailable
+		}
+		follow.Sleep(ctx, delay)
+		if ctx.Err() != nil {
+			return source, ctx.Err()
+		}
+	}
+}
--- a/internal/transport/mesh/link.go
+++ b/internal/transport/mesh/link.go
@@ -12,6 +12,9 @@
 	"github.com/hickorydock/hickorydock/internal/protocol/platform"
 )
 
+// dialTimeout bounds opening a connection to another node.
+const dialTimeout = 250 * time.Millisecond
+
 // link is the connection over which a kind is followed.
 type link struct {
 	peer string
--- a/internal/transport/mesh/mesh.go
+++ b/internal/transport/mesh/mesh.go
@@ -6,11 +6,13 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"math/rand/v2"
 	"net"
 	"net/netip"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/apex/log"
@@ -67,6 +69,9 @@
 	view    *membership.Membership
 	present []messages.Member
 
+	// contacts are the addresses that the platform lists, besides the seeds.
+	contacts atomic.Pointer[[]string]
+
 	streams   sync.Map // node -> *batchStream
 	reports   chan quarantine.Report
 	datagrams net.PacketConn
@@ -93,6 +98,9 @@
 			State:            messages.Alive,
 		},
 	}
+	m.peerConfig.OnPanic = func(call string, cause any) {
+		cfg.Log.WithFields(log.Fields{"call": call, "cause": fmt.Sprint(cause)}).Error("call of a node failed")
+	}
 	m.view = membership.New(membership.Config{Self: m.self, Seed: rand.Uint64()})
 	m.present = m.view.Members()
 	m.closing, m.cancel = context.WithCancel(context.Background())
@@ -104,7 +112,7 @@
 	if err := errors.Join(contract.DRPCRegisterPeer(mux, m.batches), contract.DRPCRegisterGateway(mux, service{m})); err != nil {
 		return nil, err
 	}
-	m.server = drpcserver.NewWithOptions(mux, drpcserver.Options{Manager: m.peerConfig.ManagerOptions()})
+	m.server = drpcserver.NewWithOptions(m.peerConfig.Guarded(mux), drpcserver.Options{Manager: m.peerConfig.ManagerOptions()})
 	return m, nil
 }
 
@@ -239,11 +247,15 @@
 	}
 }
 
-// join requests the list of members from the seeds.
+// join requests the list of members from the seeds and the contacts.
 func (m *Mesh) join() {
-	for _, seed := range m.cfg.Seeds {
-		if seed != m.cfg.Address {
-			m.send(seed, messages.Message{Kind: messages.Sync, From: m.cfg.Node, Updates: []messages.Member{m.self}})
+	addresses := m.cfg.Seeds
+	if contacts := m.contacts.Load(); contacts != nil {
+		addresses = append(slices.Clone(addresses), *contacts...)
+	}
+	for _, address := range addresses {
+		if address != m.cfg.Address {
+			m.send(address, messages.Message{Kind: messages.Sync, From: m.cfg.Node, Updates: []messages.Member{m.self}})
 		}
 	}
 }
--- a/internal/transport/mesh/mesh_test.go
+++ b/internal/transport/mesh/mesh_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
 	"slices"
 	"strconv"
@@ -48,16 +49,34 @@
 
 func newPlatform() *fakePlatform {
 	p := &fakePlatform{objects: mirror.New(), version: 1}
-	p.objects.Replace(platform.KindRouting, platform.Listing{Version: p.version}, time.Now())
+	for _, kind := range []platform.Kind{platform.KindRouting, platform.KindContact} {
+		p.objects.Replace(kind, platform.Listing{Version: p.version}, time.Now())
+	}
 	return p
 }
 
 func (p *fakePlatform) set(value int) {
+	p.put(platform.KindRouting, platform.RoutingName, []byte(strconv.Itoa(value)))
+}
+
+// put stores an object.
+func (p *fakePlatform) put(kind platform.Kind, name string, value []byte) platform.Object {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.version++
-	object := platform.Object{Kind: platform.KindRouting, Name: platform.RoutingName, Version: p.version, Value: []byte(strconv.Itoa(value))}
-	p.objects.Apply(platform.KindRouting, []platform.Event{{Object: object}}, p.version, time.Now())
+	object := platform.Object{Kind: kind, Name: name, Version: p.version, Value: value}
+	p.objects.Apply(kind, []platform.Event{{Object: object}}, p.version, time.Now())
+	return object
+}
+
+// Create stores an object.
+func (p *fakePlatform) Create(_ context.Context, kind platform.Kind, name string, value json.RawMessage) (platform.Object, error) {
+	return p.put(kind, name, value), nil
+}
+
+// Update replaces an object.
+func (p *fakePlatform) Update(_ context.Context, o platform.Object) (platform.Object, error) {
+	return p.put(o.Kind, o.Name, o.Value), nil
 }
 
 // List returns all objects.
@@ -95,6 +114,7 @@
 // node is a mesh with a watcher of the routing table.
 type node struct {
 	*Mesh
+	client  *Client
 	mu      sync.Mutex
 	latest  string
 	changed chan struct{}
@@ -141,13 +161,13 @@
 		if i > 0 {
 			address = reserveAddress(t)
 		}
-		nodes = append(nodes, startNode(t, i, address, seed, clientOf(i), configure))
+		nodes = append(nodes, startNode(t, i, address, seed, clientOf(i), false, configure))
 	}
 	return nodes
 }
 
-// startNode starts one node, which joins through seed.
-func startNode(t *testing.T, i int, address, seed string, store platform.Client, configure func(i int, m *Mesh)) *node {
+// startNode starts one node, which joins through seed, and through contacts if set.
+func startNode(t *testing.T, i int, address, seed string, store platform.Client, contacts bool, configure func(i int, m *Mesh)) *node {
 	t.Helper()
 	m, err := New(Config{
 		Node: fmt.Sprintf("n%d", i), AvailabilityZone: fmt.Sprintf("az-%d", i%2), Address: address, Seeds: []string{seed},
@@ -160,8 +180,8 @@
 	if err := m.Start(); err != nil {
 		t.Fatal(err)
 	}
-	n := &node{Mesh: m, changed: make(chan struct{})}
 	client := NewClient(store, m, testWait)
+	n := &node{Mesh: m, client: client, changed: make(chan struct{})}
 	ctx, cancel := context.WithCancel(context.Background())
 	w := &follow.Watcher{
 		Client: client, Kind: platform.KindRouting, Backoff: backoff.PlatformFollow,
@@ -175,6 +195,9 @@
 	}
 	var running sync.WaitGroup
 	running.Go(func() { w.Run(ctx) })
+	if contacts {
+		running.Go(func() { client.RunContacts(ctx) })
+	}
 	t.Cleanup(func() {
 		cancel()
 		client.Close()
--- a/internal/transport/mesh/restore_test.go
+++ b/internal/transport/mesh/restore_test.go
@@ -28,6 +28,7 @@
 	}
 	object := platform.Object{Kind: platform.KindRouting, Name: platform.RoutingName, Version: p.version, Value: []byte(strconv.Itoa(value))}
 	p.objects.Replace(platform.KindRouting, platform.Listing{Objects: []platform.Object{object}, Version: p.version}, time.Now())
+	p.objects.Replace(platform.KindContact, platform.Listing{Version: p.version}, time.Now())
 }
 
 // TestPlatformRestored guards against a fleet that is deaf until the platform has assigned
