Hedge at a slow replica while the budget is more than half full

The judgement is from a moving average over all kinds of requests, so it is often wrong for the quick ones and for a leaf that recovers.

Change: such a replica gets the hedge for a spare token, one of the upper half of the budget.

TestHedgeToSlowReplica needs the new setting; with it off, as before, no hedge is sent. The fake leafs of the forwarder's tests ran a request each time that a reroute asked whether a call still waits; they no longer do, which makes TestLoads stricter in its load and its bounds stay.

--- a/internal/coordination/subrequest/subrequest.go
+++ b/internal/coordination/subrequest/subrequest.go
@@ -91,6 +91,9 @@
 	Deadline time.Time
 	// HedgeDelay is the wait before a hedge; 0 disables hedging.
 	HedgeDelay time.Duration
+	// HedgeWithSpare allows a hedge to a replica that is likely to be late too, for a spare
+	// token. Without it such a replica gets no hedges.
+	HedgeWithSpare bool
 	// MaxAttempts bounds the number of attempts, hedges included; 0 means no bound.
 	MaxAttempts int
 	// AtMostOnce allows another attempt only after a leaf declared that it did not run
@@ -191,12 +194,15 @@
 		avoid = replica.Set(0).With(m.lastReplica)
 	}
 	i := m.choose(time.Time{}, avoid)
-	if i == replica.None || !now.Before(m.cfg.Deadline) || !replica.IsWorthHedging(m.cfg.Replicas[i], m.cfg.HedgeDelay) {
-		m.skipReason = SkippedNoReplica
-		m.hedges = MaxHedges
-		return Attempt{}, false, time.Time{}
+	if i == replica.None || !now.Before(m.cfg.Deadline) {
+		return m.skipHedges()
 	}
-	if !m.budget.Spend() {
+	if !replica.IsWorthHedging(m.cfg.Replicas[i], m.cfg.HedgeDelay) {
+		// The replica is likely to be late too.
+		if !m.cfg.HedgeWithSpare || !m.budget.SpendSpare() {
+			return m.skipHedges()
+		}
+	} else if !m.budget.Spend() {
 		m.skipReason = SkippedNoBudget
 		return Attempt{}, false, m.recheckAt(now)
 	}
@@ -206,6 +212,13 @@
 	return m.recordAttempt(i, Hedge), true, nextCheck
 }
 
+// skipHedges ends the hedges of a round since no replica is likely to reply earlier.
+func (m *Machine) skipHedges() (Attempt, bool, time.Time) {
+	m.skipReason = SkippedNoReplica
+	m.hedges = MaxHedges
+	return Attempt{}, false, time.Time{}
+}
+
 // startRound sends the first attempt of a round when the budget allows it.
 func (m *Machine) startRound(now time.Time) (attempt Attempt, send bool, nextCheck time.Time) {
 	if !m.spend() {
--- a/internal/coordination/subrequest/subrequest_test.go
+++ b/internal/coordination/subrequest/subrequest_test.go
@@ -247,3 +247,42 @@
 	}
 	m.Run()
 }
+
+// spareTokens is a budget whose only tokens are spare ones, or none of them are.
+type spareTokens struct{ spare bool }
+
+func (b spareTokens) Spend() bool      { return true }
+func (b spareTokens) SpendSpare() bool { return b.spare }
+
+// TestHedgeToSlowReplica: the first attempt at one replica is late and the other replica was
+// slow before. While the budget is more than half full, as in days with few faults, the
+// other one gets a hedge, since both are likely to be late and one more attempt is allowed.
+func TestHedgeToSlowReplica(t *testing.T) {
+	tests := []struct {
+		name           string
+		allowed, spare bool
+		want           bool
+	}{
+		{"spare tokens", true, true, true},
+		{"no spare token", true, false, false},
+		{"not allowed", false, true, false},
+	}
+	for _, test := range tests {
+		cfg := configOf(2)
+		cfg.HedgeWithSpare = test.allowed
+		slow := cfg.Replicas[1].Record
+		slow.Begin(start)
+		slow.End(start, 10*cfg.HedgeDelay, leaf.Answered)
+		m := New(cfg, spareTokens{test.spare})
+		if first, ok := m.Start(start); !ok || first.Replica != 0 {
+			t.Fatalf("%s: first attempt %+v", test.name, first)
+		}
+		attempt, sent, next := m.TimerFired(start.Add(cfg.HedgeDelay))
+		if sent != test.want || sent && attempt.Replica != 1 {
+			t.Errorf("%s: hedge sent %t to replica %d, want %t", test.name, sent, attempt.Replica, test.want)
+		}
+		if !sent && (m.SkipReason() != SkippedNoReplica || !next.IsZero()) {
+			t.Errorf("%s: skipped for %s, next check at %v", test.name, m.SkipReason(), next)
+		}
+	}
+}
--- a/internal/transport/forward/attempts.go
+++ b/internal/transport/forward/attempts.go
@@ -28,6 +28,7 @@
 		AvailabilityZone: x.f.cfg.AvailabilityZone,
 		Deadline:         x.req.deadline,
 		HedgeDelay:       x.hedgeDelay,
+		HedgeWithSpare:   true,
 		MaxAttempts:      x.maxAttempts(len(replicas)),
 		AtMostOnce:       !x.req.route.Idempotent,
 		Choose:           replica.Choose,
--- a/internal/transport/forward/fake_test.go
+++ b/internal/transport/forward/fake_test.go
@@ -37,6 +37,7 @@
 	leafs      map[string]behaviour
 	started    []*leafwire.Call
 	ended      map[*leafwire.Call]bool
+	waiting    map[*leafwire.Call]bool // calls without a connection
 	startCount int
 }
 
@@ -45,6 +46,9 @@
 	c.started = append(c.started, call)
 	c.startCount++
 	after, reply := c.leafs[call.Leaf.ID](call)
+	if after == noConnection {
+		c.waiting[call] = true
+	}
 	c.mu.Unlock()
 	if after >= 0 {
 		time.AfterFunc(after, func() { c.end(call, reply) })
@@ -54,8 +58,7 @@
 func (c *fakeLeafClient) Withdraw(call *leafwire.Call) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	after, _ := c.leafs[call.Leaf.ID](call)
-	if after != noConnection || c.ended[call] {
+	if !c.waiting[call] || c.ended[call] {
 		return false
 	}
 	c.ended[call] = true
@@ -80,8 +83,8 @@
 func (c *fakeLeafClient) FailWaiting(id string) {
 	c.mu.Lock()
 	var waiting []*leafwire.Call
-	for _, call := range c.started {
-		if after, _ := c.leafs[call.Leaf.ID](call); call.Leaf.ID == id && after == noConnection && !c.ended[call] {
+	for call := range c.waiting {
+		if call.Leaf.ID == id && !c.ended[call] {
 			waiting = append(waiting, call)
 		}
 	}
@@ -172,7 +175,7 @@
 	store := &routing.Store{}
 	rt.Name, rt.Host, rt.Prefix = "r", "h", "/"
 	store.Put(routing.NewIndex(route.Table{Version: 1, Routes: []route.Route{rt}, Limits: route.Limits{BodyBytes: 100}}, func(_ *route.Route, err error) { t.Fatal(err) }))
-	r := &rig{leafClient: &fakeLeafClient{leafs: leafs, ended: map[*leafwire.Call]bool{}}, observer: &fakeObserver{outcomes: map[string]int{}, notices: map[string]int{}}, groups: group.NewStore(leaf.NewTable())}
+	r := &rig{leafClient: &fakeLeafClient{leafs: leafs, ended: map[*leafwire.Call]bool{}, waiting: map[*leafwire.Call]bool{}}, observer: &fakeObserver{outcomes: map[string]int{}, notices: map[string]int{}}, groups: group.NewStore(leaf.NewTable())}
 	for id := range leafs {
 		name, _, _ := strings.Cut(id, "/")
 		r.groups.Put(route.Leaf{VM: platform.VM{ID: id, Group: name}})
