--- a/internal/node/gateway/leafs.go
+++ b/internal/node/gateway/leafs.go
@@ -75,8 +75,8 @@
 	c.log.WithFields(log.Fields{"leaf": object.Name, "until": c.leafs.heldUntil}).Info("leaf held: it had left before the platform was restored")
 }
 
-// isOutdated reports whether an entry of a restored list is that of a leaf that has left or
-// begun to leave since. The caller holds c.mu.
+// isOutdated reports whether an entry of a restored list describes a leaf that has since
+// left, begun to leave or started again. The caller holds c.mu.
 func (c *controller) isOutdated(object platform.Object) bool {
 	entry, err := c.adapter.DecodeLeaf(object)
 	if err != nil {
@@ -102,8 +102,8 @@
 	c.leafs.held = nil
 }
 
-// leafChanged handles a change of an entry, which the leaf itself has made in the current
-// era.
+// leafChanged handles a change of an entry in the current era. It replaces an entry that is
+// held.
 func (c *controller) leafChanged(event platform.Event) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/internal/transport/mesh/restore_test.go
+++ b/internal/transport/mesh/restore_test.go
@@ -31,9 +31,9 @@
 	p.objects.Replace(platform.KindContact, platform.Listing{Version: p.version}, time.Now())
 }
 
-// TestPlatformRestored guards against a fleet that is deaf until the platform has assigned
-// as many revisions again as it had lost: readers and those that follow them receive what
-// the older copy holds and each change after it.
+// TestPlatformRestored guards against nodes that ignore a restored platform until its
+// revisions exceed those before the restore. Readers and their followers receive the content
+// of the older copy and each later change.
 func TestPlatformRestored(t *testing.T) {
 	store := newPlatform()
 	for value := range 50 {
@@ -50,8 +50,9 @@
 	}
 }
 
-// TestNodesThatDoNotKnowEras: nodes of an earlier release hand on revisions alone. The
-// others pass them over as sources, as they cannot tell a lost revision from a new one.
+// TestNodesThatDoNotKnowEras: nodes of an earlier release send revisions without an era, so a
+// lost revision looks like the new one with the same number. Other nodes do not use them as
+// sources.
 func TestNodesThatDoNotKnowEras(t *testing.T) {
 	store := newPlatform()
 	store.restore(t, 1)
