--- /dev/null
+++ b/internal/coordination/quarantine/event.go
@@ -0,0 +1,36 @@
+package quarantine
+
+// EventKind says what changed in what a node knows of a fingerprint.
+type EventKind string
+
+// Kinds of events.
+const (
+	// EventAttributed means that the crash of a leaf was attributed to the fingerprint.
+	EventAttributed EventKind = "attributed"
+	// EventQuarantined means that the fingerprint was put into quarantine.
+	EventQuarantined EventKind = "quarantined"
+	// EventCleared means that an answer removed the attributions.
+	EventCleared EventKind = "cleared"
+	// EventExplained means that the quarantine of another fingerprint removed
+	// attributions.
+	EventExplained EventKind = "explained"
+)
+
+// Event is a change in what a node knows of a fingerprint.
+type Event struct {
+	Kind        EventKind
+	Fingerprint Fingerprint
+	// Leaf is the leaf of an attribution; empty for other events.
+	Leaf string
+	// Attributions is the number of attributions after the event.
+	Attributions int
+}
+
+// SetObserver sets a function that is called with each event; it must not block.
+func (l *Ledger) SetObserver(observe func(Event)) { l.observe = observe }
+
+func (l *Ledger) emit(kind EventKind, f Fingerprint, leaf string, attributions int) {
+	if l.observe != nil {
+		l.observe(Event{Kind: kind, Fingerprint: f, Leaf: leaf, Attributions: attributions})
+	}
+}
--- a/internal/coordination/quarantine/quarantine.go
+++ b/internal/coordination/quarantine/quarantine.go
@@ -135,6 +135,7 @@
 	periodStart        time.Time                // of the current period
 	down               map[string]time.Time     // first loss of leafs that have not answered since
 	peerTrials         map[string]trial         // by leaf
+	observe            func(Event)              // may be nil
 }
 
 // activeAttempts holds the running attempts of one fingerprint.
--- a/internal/coordination/quarantine/suspect.go
+++ b/internal/coordination/quarantine/suspect.go
@@ -141,32 +141,36 @@
 	}
 	s.attributions = append(s.attributions, attribution{leaf, now})
 	s.lastAttributed = now
+	l.emit(EventAttributed, f, leaf, len(s.attributions))
 	if len(s.attributions) >= crashThreshold && s.quarantinedAt.IsZero() {
-		l.quarantine(now, s)
+		l.quarantine(now, f, s)
 	}
 	return true
 }
 
 // quarantine puts a fingerprint into quarantine and removes the attributions of the
 // same crashes to other fingerprints.
-func (l *Ledger) quarantine(now time.Time, s *suspect) {
+func (l *Ledger) quarantine(now time.Time, f Fingerprint, s *suspect) {
 	ttl := min(quarantineTTL<<min(s.quarantineCount, 8), maxQuarantineTTL)
 	s.quarantineCount++
 	s.quarantinedAt = now
 	s.quarantinedUntil = now.Add(ttl)
-	for f, other := range l.suspects {
-		if other != s {
-			other.removeExplained(s.attributions)
+	l.emit(EventQuarantined, f, "", len(s.attributions))
+	for otherF, other := range l.suspects {
+		if other != s && other.removeExplained(s.attributions) {
+			l.emit(EventExplained, otherF, "", len(other.attributions))
 		}
 		if len(other.attributions) == 0 {
-			delete(l.suspects, f)
+			delete(l.suspects, otherF)
 		}
 	}
 }
 
 // removeExplained removes the attributions of crashes that another fingerprint
-// explains. It also lifts a first quarantine if too few attributions remain.
-func (s *suspect) removeExplained(explained []attribution) {
+// explains, and reports whether there were any. It also lifts a first quarantine if too
+// few attributions remain.
+func (s *suspect) removeExplained(explained []attribution) bool {
+	before := len(s.attributions)
 	s.attributions = slices.DeleteFunc(s.attributions, func(candidate attribution) bool {
 		return slices.ContainsFunc(explained, func(a attribution) bool {
 			return a.leaf == candidate.leaf && candidate.at.Sub(a.at).Abs() < crashWindow
@@ -175,6 +179,7 @@
 	if len(s.attributions) < crashThreshold && s.quarantineCount <= 1 {
 		s.quarantinedAt = time.Time{}
 	}
+	return len(s.attributions) < before
 }
 
 func (l *Ledger) evictOldest() {
--- a/internal/coordination/quarantine/verified.go
+++ b/internal/coordination/quarantine/verified.go
@@ -7,6 +7,7 @@
 func (l *Ledger) markVerified(now time.Time, f Fingerprint) {
 	if s := l.suspects[f]; s != nil && s.quarantinedAt.IsZero() {
 		delete(l.suspects, f)
+		l.emit(EventCleared, f, "", 0)
 	}
 	if l.isVerified(now, f) {
 		return
--- a/internal/node/gateway/wiring.go
+++ b/internal/node/gateway/wiring.go
@@ -2,11 +2,13 @@
 
 import (
 	"context"
+	"fmt"
 	"time"
 
 	"github.com/apex/log"
 	"go.uber.org/fx"
 
+	"github.com/hickorydock/hickorydock/internal/coordination/quarantine"
 	"github.com/hickorydock/hickorydock/internal/protocol/membership"
 	"github.com/hickorydock/hickorydock/internal/protocol/platform"
 	"github.com/hickorydock/hickorydock/internal/protocol/settings"
@@ -37,8 +39,21 @@
 	return m
 }
 
+// observeQuarantine logs and counts the events of the quarantine.
+func observeQuarantine(g *guard.Guard, m *metrics.Metrics, logger log.Interface) {
+	g.SetObserver(func(e quarantine.Event) {
+		m.QuarantineEvent(string(e.Kind))
+		fields := log.Fields{"event": string(e.Kind), "fingerprint": fmt.Sprintf("%016x", uint64(e.Fingerprint)), "attributions": e.Attributions}
+		if e.Leaf != "" {
+			fields["leaf"] = e.Leaf
+		}
+		logger.WithFields(fields).Info("quarantine changed")
+	})
+}
+
 // newMesh connects the node to the other gateways.
-func newMesh(s settings.Settings, localMirror *mirror.Mirror, f *forward.Forwarder, r *relays, g *guard.Guard, logger log.Interface, lifecycle fx.Lifecycle) (*mesh.Mesh, error) {
+func newMesh(s settings.Settings, localMirror *mirror.Mirror, f *forward.Forwarder, r *relays, g *guard.Guard, collectors *metrics.Metrics, logger log.Interface, lifecycle fx.Lifecycle) (*mesh.Mesh, error) {
+	observeQuarantine(g, collectors, logger)
 	m, err := mesh.New(mesh.Config{
 		Node:             s.Node.ID,
 		AvailabilityZone: s.Node.AvailabilityZone,
@@ -46,6 +61,7 @@
 		Seeds:            s.Node.BootstrapPeers,
 		Mirror:           localMirror,
 		OnReport:         g.Receive,
+		OnReportsSent:    collectors.QuarantineReports,
 		Log:              logger,
 		OnMembersChanged: func(members []membership.Member) {
 			r.setMembers(members)
--- a/internal/transport/forward/forward.go
+++ b/internal/transport/forward/forward.go
@@ -7,6 +7,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"math/rand/v2"
 	"net/http"
@@ -177,7 +178,7 @@
 	}
 	req.fingerprint = quarantine.FingerprintOf(r.Method+" "+r.Host+r.RequestURI, req.body)
 	if remaining, quarantined := f.guard.Quarantined(req.fingerprint); quarantined {
-		f.log.WithFields(log.Fields{"request": req.id, "route": rt.Name, "left": remaining, "outcome": outcomeNotRun}).Info("request is quarantined")
+		f.log.WithFields(log.Fields{"request": req.id, "route": rt.Name, "fingerprint": fmt.Sprintf("%016x", uint64(req.fingerprint)), "left": remaining, "outcome": outcomeNotRun}).Info("request is quarantined")
 		f.reject(w, req.id, http.StatusServiceUnavailable, min(remaining, quarantineRetryAfter))
 		return
 	}
--- a/internal/transport/guard/guard.go
+++ b/internal/transport/guard/guard.go
@@ -30,6 +30,14 @@
 	}
 }
 
+// SetObserver sets a function that is called with each event of the ledger; it must not
+// block or call the guard.
+func (g *Guard) SetObserver(observe func(quarantine.Event)) {
+	g.mu.Lock()
+	g.ledger.SetObserver(observe)
+	g.mu.Unlock()
+}
+
 // SetPeers sets the peers that reports are broadcast to; nil broadcasts none.
 func (g *Guard) SetPeers(peers quarantine.Peers) {
 	g.mu.Lock()
--- a/internal/transport/mesh/mesh.go
+++ b/internal/transport/mesh/mesh.go
@@ -49,7 +49,9 @@
 	// OnReport is called with each quarantine report of another node; if nil, the
 	// call of the other node fails.
 	OnReport func(quarantine.Report)
-	Log      log.Interface
+	// OnReportsSent is called with the result for n reports to another node; it may be nil.
+	OnReportsSent func(result string, n int)
+	Log           log.Interface
 	// OnMembersChanged is called with the present members after each change; it may
 	// be nil.
 	OnMembersChanged func([]messages.Member)
--- a/internal/transport/mesh/report.go
+++ b/internal/transport/mesh/report.go
@@ -20,12 +20,26 @@
 	maxConcurrentReports = 8
 )
 
+// Results of reports.
+const (
+	reportDelivered = "delivered"
+	reportFailed    = "failed"
+	reportDropped   = "dropped"
+)
+
+func (m *Mesh) countReports(result string, n int) {
+	if m.cfg.OnReportsSent != nil {
+		m.cfg.OnReportsSent(result, n)
+	}
+}
+
 // Broadcast queues a quarantine report for all other nodes. It does not block.
 func (m *Mesh) Broadcast(r quarantine.Report) {
 	select {
 	case m.reports <- r:
 	default:
 		m.cfg.Log.WithField("leaf", r.Leaf).Warn("quarantine report dropped: queue is full")
+		m.countReports(reportDropped, 1)
 	}
 }
 
@@ -53,8 +67,11 @@
 		sending.Go(func() {
 			defer func() { <-slots }()
 			if err := m.sendReport(member.ID, message); err != nil {
-				m.cfg.Log.WithField("node", member.ID).WithError(err).Debug("quarantine report not delivered")
+				m.cfg.Log.WithField("node", member.ID).WithError(err).Warn("quarantine report not delivered")
+				m.countReports(reportFailed, 1)
+				return
 			}
+			m.countReports(reportDelivered, 1)
 		})
 	}
 	sending.Wait()
--- a/internal/transport/metrics/metrics.go
+++ b/internal/transport/metrics/metrics.go
@@ -65,6 +65,8 @@
 	leafConnections       prometheus.Gauge
 	leafConnectionsOpened prometheus.Counter
 	quarantineEntries     prometheus.Gauge
+	quarantineEvents      *prometheus.CounterVec
+	quarantineReports     *prometheus.CounterVec
 	peers                 prometheus.Gauge
 	forwardDuration       *prometheus.HistogramVec
 	forwardCoverage       *prometheus.HistogramVec
@@ -104,6 +106,8 @@
 		leafConnections:       gauge("leaf_connections", "Open connections to leafs."),
 		leafConnectionsOpened: counterVec("leaf_connections_opened_total", "Connections opened to leafs.").WithLabelValues(),
 		quarantineEntries:     gauge("quarantine_entries", "Requests in quarantine."),
+		quarantineEvents:      counterVec("quarantine_events_total", "Changes in what this node knows of requests that crash leafs, by event: attributed, quarantined, cleared or explained.", "event"),
+		quarantineReports:     counterVec("quarantine_reports_total", "Quarantine reports for other nodes, by result: delivered, failed or dropped.", "result"),
 		peers:                 gauge("peers", "Nodes that this node has a stream to."),
 	}
 	m.forwardDuration = histogramVec("forward_duration_seconds", "Time from a forwarded request's header to its response, by route and outcome.", latencyBuckets, "route", "outcome")
@@ -116,7 +120,7 @@
 	m.registry.MustRegister(
 		collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}),
 		m.queryDuration, m.queryCoverage, m.queriesInFlight, m.subrequests, m.cancelledSubrequests, m.refusals, m.refusedSubrequests, m.admissionLimit, m.admissionWaiting, m.invariantViolations,
-		m.catalogueRevision, m.oldRevisions, m.platformCalls, m.leafConnections, m.leafConnectionsOpened, m.quarantineEntries, m.peers,
+		m.catalogueRevision, m.oldRevisions, m.platformCalls, m.leafConnections, m.leafConnectionsOpened, m.quarantineEntries, m.quarantineEvents, m.quarantineReports, m.peers,
 		m.forwardDuration, m.forwardCoverage, m.forwardAttempts, m.leafNotices, m.routingVersion, m.listedLeafs, m.platformEra,
 	)
 	return m
@@ -262,6 +266,20 @@
 	}
 }
 
+// QuarantineEvent counts a change in what the node knows of requests that crash leafs.
+func (m *Metrics) QuarantineEvent(event string) {
+	if m != nil {
+		m.quarantineEvents.WithLabelValues(event).Inc()
+	}
+}
+
+// QuarantineReports counts n quarantine reports for another node.
+func (m *Metrics) QuarantineReports(result string, n int) {
+	if m != nil {
+		m.quarantineReports.WithLabelValues(result).Add(float64(n))
+	}
+}
+
 // SetPeers sets the number of nodes that this node has a stream to.
 func (m *Metrics) SetPeers(connected int) {
 	if m != nil {
