--- a/internal/coordination/quarantine/quarantine_test.go
+++ b/internal/coordination/quarantine/quarantine_test.go
@@ -206,6 +206,22 @@
 	}
 }
 
+// TestExplainedSuspectIsNotForgotten guards against a request that crashes leafs and is sent
+// to all shards again, since a good request that was lost with the same leaf was quarantined
+// first and explained its only attribution.
+func TestExplainedSuspectIsNotForgotten(t *testing.T) {
+	l := New()
+	l.Receive(start, Report{CrashAttributed, bad, "a"})
+	l.Receive(start, Report{CrashAttributed, good, "a"})
+	l.Receive(start.Add(50*ms), Report{CrashAttributed, good, "b"})
+	if _, quarantined := l.Quarantined(start.Add(51*ms), good); !quarantined {
+		t.Fatal("the good request is not quarantined")
+	}
+	if !l.IsSuspect(start.Add(51*ms), bad) {
+		t.Error("the request that crashes leafs is no suspect any more")
+	}
+}
+
 func TestFingerprintSeparatesServiceAndBody(t *testing.T) {
 	if FingerprintOf("ab", []byte("c")) == FingerprintOf("a", []byte("bc")) {
 		t.Error("service and body are hashed without a separator")
