Let only a reply clear a request that may crash leafs

Cause: a server error of a leaf counted as an answer. It made the request verified for one to two minutes, in which no crash is attributed to it, and cleared a suspect on all nodes. With 20 shards and a few failing leafs nearly each fan-out met one. A server error is inconclusive now; a reply, or a status below 500, shows that the leaf ran the request.

--- a/internal/transport/forward/attemptend.go
+++ b/internal/transport/forward/attemptend.go
@@ -1,6 +1,7 @@
 package forward
 
 import (
+	"net/http"
 	"time"
 
 	"github.com/hickorydock/hickorydock/internal/coordination/latency"
@@ -27,11 +28,16 @@
 	}
 }
 
-// quarantineOutcome returns the outcome of an attempt for the quarantine.
+// quarantineOutcome returns the outcome of an attempt for the quarantine. A server error is
+// no evidence: the leaf may have failed before it ran the request.
 func quarantineOutcome(call *leafwire.Call) quarantine.Outcome {
 	switch call.Reply.Result {
-	case subrequest.OK, subrequest.UpstreamError:
+	case subrequest.OK:
 		return quarantine.Answered
+	case subrequest.UpstreamError:
+		if call.Reply.Status < http.StatusInternalServerError {
+			return quarantine.Answered
+		}
 	case subrequest.ConnectionLost:
 		if call.Reply.Sent && !call.IsCancelled() {
 			return quarantine.ConnectionLost
--- a/internal/transport/relay/quarantine.go
+++ b/internal/transport/relay/quarantine.go
@@ -37,11 +37,11 @@
 	return nil
 }
 
-// outcomeOf returns the outcome of an attempt for the quarantine.
+// outcomeOf returns the outcome of an attempt for the quarantine. An error of the leaf is
+// no evidence: it may have failed before it ran the request.
 func outcomeOf(reply upstream.Reply, result leaf.Result) quarantine.Outcome {
-	ran := reply.Result == subrequest.OK || reply.Result == subrequest.UpstreamError
 	switch {
-	case ran:
+	case reply.Result == subrequest.OK:
 		return quarantine.Answered
 	case result == leaf.Errored && reply.Sent && reply.Result == subrequest.ConnectionLost:
 		return quarantine.ConnectionLost
