Keep a suspect that another request's quarantine explains

Cause: a good request that was lost with the same leafs and repeated at another node can reach two attributions first; its quarantine removed the attributions of the crashing one, on every node, which was then unknown. The last attribution stays now, so the request runs on one leaf at a time until a leaf answers it, as the good one does. 3000 random orders (rapid) still quarantine no good request.

--- a/internal/coordination/quarantine/suspect.go
+++ b/internal/coordination/quarantine/suspect.go
@@ -149,7 +149,7 @@
 }
 
 // quarantine puts a fingerprint into quarantine and removes the attributions of the
-// same crashes to other fingerprints.
+// same crashes to other fingerprints, but for the last.
 func (l *Ledger) quarantine(now time.Time, f Fingerprint, s *suspect) {
 	ttl := min(quarantineTTL<<min(s.quarantineCount, 8), maxQuarantineTTL)
 	s.quarantineCount++
@@ -160,22 +160,24 @@
 		if other != s && other.removeExplained(s.attributions) {
 			l.emit(EventExplained, otherF, "", len(other.attributions))
 		}
-		if len(other.attributions) == 0 {
-			delete(l.suspects, otherF)
-		}
 	}
 }
 
-// removeExplained removes the attributions of crashes that another fingerprint
-// explains, and reports whether there were any. It also lifts a first quarantine if too
-// few attributions remain.
+// removeExplained removes the attributions of crashes that another fingerprint may
+// explain, and reports whether there were any. It also lifts a first quarantine if too few
+// attributions remain. The latest attribution always remains: either fingerprint may be the
+// one that crashes leafs, and a suspect runs on one leaf at a time until it is answered.
 func (s *suspect) removeExplained(explained []attribution) bool {
+	latest := s.attributions[len(s.attributions)-1]
 	before := len(s.attributions)
 	s.attributions = slices.DeleteFunc(s.attributions, func(candidate attribution) bool {
 		return slices.ContainsFunc(explained, func(a attribution) bool {
 			return a.leaf == candidate.leaf && candidate.at.Sub(a.at).Abs() < crashWindow
 		})
 	})
+	if len(s.attributions) == 0 {
+		s.attributions = append(s.attributions, latest)
+	}
 	if len(s.attributions) < crashThreshold && s.quarantineCount <= 1 {
 		s.quarantinedAt = time.Time{}
 	}
