Send quarantine reports by a queue for each node, attributions first

Cause: a node sent one report at a time and waited up to a second for the slowest member; suspects report each trial, and what did not fit into a queue of 256 was dropped, an attribution like any other. Evidence: TestReportsPassSilentNode (2 of 10 reports after 1 s) and TestAttributionsAreNotDropped (none of 40 behind 2000 trials) failed before. Each member has a queue now, whose reports leave in one call; a trial that ends before it was announced is not announced; trials leave half of the queue to attributions, which are sent again for 3 s.

--- a/internal/transport/mesh/mesh.go
+++ b/internal/transport/mesh/mesh.go
@@ -75,7 +75,7 @@
 	contacts atomic.Pointer[[]string]
 
 	streams   sync.Map // node -> *batchStream
-	reports   chan quarantine.Report
+	reports   *reportSender
 	datagrams net.PacketConn
 	listener  net.Listener
 	closing   context.Context // ends when the mesh is closed
@@ -91,7 +91,6 @@
 		cfg:        cfg,
 		peerConfig: peer.DefaultConfig(cfg.Node, messages.StartAt(started)),
 		started:    started,
-		reports:    make(chan quarantine.Report, maxPendingReports),
 		self: messages.Member{
 			ID:               cfg.Node,
 			Address:          cfg.Address,
@@ -106,6 +105,7 @@
 	m.view = membership.New(membership.Config{Self: m.self, Seed: rand.Uint64()})
 	m.present = m.view.Members()
 	m.closing, m.cancel = context.WithCancel(context.Background())
+	m.reports = newReportSender(m)
 	var err error
 	if m.batches, err = peer.NewServer(m.peerConfig, batches); err != nil {
 		return nil, err
@@ -134,7 +134,6 @@
 	})
 	m.running.Go(m.receive)
 	m.running.Go(m.tick)
-	m.running.Go(m.broadcastReports)
 	return nil
 }
 
@@ -151,7 +150,7 @@
 		m.cfg.Log.WithError(err).Warn("batches of other nodes cut off")
 	}
 	m.update(func(now time.Time) membership.Actions { return m.view.Stop(now) })
-	m.cancel()
+	m.reports.stop(m.cancel)
 	m.closeStreams()
 	_ = m.listener.Close()
 	_ = m.datagrams.Close()
