Tell nodes that start or return which requests are in quarantine

What callers would see: a request in quarantine crashes all leafs again through a node that was restarted or cut off, since a ledger lives in memory only. Evidence: TestStartedNodeLearnsQuarantines fails when nobody tells. Three members, chosen by hash, send the newcomer their quarantines. The reports carry placeholders, not leafs, so that they explain no attribution to another request. (A first form of the test let both of its requests crash one leaf at one time; then the one explains the other at every node, as designed, and it failed.)

--- a/internal/coordination/quarantine/quarantine.go
+++ b/internal/coordination/quarantine/quarantine.go
@@ -335,3 +335,6 @@
 // ReportDelay is the delay after which the caller should call Begin again for a held
 // attempt if no other event occurred before.
 func ReportDelay() time.Duration { return reportDelay }
+
+// CrashWindow is the time within which losses of one leaf count as one crash.
+func CrashWindow() time.Duration { return crashWindow }
--- a/internal/transport/guard/guard.go
+++ b/internal/transport/guard/guard.go
@@ -138,6 +138,13 @@
 	}
 }
 
+// Known returns reports of the fingerprints in quarantine; see quarantine.Ledger.Known.
+func (g *Guard) Known() []quarantine.Report {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.ledger.Known(time.Now())
+}
+
 // Receive handles a report of another node.
 func (g *Guard) Receive(r quarantine.Report) {
 	g.mu.Lock()
--- a/internal/transport/mesh/report.go
+++ b/internal/transport/mesh/report.go
@@ -9,6 +9,8 @@
 	"storj.io/drpc/drpcconn"
 
 	"github.com/hickorydock/hickorydock/internal/coordination/quarantine"
+	"github.com/hickorydock/hickorydock/internal/coordination/reader"
+	messages "github.com/hickorydock/hickorydock/internal/protocol/membership"
 	contract "github.com/hickorydock/hickorydock/internal/protocol/peer"
 )
 
@@ -69,6 +71,30 @@
 	}
 }
 
+// informNewcomers tells members that have just started or returned what this node knows of
+// requests in quarantine, if it is one of their informants.
+func (m *Mesh) informNewcomers(before, present, changed []messages.Member) {
+	if m.cfg.KnownReports == nil {
+		return
+	}
+	for _, member := range changed {
+		if member.ID == m.cfg.Node || member.State != messages.Alive || wasPresent(before, member) {
+			continue
+		}
+		if !slices.Contains(reader.Informants(present, member.ID), m.cfg.Node) {
+			continue
+		}
+		for _, r := range m.cfg.KnownReports() {
+			m.reports.add(time.Now(), member.ID, r)
+		}
+	}
+}
+
+// wasPresent reports whether the members include the same run of a node.
+func wasPresent(members []messages.Member, node messages.Member) bool {
+	return slices.ContainsFunc(members, func(m messages.Member) bool { return m.ID == node.ID && m.Start == node.Start })
+}
+
 // add queues a report for a node and starts sending if nothing is being sent to it.
 func (s *reportSender) add(now time.Time, id string, r quarantine.Report) {
 	s.mu.Lock()
--- a/internal/transport/mesh/report_test.go
+++ b/internal/transport/mesh/report_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/hickorydock/hickorydock/internal/coordination/quarantine"
 	"github.com/hickorydock/hickorydock/internal/protocol/platform"
+	"github.com/hickorydock/hickorydock/internal/transport/guard"
 )
 
 // reportLog collects the reports that a node receives.
@@ -117,3 +118,38 @@
 		}
 	}
 }
+
+// TestStartedNodeLearnsQuarantines guards against a request in quarantine that crashes all
+// leafs again through a node that was restarted.
+func TestStartedNodeLearnsQuarantines(t *testing.T) {
+	store := newPlatform()
+	ledgers := make([]*guard.Guard, 4)
+	configure := func(i int, m *Mesh) {
+		ledgers[i] = guard.New(nil)
+		m.cfg.OnReport = ledgers[i].Receive
+		m.cfg.KnownReports = ledgers[i].Known
+	}
+	nodes := startConfigured(t, 3, func(int) platform.Client { return store }, configure)
+	awaitMembers(t, nodes)
+	const twice, twoLeafs = quarantine.Fingerprint(1), quarantine.Fingerprint(2)
+	for _, r := range []quarantine.Report{{Fingerprint: twice, Leaf: "a"}, {Fingerprint: twoLeafs, Leaf: "b"}, {Fingerprint: twoLeafs, Leaf: "c"}} {
+		for _, l := range ledgers[:3] {
+			l.Receive(r)
+		}
+	}
+	time.Sleep(quarantine.CrashWindow())
+	for _, l := range ledgers[:3] {
+		l.Receive(quarantine.Report{Fingerprint: twice, Leaf: "a"})
+	}
+	startNode(t, 3, reserveAddress(t), nodes[0].cfg.Address, store, false, configure)
+	for _, f := range []quarantine.Fingerprint{twice, twoLeafs} {
+		for startedAt := time.Now(); ; time.Sleep(5 * time.Millisecond) {
+			if _, quarantined := ledgers[3].Quarantined(f); quarantined {
+				break
+			}
+			if time.Since(startedAt) > 2*time.Second {
+				t.Fatalf("the started node does not know the quarantine of %d", f)
+			}
+		}
+	}
+}
