--- a/internal/protocol/route/route.go
+++ b/internal/protocol/route/route.go
@@ -123,4 +123,7 @@
 	NotRun string
 	// Leaving is "1" on each reply of a leaf that is leaving.
 	Leaving string
+	// Limit holds the requests a second, a decimal number, that a leaf in need takes from
+	// all nodes together.
+	Limit string
 }
