Keep to the limit that a leaf states for all nodes together

Cause: nothing read Server-Limit.

Each of n nodes sends at most 1/n of the limit. A leaf without room is not chosen and gets no hedges; a request whose shards cannot be reached is refused before anything is sent, with the time at which enough leafs have room again. Retries, reroutes and delayed attempts take from the same rate. A reply without the header ends the limit, unless its request was sent before the last reply with one.

--- a/internal/coordination/pause/pause.go
+++ b/internal/coordination/pause/pause.go
@@ -1,6 +1,7 @@
 // Package pause decides for how long a leaf that asks callers to stay away gets no
-// requests, and when a caller whose request it cannot serve should come back. The functions
-// are pure; the state is kept in the leaf's record.
+// requests, and when a caller should come back whose request cannot be served, since leafs
+// have asked for a pause or are at their limit. The functions are pure; the state is kept in
+// the leaf's record.
 package pause
 
 import (
@@ -65,10 +66,10 @@
 		stats := r.Record.Stats()
 		switch {
 		case stats.Draining:
-		case !stats.IsPaused():
+		case stats.UsableFrom().IsZero():
 			return time.Time{}, true
-		case !ok || stats.PausedUntil.Before(first):
-			first, ok = stats.PausedUntil, true
+		case !ok || stats.UsableFrom().Before(first):
+			first, ok = stats.UsableFrom(), true
 		}
 	}
 	return first, ok
--- a/internal/coordination/replica/replica.go
+++ b/internal/coordination/replica/replica.go
@@ -104,11 +104,12 @@
 func IsEjected(cost, alternative float64) bool { return cost > ejectionFactor*alternative }
 
 // IsWorthHedging reports whether a hedge to r, sent after delay, is
-// likely to be answered before a first attempt that is merely slow.
+// likely to be answered before a first attempt that is merely slow. A leaf that limits the
+// requests of all nodes gets no hedges, which would take the place of other requests.
 func IsWorthHedging(r shardmap.Replica, delay time.Duration) bool {
 	s := r.Record.Stats()
 	s.InFlight = 0
-	return s.IsUsable() && statsCost(&s) <= ejectionFactor*float64(delay)
+	return s.IsUsable() && !s.Limited && statsCost(&s) <= ejectionFactor*float64(delay)
 }
 
 // IsFailing reports whether the last subrequests of r failed or were not answered.
--- a/internal/state/leaf/leaf.go
+++ b/internal/state/leaf/leaf.go
@@ -48,13 +48,37 @@
 	Draining bool
 	// PausedUntil is when the pause ends that the leaf has asked for; zero without one.
 	PausedUntil time.Time
+	// Limited is true when the leaf limits the requests of all nodes, and LimitedUntil is
+	// when this node may send to it again; zero if it may now.
+	Limited      bool
+	LimitedUntil time.Time
 }
 
 // IsPaused reports whether the leaf has asked for a pause that has not ended.
 func (s *Stats) IsPaused() bool { return !s.PausedUntil.IsZero() }
 
 // IsUsable reports whether the leaf may get new work.
-func (s *Stats) IsUsable() bool { return !s.Draining && !s.IsPaused() }
+func (s *Stats) IsUsable() bool { return !s.Draining && s.UsableFrom().IsZero() }
+
+// UsableFrom returns when the leaf can be sent to again; the zero time if it can be now.
+func (s *Stats) UsableFrom() time.Time {
+	if s.LimitedUntil.After(s.PausedUntil) {
+		return s.LimitedUntil
+	}
+	return s.PausedUntil
+}
+
+// Limit is the rate that a leaf states for all nodes together; coordination/ratelimit updates
+// it.
+type Limit struct {
+	// Stated is true while the leaf states a limit, PerSecond requests a second.
+	Stated    bool
+	PerSecond float64
+	// StatedAt is the time of the last reply that stated it.
+	StatedAt time.Time
+	// NextSend is when this node may send the next request.
+	NextSend time.Time
+}
 
 // DrainState holds what each source reports about whether a leaf is leaving;
 // coordination/drain updates it.
@@ -98,6 +122,7 @@
 	mu       sync.Mutex
 	stats    Stats
 	drain    DrainState
+	limit    Limit
 	holdings string
 }
 
@@ -200,6 +225,34 @@
 	}
 }
 
+// UpdateLimit replaces the limit by the result of update. If that changes when this node may
+// send to the leaf again to a time after now, it returns that time, at which Relax must be
+// called.
+func (r *Record) UpdateLimit(now time.Time, update func(Limit) Limit) (until time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	before := r.stats.LimitedUntil
+	r.limit = update(r.limit)
+	r.stats.Limited = r.limit.Stated
+	r.stats.LimitedUntil = time.Time{}
+	if r.limit.Stated && r.limit.NextSend.After(now) {
+		r.stats.LimitedUntil = r.limit.NextSend
+	}
+	if r.stats.LimitedUntil.Equal(before) {
+		return time.Time{}
+	}
+	return r.stats.LimitedUntil
+}
+
+// Relax lets requests through again if the time until which they are held back has come.
+func (r *Record) Relax(now time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if !now.Before(r.stats.LimitedUntil) {
+		r.stats.LimitedUntil = time.Time{}
+	}
+}
+
 // SetHoldings stores the tag of a leaf's holdings and reports whether it changed.
 func (r *Record) SetHoldings(tag string) bool {
 	r.mu.Lock()
--- a/internal/transport/forward/attempts.go
+++ b/internal/transport/forward/attempts.go
@@ -94,6 +94,10 @@
 // send sends an attempt unless the quarantine refuses or delays it.
 func (x *exchange) send(now time.Time, shard int, attempt subrequest.Attempt) {
 	target := x.view.Replicas[shard][attempt.Replica]
+	if !x.f.takeFromLimit(now, target.Record, x.shards[shard].group) {
+		x.handleResult(now, shard, subrequest.Unsent)
+		return
+	}
 	tracked := quarantine.Attempt{
 		Fingerprint: x.req.fingerprint,
 		Shard:       shard,
--- a/internal/transport/forward/exchange.go
+++ b/internal/transport/forward/exchange.go
@@ -135,6 +135,7 @@
 	if x.message == nil {
 		x.message = x.f.encodeMessage(x.req)
 	}
+	x.advanceLimits(now)
 	if x.startAtRelays(now) {
 		return true
 	}
--- a/internal/transport/forward/forward.go
+++ b/internal/transport/forward/forward.go
@@ -92,6 +92,11 @@
 	stopping   atomic.Bool
 	startedAt  time.Time
 	nodeCount  atomic.Int64
+	limitNodes nodeCounter
+	// limitsStated is true once any leaf has stated a limit.
+	limitsStated atomic.Bool
+	// limitPhase is the phase of this node in ratelimit.Node.
+	limitPhase float64
 	lag        lag.Lag
 	budgets    sync.Map // group -> *budget.Budget
 	windows    sync.Map // route name -> *latency.Window
@@ -114,7 +119,7 @@
 
 // New returns a Forwarder.
 func New(cfg Config, routes *routing.Store, groups *group.Store, leafClient LeafClient, g *guard.Guard, observer Observer, logger log.Interface) *Forwarder {
-	return &Forwarder{cfg: cfg, routing: routes, groups: groups, leafClient: leafClient, guard: g, observer: observer, log: logger, startedAt: time.Now(), Tracer: tracing.Off()}
+	return &Forwarder{cfg: cfg, routing: routes, groups: groups, leafClient: leafClient, guard: g, observer: observer, log: logger, startedAt: time.Now(), limitPhase: rand.Float64(), Tracer: tracing.Off()}
 }
 
 // Stop makes the connections of callers close after their next response.
--- a/internal/transport/forward/notices.go
+++ b/internal/transport/forward/notices.go
@@ -18,19 +18,23 @@
 const (
 	noticeLeaving = "leaving"
 	noticePause   = "pause"
+	noticeLimit   = "limit"
 )
 
 // leavingValue is the value of HeaderNames.Leaving on the replies of a leaf that leaves.
 const leavingValue = "1"
 
-// handleNotices handles what a reply says about its leaf: that it is leaving, or that it
-// asks for a pause. Calls that wait for a connection to it then go to another leaf. A reply
+// handleNotices handles what a reply says about its leaf: that it is leaving, that it asks
+// for a pause, or that it limits the requests of all nodes. Calls that wait for a connection to it then go to another leaf. A reply
 // of another leaf at the same address is ignored.
 func (f *Forwarder) handleNotices(now time.Time, call *leafwire.Call) {
 	reply := &call.Reply
 	if reply.Header == nil || reply.Misdirected {
 		return
 	}
+	if reply.Result != subrequest.BadReply {
+		f.noteLimit(now, call)
+	}
 	if reply.Header.Get(f.cfg.Names.Leaving) == leavingValue {
 		f.leafLeaves(now, call)
 	}
--- a/internal/transport/forward/slack.go
+++ b/internal/transport/forward/slack.go
@@ -63,6 +63,7 @@
 // SetNodes sets the number of nodes that share the slack.
 func (f *Forwarder) SetNodes(n int) {
 	f.nodeCount.Store(int64(n))
+	f.limitNodes.set(time.Now(), n)
 	f.RedistributeSlack()
 }
 
