Bound what a leaf's reply may take, in its head, its body and over all connections

Cause: the header of a reply was read without a bound, interim replies too, and each body up to 8 MB. Evidence: TestEndlessReplies, 40 calls on the code before: 1 to 2.2 GB for a status line or a header line, calls not over after 2 s, 350 to 415 MB for bodies.

--- a/internal/transport/leafwire/conn.go
+++ b/internal/transport/leafwire/conn.go
@@ -2,9 +2,7 @@
 
 import (
 	"bufio"
-	"errors"
 	"fmt"
-	"io"
 	"net"
 	"net/http"
 	"strconv"
@@ -40,13 +38,16 @@
 	closing   bool
 	idleUntil time.Time
 
+	// bounded is what reader reads from.
+	bounded  *boundedReader
 	reader   *bufio.Reader
 	hadReply bool // a complete reply was read
 	writeBuf []byte
 }
 
 func newConn(p *pool, raw net.Conn) *conn {
-	return &conn{pool: p, netConn: raw, reader: bufio.NewReaderSize(raw, readBufferSize)}
+	bounded := &boundedReader{r: raw}
+	return &conn{pool: p, netConn: raw, bounded: bounded, reader: bufio.NewReaderSize(bounded, readBufferSize)}
 }
 
 // assign assigns the connection to a call. The caller must hold the pool's lock.
@@ -86,6 +87,7 @@
 // readLoop reads replies until the connection breaks or must not be reused.
 func (c *conn) readLoop() {
 	for {
+		c.bounded.allow(maxHeadBytes)
 		_, err := c.reader.Peek(1)
 		call := c.pool.activeCall(c)
 		if call == nil {
@@ -162,7 +164,8 @@
 	}
 	var body []byte
 	if call.Message.Method != http.MethodHead {
-		body, err = readBody(response)
+		c.bounded.allow(maxFramingFactor * maxReplyBytes)
+		body, err = c.pool.client.bodies.readBody(response)
 	}
 	if err != nil {
 		return c.lostReply(err), false
@@ -259,25 +262,6 @@
 	}
 }
 
-var errReplyTooLong = errors.New("reply is too long")
-
-// readBody reads a complete body. A body without a length ends with its connection.
-func readBody(response *http.Response) ([]byte, error) {
-	if response.ContentLength > maxReplyBytes {
-		return nil, errReplyTooLong
-	}
-	if response.ContentLength >= 0 {
-		body := make([]byte, response.ContentLength)
-		_, err := io.ReadFull(response.Body, body)
-		return body, err
-	}
-	body, err := io.ReadAll(io.LimitReader(response.Body, maxReplyBytes+1))
-	if err == nil && len(body) > maxReplyBytes {
-		return nil, errReplyTooLong
-	}
-	return body, err
-}
-
 // lostReply returns the result of a call whose response could not be read.
 func (c *conn) lostReply(err error) Reply {
 	return Reply{
--- a/internal/transport/leafwire/leafwire.go
+++ b/internal/transport/leafwire/leafwire.go
@@ -32,8 +32,6 @@
 	unackedTimeout = 2 * time.Second
 	// tcpUserTimeout is the socket option TCP_USER_TIMEOUT of Linux.
 	tcpUserTimeout = 18
-	// maxReplyBytes bounds the body of a reply.
-	maxReplyBytes = 8 << 20
 	// reducedLimitPeriod is how long the connection limit of a leaf stays reduced after
 	// the leaf has reset a fresh connection.
 	reducedLimitPeriod = 5 * time.Second
@@ -135,8 +133,9 @@
 
 // Client sends calls. It is safe for concurrent use.
 type Client struct {
-	cfg   Config
-	pools sync.Map // leaf identifier -> *pool
+	cfg    Config
+	pools  sync.Map // leaf identifier -> *pool
+	bodies bodyBudget
 }
 
 // New returns a client without connections.
