Attribute no crash to a request that a leaf answers with bytes that are no answer

What callers would see: a good request is refused for ten minutes after two leafs have spoiled its answers; endless bytes make that likelier, since the node closes the connection. Cause: a reply that cannot be parsed counted as a lost connection, which is taken for a crash of the leaf. Evidence: TestMalformedRepliesAreNoCrashes failed before. A connection that ends within a reply still counts.

--- a/internal/transport/forward/attemptend.go
+++ b/internal/transport/forward/attemptend.go
@@ -1,6 +1,7 @@
 package forward
 
 import (
+	"errors"
 	"net/http"
 	"time"
 
@@ -29,7 +30,8 @@
 }
 
 // quarantineOutcome returns the outcome of an attempt for the quarantine. A server error is
-// no evidence: the leaf may have failed before it ran the request.
+// no evidence: the leaf may have failed before it ran the request. Neither are bytes that are
+// no answer: the leaf has not crashed.
 func quarantineOutcome(call *leafwire.Call) quarantine.Outcome {
 	switch call.Reply.Result {
 	case subrequest.OK:
@@ -39,7 +41,7 @@
 			return quarantine.Answered
 		}
 	case subrequest.ConnectionLost:
-		if call.Reply.Sent && !call.IsCancelled() {
+		if call.Reply.Sent && !call.IsCancelled() && !errors.Is(call.Reply.Err, leafwire.ErrMalformed) {
 			return quarantine.ConnectionLost
 		}
 	}
--- a/internal/transport/forward/crash_test.go
+++ b/internal/transport/forward/crash_test.go
@@ -247,3 +247,21 @@
 		})
 	}
 }
+
+// TestMalformedRepliesAreNoCrashes guards against a good request that is quarantined since
+// leafs answered it with bytes that are no answer.
+func TestMalformedRepliesAreNoCrashes(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		malformed := leafwire.Reply{Result: subrequest.ConnectionLost, Sent: true, Err: fmt.Errorf("leaf: %w", leafwire.ErrMalformed)}
+		r := newRig(t, queryRoute(1, 1), map[string]behaviour{"a/1": endingAfter(ms, malformed), "a/2": endingAfter(ms, malformed)})
+		for range 5 {
+			r.do(t.Context(), http.MethodGet, "/good")
+			time.Sleep(time.Second)
+		}
+		before := len(r.leafClient.started)
+		r.do(t.Context(), http.MethodGet, "/good")
+		if len(r.leafClient.started) == before {
+			t.Error("a good request is in quarantine")
+		}
+	})
+}
--- a/internal/transport/leafwire/conn.go
+++ b/internal/transport/leafwire/conn.go
@@ -2,7 +2,9 @@
 
 import (
 	"bufio"
+	"errors"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"strconv"
@@ -264,9 +266,18 @@
 
 // lostReply returns the result of a call whose response could not be read.
 func (c *conn) lostReply(err error) Reply {
+	if !isBrokenOff(err) {
+		err = fmt.Errorf("%w: %w", ErrMalformed, err)
+	}
 	return Reply{
 		Result: subrequest.ConnectionLost,
 		Sent:   true,
-		Err:    fault.Wrap(fmt.Errorf("reply truncated or malformed: %w", err), fault.StepReply, c.pool.vm.Address, "leaf %s", c.pool.vm.ID),
+		Err:    fault.Wrap(fmt.Errorf("reply not usable: %w", err), fault.StepReply, c.pool.vm.Address, "leaf %s", c.pool.vm.ID),
 	}
 }
+
+// isBrokenOff reports whether an error means that the connection ended within a reply.
+func isBrokenOff(err error) bool {
+	var network net.Error
+	return errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) || errors.As(err, &network)
+}
--- a/internal/transport/leafwire/leafwire.go
+++ b/internal/transport/leafwire/leafwire.go
@@ -50,6 +50,8 @@
 	ErrRefused = errors.New("leaf accepts no connection")
 	// ErrStayAway means that the leaf leaves or has asked for a pause.
 	ErrStayAway = errors.New("leaf takes no new requests")
+	// ErrMalformed means that the leaf has sent bytes that are no answer, or too many.
+	ErrMalformed = errors.New("no answer in the protocol")
 	// ErrRequestIDMismatch means that a reply carries the ID of another request, or none
 	// although the leaf states it in other replies.
 	ErrRequestIDMismatch = errors.New("reply belongs to another request")
--- a/internal/transport/leafwire/leafwire_test.go
+++ b/internal/transport/leafwire/leafwire_test.go
@@ -146,6 +146,9 @@
 			if reply.Result != test.result || reply.Sent != test.sent {
 				t.Errorf("result %d, sent %t, error %v; want %d, %t", reply.Result, reply.Sent, reply.Err, test.result, test.sent)
 			}
+			if malformed := test.name == "no response"; errors.Is(reply.Err, ErrMalformed) != malformed {
+				t.Errorf("error %v, malformed should be %t", reply.Err, malformed)
+			}
 			if (reply.Err == nil) != (test.result == subrequest.OK) {
 				t.Errorf("error %v with result %d", reply.Err, reply.Result)
 			}
