--- a/internal/transport/forward/notices.go
+++ b/internal/transport/forward/notices.go
@@ -14,7 +14,7 @@
 	"github.com/hickorydock/hickorydock/internal/transport/leafwire"
 )
 
-// Notices by which a leaf asks for no new requests, in metrics.
+// Notices by which a leaf asks for no or fewer new requests, in metrics.
 const (
 	noticeLeaving = "leaving"
 	noticePause   = "pause"
