Log a quarantine that another one lifts as explained

Cause: when another request's quarantine lifts one but its last attribution stays, no event was emitted, so the log showed a request in quarantine that was not any more. Change: the event is emitted also then. Nothing that is decided changes; the tests of the package pass.

--- a/internal/coordination/quarantine/suspect.go
+++ b/internal/coordination/quarantine/suspect.go
@@ -164,12 +164,12 @@
 }
 
 // removeExplained removes the attributions of crashes that another fingerprint may
-// explain, and reports whether there were any. It also lifts a first quarantine if too few
-// attributions remain. The latest attribution always remains: either fingerprint may be the
+// explain, and reports whether that changed anything. It also lifts a first quarantine if too
+// few attributions remain. The latest attribution always remains: either fingerprint may be the
 // one that crashes leafs, and a suspect runs on one leaf at a time until it is answered.
 func (s *suspect) removeExplained(explained []attribution) bool {
 	latest := s.attributions[len(s.attributions)-1]
-	before := len(s.attributions)
+	before, wasQuarantined := len(s.attributions), !s.quarantinedAt.IsZero()
 	s.attributions = slices.DeleteFunc(s.attributions, func(candidate attribution) bool {
 		return slices.ContainsFunc(explained, func(a attribution) bool {
 			return a.leaf == candidate.leaf && candidate.at.Sub(a.at).Abs() < crashWindow
@@ -181,7 +181,7 @@
 	if len(s.attributions) < crashThreshold && s.quarantineCount <= 1 {
 		s.quarantinedAt = time.Time{}
 	}
-	return len(s.attributions) < before
+	return len(s.attributions) < before || wasQuarantined && s.quarantinedAt.IsZero()
 }
 
 func (l *Ledger) evictOldest() {
