--- a/internal/transport/mesh/report_test.go
+++ b/internal/transport/mesh/report_test.go
@@ -153,3 +153,46 @@
 		}
 	}
 }
+
+// TestQuarantineOutlastsFleet guards against a request in quarantine that crashes all leafs
+// again after all nodes have ended at the same moment.
+func TestQuarantineOutlastsFleet(t *testing.T) {
+	const fingerprint = quarantine.Fingerprint(1)
+	store := newPlatform()
+	var ledgers []*guard.Guard
+	configure := func(_ int, m *Mesh) {
+		g := guard.New(nil)
+		g.SetPeers(m)
+		ledgers = append(ledgers, g)
+		m.cfg.OnReport = g.Receive
+		m.cfg.KnownReports = g.Known
+	}
+	nodes := startConfigured(t, 2, func(int) platform.Client { return store }, configure)
+	awaitMembers(t, nodes)
+	for _, leaf := range []string{"a", "b"} {
+		attempt := quarantine.Attempt{Fingerprint: fingerprint, Leaf: leaf}
+		for ledgers[0].TryEnter(&attempt) == quarantine.Hold {
+			time.Sleep(quarantine.ReportDelay())
+		}
+		ledgers[0].Leave(attempt, quarantine.ConnectionLost)
+	}
+	if _, quarantined := ledgers[0].Quarantined(fingerprint); !quarantined {
+		t.Fatal("the request is not in quarantine")
+	}
+	for _, n := range nodes {
+		n.Mesh.Close(t.Context())
+	}
+	ledgers = nil
+	startConfigured(t, 2, func(int) platform.Client { return store }, configure)
+	for i, l := range ledgers {
+		for startedAt := time.Now(); ; time.Sleep(5 * time.Millisecond) {
+			if _, quarantined := l.Quarantined(fingerprint); quarantined {
+				break
+			}
+			if time.Since(startedAt) > 2*time.Second {
+				t.Errorf("node %d does not know the quarantine", i)
+				break
+			}
+		}
+	}
+}
