A limit that changes keeps the time of the next request

Cause: each new number put the next request a period after the answer. A leaf whose limit differs a little in each answer would have got less than its limit. Found by reading; not seen in a play. Change: the next request is put off only when there was no limit, and brought forward when the new period ends earlier. TestLimitOfLeafs, TestLimitChangesAndEnds and TestSumOverNodes pass.

--- a/internal/coordination/ratelimit/ratelimit.go
+++ b/internal/coordination/ratelimit/ratelimit.go
@@ -68,11 +68,12 @@
 func OnStated(state leaf.Limit, limit float64, node Node, now time.Time) leaf.Limit {
 	next := leaf.Limit{Stated: true, PerSecond: max(limit, minLimit), StatedAt: now, NextSend: state.NextSend}
 	period := Period(next, node.Sharers)
-	if !state.Stated || state.PerSecond != next.PerSecond {
-		next.NextSend = now.Add(period)
-		if period > burst {
-			next.NextSend = node.slotAfter(now.Add(period), period)
-		}
+	latest := now.Add(period)
+	if period > burst {
+		latest = node.slotAfter(latest, period)
+	}
+	if !state.Stated || next.NextSend.After(latest) {
+		next.NextSend = latest
 	}
 	return next
 }
