--- a/internal/coordination/ratelimit/ratelimit_test.go
+++ b/internal/coordination/ratelimit/ratelimit_test.go
@@ -7,9 +7,13 @@
 
 	"pgregory.net/rapid"
 
+	"github.com/hickorydock/hickorydock/internal/protocol/rapidtest"
 	"github.com/hickorydock/hickorydock/internal/state/leaf"
 )
 
+// TestMain fixes the seed of the random histories; -rapid.seed overrides it.
+func TestMain(m *testing.M) { rapidtest.Run(m, 1) }
+
 func TestParse(t *testing.T) {
 	for _, value := range []string{"", "x", "-1", "NaN", "Inf", "1e7", "1,5", "5 per s"} {
 		if limit, err := Parse(value); err == nil {
