Name what a member that joins is sent, and the call that ends a hold, by what they do

Cause: read as a newcomer, "informant", "newcomer", "Known" and "Relax" had to be explained. Change: quarantine.Senders (moved from reader, which decides about the platform), Quarantines and ClearLimitedUntil; the three comments state one fact each.

--- a/internal/state/leaf/leaf.go
+++ b/internal/state/leaf/leaf.go
@@ -226,8 +226,8 @@
 }
 
 // UpdateLimit replaces the limit by the result of update. If that changes when this node may
-// send to the leaf again to a time after now, it returns that time, at which Relax must be
-// called.
+// send to the leaf again to a time after now, it returns that time, at which
+// ClearLimitedUntil must be called.
 func (r *Record) UpdateLimit(now time.Time, update func(Limit) Limit) (until time.Time) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -244,8 +244,8 @@
 	return r.stats.LimitedUntil
 }
 
-// Relax lets requests through again if the time until which they are held back has come.
-func (r *Record) Relax(now time.Time) {
+// ClearLimitedUntil makes the leaf usable again if LimitedUntil has come.
+func (r *Record) ClearLimitedUntil(now time.Time) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if !now.Before(r.stats.LimitedUntil) {
--- a/internal/transport/forward/limit.go
+++ b/internal/transport/forward/limit.go
@@ -111,7 +111,7 @@
 // from the leaf until the next one may be sent.
 func (f *Forwarder) changeLimit(now time.Time, record *leaf.Record, update func(leaf.Limit) leaf.Limit) {
 	if until := record.UpdateLimit(now, update); !until.IsZero() {
-		time.AfterFunc(until.Sub(now), func() { record.Relax(time.Now()) })
+		time.AfterFunc(until.Sub(now), func() { record.ClearLimitedUntil(time.Now()) })
 	}
 }
 
--- a/internal/transport/guard/guard.go
+++ b/internal/transport/guard/guard.go
@@ -138,11 +138,12 @@
 	}
 }
 
-// Known returns reports of the fingerprints in quarantine; see quarantine.Ledger.Known.
-func (g *Guard) Known() []quarantine.Report {
+// Quarantines returns reports of the fingerprints in quarantine; see
+// quarantine.Ledger.Quarantines.
+func (g *Guard) Quarantines() []quarantine.Report {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.ledger.Known(time.Now())
+	return g.ledger.Quarantines(time.Now())
 }
 
 // Receive handles a report of another node.
--- a/internal/transport/mesh/mesh.go
+++ b/internal/transport/mesh/mesh.go
@@ -49,9 +49,9 @@
 	// OnReport is called with each quarantine report of another node; if nil, the
 	// call of the other node fails.
 	OnReport func(quarantine.Report)
-	// KnownReports returns reports of what a member that has just started or returned must
-	// know; it may be nil.
-	KnownReports func() []quarantine.Report
+	// Quarantines returns reports of the requests in quarantine, for members that join; it
+	// may be nil.
+	Quarantines func() []quarantine.Report
 	// OnReportsSent is called with the result for n reports to another node; it may be nil.
 	OnReportsSent func(result string, n int)
 	Log           log.Interface
@@ -186,7 +186,7 @@
 	}
 	present := m.present
 	m.mu.Unlock()
-	m.informNewcomers(before, present, actions.Changed)
+	m.sendQuarantines(before, present, actions.Changed)
 	for _, member := range actions.Changed {
 		m.cfg.Log.WithFields(log.Fields{"node": member.ID, "state": member.State.String(), "start": member.Start, "present": len(present)}).Info("node changed")
 	}
--- a/internal/transport/mesh/report.go
+++ b/internal/transport/mesh/report.go
@@ -9,7 +9,6 @@
 	"storj.io/drpc/drpcconn"
 
 	"github.com/hickorydock/hickorydock/internal/coordination/quarantine"
-	"github.com/hickorydock/hickorydock/internal/coordination/reader"
 	messages "github.com/hickorydock/hickorydock/internal/protocol/membership"
 	contract "github.com/hickorydock/hickorydock/internal/protocol/peer"
 )
@@ -71,20 +70,20 @@
 	}
 }
 
-// informNewcomers tells members that have just started or returned what this node knows of
-// requests in quarantine, if it is one of their informants.
-func (m *Mesh) informNewcomers(before, present, changed []messages.Member) {
-	if m.cfg.KnownReports == nil {
+// sendQuarantines sends the quarantines of this node to members that were not present before,
+// if it is one of their senders.
+func (m *Mesh) sendQuarantines(before, present, changed []messages.Member) {
+	if m.cfg.Quarantines == nil {
 		return
 	}
 	for _, member := range changed {
 		if member.ID == m.cfg.Node || member.State != messages.Alive || wasPresent(before, member) {
 			continue
 		}
-		if !slices.Contains(reader.Informants(present, member.ID), m.cfg.Node) {
+		if !slices.Contains(quarantine.Senders(present, member.ID), m.cfg.Node) {
 			continue
 		}
-		for _, r := range m.cfg.KnownReports() {
+		for _, r := range m.cfg.Quarantines() {
 			m.reports.add(time.Now(), member.ID, r)
 		}
 	}
