Keep quarantines in the platform for a fleet that starts after all its nodes have ended

What callers would see: after a power failure of all machines, a request in quarantine crashes the leafs of a whole fan-out again. Cause: ledgers are held in memory only, and members that join learn from members that run.

--- a/internal/coordination/quarantine/event.go
+++ b/internal/coordination/quarantine/event.go
@@ -29,8 +29,8 @@
 // SetObserver sets a function that is called with each event; it must not block.
 func (l *Ledger) SetObserver(observe func(Event)) { l.observe = observe }
 
-func (l *Ledger) emit(kind EventKind, f Fingerprint, leaf string, attributions int) {
+func (l *Ledger) emit(e Event) {
 	if l.observe != nil {
-		l.observe(Event{Kind: kind, Fingerprint: f, Leaf: leaf, Attributions: attributions})
+		l.observe(e)
 	}
 }
--- a/internal/coordination/quarantine/joined.go
+++ b/internal/coordination/quarantine/joined.go
@@ -35,18 +35,31 @@
 	return chosen
 }
 
-// Quarantines returns reports that put the fingerprints in quarantine at now into quarantine
-// at their receiver, for the length of a new quarantine. They name unique placeholders in
-// place of leafs, so that they explain no attribution to another fingerprint.
-func (l *Ledger) Quarantines(now time.Time) []Report {
-	var reports []Report
+// Entry is a fingerprint in quarantine.
+type Entry struct {
+	Fingerprint Fingerprint
+	// Remaining is how much longer the quarantine lasts.
+	Remaining time.Duration
+}
+
+// Entries returns the fingerprints in quarantine at now.
+func (l *Ledger) Entries(now time.Time) []Entry {
+	var entries []Entry
 	for f, s := range l.suspects {
-		if s.quarantinedAt.IsZero() || !now.Before(s.quarantinedUntil) {
-			continue
-		}
-		for i := range crashThreshold {
-			reports = append(reports, Report{CrashAttributed, f, fmt.Sprintf("known/%016x/%d", uint64(f), i)})
+		if remaining := s.quarantinedUntil.Sub(now); !s.quarantinedAt.IsZero() && remaining > 0 {
+			entries = append(entries, Entry{f, remaining})
 		}
 	}
+	return entries
+}
+
+// Reports returns reports that put a fingerprint into quarantine at their receiver, for the
+// length of a new quarantine. They name unique placeholders in place of leafs, so that they
+// explain no attribution to another fingerprint.
+func Reports(f Fingerprint) []Report {
+	reports := make([]Report, crashThreshold)
+	for i := range reports {
+		reports[i] = Report{CrashAttributed, f, fmt.Sprintf("known/%016x/%d", uint64(f), i)}
+	}
 	return reports
 }
--- a/internal/coordination/quarantine/suspect.go
+++ b/internal/coordination/quarantine/suspect.go
@@ -141,24 +141,24 @@
 	}
 	s.attributions = append(s.attributions, attribution{leaf, now})
 	s.lastAttributed = now
-	l.emit(EventAttributed, f, leaf, len(s.attributions))
+	l.emit(Event{Kind: EventAttributed, Fingerprint: f, Leaf: leaf, Attributions: len(s.attributions)})
 	if len(s.attributions) >= crashThreshold && s.quarantinedAt.IsZero() {
-		l.quarantine(now, f, s)
+		l.quarantine(now, s)
+		l.emit(Event{Kind: EventQuarantined, Fingerprint: f, Attributions: len(s.attributions)})
 	}
 	return true
 }
 
 // quarantine puts a fingerprint into quarantine and removes the attributions of the
 // same crashes to other fingerprints, but for the last.
-func (l *Ledger) quarantine(now time.Time, f Fingerprint, s *suspect) {
+func (l *Ledger) quarantine(now time.Time, s *suspect) {
 	ttl := min(quarantineTTL<<min(s.quarantineCount, 8), maxQuarantineTTL)
 	s.quarantineCount++
 	s.quarantinedAt = now
 	s.quarantinedUntil = now.Add(ttl)
-	l.emit(EventQuarantined, f, "", len(s.attributions))
 	for otherF, other := range l.suspects {
 		if other != s && other.removeExplained(s.attributions) {
-			l.emit(EventExplained, otherF, "", len(other.attributions))
+			l.emit(Event{Kind: EventExplained, Fingerprint: otherF, Attributions: len(other.attributions)})
 		}
 	}
 }
--- a/internal/coordination/quarantine/verified.go
+++ b/internal/coordination/quarantine/verified.go
@@ -7,7 +7,7 @@
 func (l *Ledger) markVerified(now time.Time, f Fingerprint) {
 	if s := l.suspects[f]; s != nil && s.quarantinedAt.IsZero() {
 		delete(l.suspects, f)
-		l.emit(EventCleared, f, "", 0)
+		l.emit(Event{Kind: EventCleared, Fingerprint: f})
 	}
 	if l.isVerified(now, f) {
 		return
--- a/internal/node/gateway/control.go
+++ b/internal/node/gateway/control.go
@@ -50,6 +50,7 @@
 	running.Go(func() { c.watcher(platform.KindRouting, c.tableListed, c.tableChanged).Run(ctx) })
 	running.Go(func() { c.watcher(platform.KindVM, c.leafsListed, c.leafChanged).Run(ctx) })
 	running.Go(func() { c.client.RunContacts(ctx) })
+	running.Go(func() { c.client.RunQuarantines(ctx) })
 	running.Go(func() { c.client.AdoptFromMember(ctx, platform.KindRouting, c.tableListed) })
 	running.Wait()
 }
--- a/internal/node/gateway/wiring.go
+++ b/internal/node/gateway/wiring.go
@@ -62,7 +62,7 @@
 		Mirror:           localMirror,
 		OnReport:         g.Receive,
 		OnReportsSent:    collectors.QuarantineReports,
-		Quarantines:      g.Quarantines,
+		Quarantines:      g.Entries,
 		Log:              logger,
 		OnMembersChanged: func(members []membership.Member) {
 			r.setMembers(members)
--- a/internal/protocol/platform/platform.go
+++ b/internal/protocol/platform/platform.go
@@ -30,6 +30,9 @@
 	KindNode Kind = "node"
 	// KindContact holds the addresses of a few gateways, for those that start.
 	KindContact Kind = "contact"
+	// KindQuarantine holds the requests in quarantine, in the object QuarantineName, for
+	// gateways that start after all have ended.
+	KindQuarantine Kind = "quarantine"
 )
 
 // CatalogueName is the name of the single object of KindCatalogue.
@@ -38,6 +41,9 @@
 // RoutingName is the name of the single object of KindRouting.
 const RoutingName = "current"
 
+// QuarantineName is the name of the single object of KindQuarantine.
+const QuarantineName = "current"
+
 // Object is one stored value.
 type Object struct {
 	Kind Kind   `json:"kind"`
@@ -130,5 +136,18 @@
 	Address string `json:"address"`
 }
 
+// Quarantines is the value of the object of KindQuarantine.
+type Quarantines struct {
+	Entries []QuarantineEntry `json:"entries"`
+}
+
+// QuarantineEntry is one request in quarantine.
+type QuarantineEntry struct {
+	// Fingerprint identifies the request, in hexadecimal digits.
+	Fingerprint string `json:"fingerprint"`
+	// UntilMs is the end of the quarantine in Unix milliseconds.
+	UntilMs int64 `json:"until_ms"`
+}
+
 // NodeGroup is the group of hickorydock's own VMs.
 const NodeGroup = "hickorydock"
--- a/internal/transport/guard/guard.go
+++ b/internal/transport/guard/guard.go
@@ -138,12 +138,11 @@
 	}
 }
 
-// Quarantines returns reports of the fingerprints in quarantine; see
-// quarantine.Ledger.Quarantines.
-func (g *Guard) Quarantines() []quarantine.Report {
+// Entries returns the fingerprints in quarantine.
+func (g *Guard) Entries() []quarantine.Entry {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.ledger.Quarantines(time.Now())
+	return g.ledger.Entries(time.Now())
 }
 
 // Receive handles a report of another node.
--- a/internal/transport/mesh/client.go
+++ b/internal/transport/mesh/client.go
@@ -33,6 +33,8 @@
 
 	// readsPlatform is true once this node has read a list from the platform itself.
 	readsPlatform atomic.Bool
+	// stored are the quarantines that this node has stored or restored.
+	stored storedQuarantines
 	// unanswered is true once no contact has answered; see reader.Input.
 	unanswered atomic.Bool
 
--- a/internal/transport/mesh/mesh.go
+++ b/internal/transport/mesh/mesh.go
@@ -49,9 +49,9 @@
 	// OnReport is called with each quarantine report of another node; if nil, the
 	// call of the other node fails.
 	OnReport func(quarantine.Report)
-	// Quarantines returns reports of the requests in quarantine, for members that join; it
-	// may be nil.
-	Quarantines func() []quarantine.Report
+	// Quarantines returns the requests in quarantine, for members that join and for the
+	// platform; it may be nil.
+	Quarantines func() []quarantine.Entry
 	// OnReportsSent is called with the result for n reports to another node; it may be nil.
 	OnReportsSent func(result string, n int)
 	Log           log.Interface
@@ -77,13 +77,16 @@
 	// contacts are the addresses that the platform lists, besides the seeds.
 	contacts atomic.Pointer[[]string]
 
-	streams   sync.Map // node -> *batchStream
-	reports   *reportSender
-	datagrams net.PacketConn
-	listener  net.Listener
-	closing   context.Context // ends when the mesh is closed
-	cancel    context.CancelFunc
-	running   sync.WaitGroup
+	streams sync.Map // node -> *batchStream
+	reports *reportSender
+	// crashAttributed holds a value after this node has attributed a crash, until
+	// Client.RunQuarantines handles it.
+	crashAttributed chan struct{}
+	datagrams       net.PacketConn
+	listener        net.Listener
+	closing         context.Context // ends when the mesh is closed
+	cancel          context.CancelFunc
+	running         sync.WaitGroup
 }
 
 // New returns a mesh that does not listen before Start. batches serves parts of
@@ -109,6 +112,7 @@
 	m.present = m.view.Members()
 	m.closing, m.cancel = context.WithCancel(context.Background())
 	m.reports = newReportSender(m)
+	m.crashAttributed = make(chan struct{}, 1)
 	var err error
 	if m.batches, err = peer.NewServer(m.peerConfig, batches); err != nil {
 		return nil, err
--- a/internal/transport/mesh/mesh_test.go
+++ b/internal/transport/mesh/mesh_test.go
@@ -49,7 +49,7 @@
 
 func newPlatform() *fakePlatform {
 	p := &fakePlatform{objects: mirror.New(), version: 1}
-	for _, kind := range []platform.Kind{platform.KindRouting, platform.KindContact} {
+	for _, kind := range []platform.Kind{platform.KindRouting, platform.KindContact, platform.KindQuarantine} {
 		p.objects.Replace(kind, platform.Listing{Version: p.version}, time.Now())
 	}
 	return p
@@ -195,6 +195,9 @@
 	}
 	var running sync.WaitGroup
 	running.Go(func() { w.Run(ctx) })
+	if m.cfg.Quarantines != nil {
+		running.Go(func() { client.RunQuarantines(ctx) })
+	}
 	if contacts {
 		running.Go(func() { client.RunContacts(ctx) })
 	}
--- a/internal/transport/mesh/report.go
+++ b/internal/transport/mesh/report.go
@@ -68,6 +68,12 @@
 			m.reports.add(now, member.ID, r)
 		}
 	}
+	if r.Kind == quarantine.CrashAttributed {
+		select {
+		case m.crashAttributed <- struct{}{}:
+		default: // what is handled next includes it
+		}
+	}
 }
 
 // sendQuarantines sends the quarantines of this node to members that were not present before,
@@ -83,8 +89,10 @@
 		if !slices.Contains(quarantine.Senders(present, member.ID), m.cfg.Node) {
 			continue
 		}
-		for _, r := range m.cfg.Quarantines() {
-			m.reports.add(time.Now(), member.ID, r)
+		for _, entry := range m.cfg.Quarantines() {
+			for _, r := range quarantine.Reports(entry.Fingerprint) {
+				m.reports.add(time.Now(), member.ID, r)
+			}
 		}
 	}
 }
--- a/internal/transport/mesh/report_test.go
+++ b/internal/transport/mesh/report_test.go
@@ -127,7 +127,7 @@
 	configure := func(i int, m *Mesh) {
 		ledgers[i] = guard.New(nil)
 		m.cfg.OnReport = ledgers[i].Receive
-		m.cfg.Quarantines = ledgers[i].Quarantines
+		m.cfg.Quarantines = ledgers[i].Entries
 	}
 	nodes := startConfigured(t, 3, func(int) platform.Client { return store }, configure)
 	awaitMembers(t, nodes)
@@ -165,7 +165,7 @@
 		g.SetPeers(m)
 		ledgers = append(ledgers, g)
 		m.cfg.OnReport = g.Receive
-		m.cfg.Quarantines = g.Quarantines
+		m.cfg.Quarantines = g.Entries
 	}
 	nodes := startConfigured(t, 2, func(int) platform.Client { return store }, configure)
 	awaitMembers(t, nodes)
