Log and count connections to leafs that fail, with the cause

Now each has a line and a counter with its cause, without those that were cancelled or idle. No decision changes.

--- a/internal/node/gateway/wiring.go
+++ b/internal/node/gateway/wiring.go
@@ -97,6 +97,10 @@
 		OnRefused: func(vm platform.VM, open int) {
 			logger.WithFields(log.Fields{"leaf": vm.ID, "group": vm.Group, "open": open, "limit": maxConnections(vm.Group)}).Warn("leaf reset a fresh connection")
 		},
+		OnFailure: func(vm platform.VM, cause leafwire.Cause, open int) {
+			m.LeafConnectionFailed(string(cause))
+			logger.WithFields(log.Fields{"leaf": vm.ID, "group": vm.Group, "cause": string(cause), "open": open}).Info("connection to leaf failed")
+		},
 	})
 }
 
--- a/internal/transport/leafwire/conn.go
+++ b/internal/transport/leafwire/conn.go
@@ -105,6 +105,9 @@
 		c.hadReply = c.hadReply || complete
 		if !c.endCall(call, reply, reusable && complete) {
 			c.close()
+			if reply.Result == subrequest.ConnectionLost {
+				c.reportLoss(call, reply.Err)
+			}
 			return
 		}
 	}
@@ -123,10 +126,21 @@
 	fresh := !c.hadReply && !call.cancelled
 	c.pool.mu.Unlock()
 	c.pool.connClosed(c, fresh)
+	c.reportLoss(call, err)
 	c.endCall(call, Reply{Result: subrequest.ConnectionLost, Sent: true, Err: err}, false)
 	_ = c.netConn.Close()
 }
 
+// reportLoss reports the loss of a connection, unless it was closed to cancel its call.
+func (c *conn) reportLoss(call *Call, err error) {
+	c.pool.mu.Lock()
+	cancelled := call.cancelled
+	c.pool.mu.Unlock()
+	if !cancelled {
+		c.pool.reportFailure(lossCause(err))
+	}
+}
+
 func (c *conn) close() {
 	_ = c.netConn.Close()
 	c.pool.connClosed(c, false)
--- a/internal/transport/leafwire/leafwire.go
+++ b/internal/transport/leafwire/leafwire.go
@@ -131,6 +131,9 @@
 	// reducedLimitPeriod for each leaf, with the number of the other connections to it. It
 	// may be nil.
 	OnRefused func(vm platform.VM, open int)
+	// OnFailure is called when a dial fails and when a connection is lost that was neither
+	// idle nor cancelled, with the number of the other connections to the leaf. It may be nil.
+	OnFailure func(vm platform.VM, cause Cause, open int)
 }
 
 // Client sends calls. It is safe for concurrent use.
@@ -151,6 +154,9 @@
 	if cfg.OnRefused == nil {
 		cfg.OnRefused = func(platform.VM, int) {}
 	}
+	if cfg.OnFailure == nil {
+		cfg.OnFailure = noFailureHandler
+	}
 	return &Client{cfg: cfg}
 }
 
--- a/internal/transport/leafwire/pool.go
+++ b/internal/transport/leafwire/pool.go
@@ -95,6 +95,7 @@
 	cancel()
 	if err != nil {
 		p.dialFailed(fault.Wrap(err, fault.StepConnect, p.vm.Address, "connect to leaf %s", p.vm.ID))
+		p.reportFailure(dialCause(err))
 		return
 	}
 	defer p.client.cfg.OnConnect()()
--- a/internal/transport/metrics/metrics.go
+++ b/internal/transport/metrics/metrics.go
@@ -64,6 +64,7 @@
 	platformCalls         *prometheus.HistogramVec
 	leafConnections       prometheus.Gauge
 	leafConnectionsOpened prometheus.Counter
+	leafConnectionsFailed *prometheus.CounterVec
 	quarantineEntries     prometheus.Gauge
 	quarantineEvents      *prometheus.CounterVec
 	quarantineReports     *prometheus.CounterVec
@@ -105,6 +106,7 @@
 		platformCalls:         histogramVec("platform_call_duration_seconds", "Duration of calls to the platform's object API, by method and result.", prometheus.DefBuckets, "method", "result"),
 		leafConnections:       gauge("leaf_connections", "Open connections to leafs."),
 		leafConnectionsOpened: counterVec("leaf_connections_opened_total", "Connections opened to leafs.").WithLabelValues(),
+		leafConnectionsFailed: counterVec("leaf_connections_failed_total", "Failed dials and lost connections to leafs, by cause: dial_timeout, dial_refused, dial_failed, timeout, reset, closed or malformed.", "cause"),
 		quarantineEntries:     gauge("quarantine_entries", "Requests in quarantine."),
 		quarantineEvents:      counterVec("quarantine_events_total", "Changes in what this node knows of requests that crash leafs, by event: attributed, quarantined, cleared or explained.", "event"),
 		quarantineReports:     counterVec("quarantine_reports_total", "Quarantine reports for other nodes, by result: delivered, failed or dropped.", "result"),
@@ -120,7 +122,7 @@
 	m.registry.MustRegister(
 		collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}),
 		m.queryDuration, m.queryCoverage, m.queriesInFlight, m.subrequests, m.cancelledSubrequests, m.refusals, m.refusedSubrequests, m.admissionLimit, m.admissionWaiting, m.invariantViolations,
-		m.catalogueRevision, m.oldRevisions, m.platformCalls, m.leafConnections, m.leafConnectionsOpened, m.quarantineEntries, m.quarantineEvents, m.quarantineReports, m.peers,
+		m.catalogueRevision, m.oldRevisions, m.platformCalls, m.leafConnections, m.leafConnectionsOpened, m.leafConnectionsFailed, m.quarantineEntries, m.quarantineEvents, m.quarantineReports, m.peers,
 		m.forwardDuration, m.forwardCoverage, m.forwardAttempts, m.leafNotices, m.routingVersion, m.listedLeafs, m.platformEra,
 	)
 	return m
@@ -259,6 +261,13 @@
 	return m.leafConnections.Dec
 }
 
+// LeafConnectionFailed counts a failed dial or a lost connection.
+func (m *Metrics) LeafConnectionFailed(cause string) {
+	if m != nil {
+		m.leafConnectionsFailed.WithLabelValues(cause).Inc()
+	}
+}
+
 // SetQuarantineSize sets the number of requests in quarantine.
 func (m *Metrics) SetQuarantineSize(entries int) {
 	if m != nil {
