--- a/internal/transport/leafwire/leafwire.go
+++ b/internal/transport/leafwire/leafwire.go
@@ -12,7 +12,6 @@
 	"net/http"
 	"strconv"
 	"sync"
-	"syscall"
 	"time"
 
 	"github.com/hickorydock/hickorydock/internal/coordination/quarantine"
@@ -27,11 +26,6 @@
 const (
 	// dialTimeout bounds opening a connection.
 	dialTimeout = time.Second
-	// unackedTimeout is the time after which a connection with unacknowledged bytes is
-	// closed.
-	unackedTimeout = 2 * time.Second
-	// tcpUserTimeout is the socket option TCP_USER_TIMEOUT of Linux.
-	tcpUserTimeout = 18
 	// reducedLimitPeriod is how long the connection limit of a leaf stays reduced after
 	// the leaf has reset a fresh connection.
 	reducedLimitPeriod = 5 * time.Second
@@ -160,17 +154,6 @@
 	return &Client{cfg: cfg}
 }
 
-func dialTCP(ctx context.Context, address string) (net.Conn, error) {
-	dialer := net.Dialer{Control: func(_, _ string, raw syscall.RawConn) error {
-		var sockErr error
-		err := raw.Control(func(fd uintptr) {
-			sockErr = syscall.SetsockoptInt(int(fd), syscall.IPPROTO_TCP, tcpUserTimeout, int(unackedTimeout.Milliseconds()))
-		})
-		return errors.Join(err, sockErr)
-	}}
-	return dialer.DialContext(ctx, "tcp", address)
-}
-
 func (c *Client) pool(vm platform.VM) *pool {
 	if p, ok := c.findPool(vm.ID); ok {
 		return p
