Send through other gateways what a gateway cut off from all leafs cannot send itself

Cause: a gateway judges each leaf by the connections to it and draws no conclusion when all of them fail together. It goes on sending to leafs itself, 40 to 59 attempts a query, although the other gateways reach them. The class: a failure of one's own is taken for failures of others.

Now coordination/isolation concludes it from a probe: while replies are overdue and no leaf replies, or dials fail to leafs of several groups, up to four leafs without a recent failure are dialled, and only if all of these dials fail is the gateway isolated. What it does not reach itself goes to other gateways over the way that relays use, requests for one leaf too (forward/detour.go, forward/answer.go); pending attempts follow if that cannot run anything twice. A gateway that is isolated itself refuses such batches at once, and what nobody can serve is refused with a time to come back. Two dials that succeed end it, and what failed links said about leafs is dropped.

Mutations of detour.go and serve.go that repeat a request which may run once fail TestDetourRunsOnce.

--- a/internal/coordination/subrequest/subrequest.go
+++ b/internal/coordination/subrequest/subrequest.go
@@ -346,6 +346,9 @@
 	return m.roundAt.Before(m.cfg.Deadline)
 }
 
+// Sent is the number of attempts so far, without those that ended unsent.
+func (m *Machine) Sent() int { return m.sent }
+
 // SkipReason is why no further attempt was sent at the last decision.
 func (m *Machine) SkipReason() SkipReason { return m.skipReason }
 
--- a/internal/node/gateway/gateway.go
+++ b/internal/node/gateway/gateway.go
@@ -25,6 +25,7 @@
 	"github.com/hickorydock/hickorydock/internal/state/routing"
 	"github.com/hickorydock/hickorydock/internal/transport/admin"
 	"github.com/hickorydock/hickorydock/internal/transport/guard"
+	"github.com/hickorydock/hickorydock/internal/transport/links"
 	"github.com/hickorydock/hickorydock/internal/transport/logging"
 	"github.com/hickorydock/hickorydock/internal/transport/metrics"
 	"github.com/hickorydock/hickorydock/internal/transport/tracing"
@@ -90,12 +91,12 @@
 		fx.Provide(
 			func() log.Interface { return g.logger },
 			func() Adapter { return adapter },
-			metrics.New, tracing.FromSettings, leaf.NewTable, group.NewStore, newMirror, newRouting, newRelays, newMesh, newLeafClient, newForwarder, newController, newCallerServer,
+			metrics.New, tracing.FromSettings, leaf.NewTable, group.NewStore, newMirror, newRouting, newRelays, newMesh, newLeafClient, newForwarder, newLinks, newController, newCallerServer,
 			func(cs *callerServer) admin.ReadinessChecker { return cs },
 		),
 		guard.Module,
 		admin.Module,
-		fx.Invoke(func(*admin.Listener, *callerServer) {}, admin.ListenMetrics),
+		fx.Invoke(func(*links.Monitor, *admin.Listener, *callerServer) {}, admin.ListenMetrics),
 		fx.Populate(&g.callerServer),
 	)
 	if err := g.app.Err(); err != nil {
--- a/internal/node/gateway/relays.go
+++ b/internal/node/gateway/relays.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"math/rand/v2"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -14,9 +15,11 @@
 	"github.com/hickorydock/hickorydock/internal/coordination/share"
 	"github.com/hickorydock/hickorydock/internal/protocol/membership"
 	contract "github.com/hickorydock/hickorydock/internal/protocol/peer"
+	"github.com/hickorydock/hickorydock/internal/protocol/platform"
 	"github.com/hickorydock/hickorydock/internal/state/group"
 	"github.com/hickorydock/hickorydock/internal/state/leaf"
 	"github.com/hickorydock/hickorydock/internal/state/routing"
+	"github.com/hickorydock/hickorydock/internal/state/shardmap"
 	"github.com/hickorydock/hickorydock/internal/transport/mesh"
 	"github.com/hickorydock/hickorydock/internal/transport/peer"
 )
@@ -145,6 +148,29 @@
 	return groups
 }
 
+// maxOthers bounds the nodes that Others returns, in this node's zone and outside it.
+const maxOthers = 16
+
+// Others implements forward.Relays: it returns random nodes that are alive.
+func (r *relays) Others() (near, far []shardmap.Replica) {
+	list := r.alive.Load()
+	if list == nil {
+		return nil, nil
+	}
+	for _, i := range rand.Perm(len(list.members)) {
+		m := list.members[i]
+		part := &far
+		if m.AvailabilityZone == r.zone {
+			part = &near
+		}
+		if m.ID == r.node || len(*part) == maxOthers {
+			continue
+		}
+		*part = append(*part, shardmap.Replica{VM: platform.VM{ID: m.ID, AvailabilityZone: m.AvailabilityZone}, Record: r.records.Record(m.ID)})
+	}
+	return near, far
+}
+
 // suspectAfter is the minimum time that a cancelled batch must have run without a result
 // for its node to be suspected.
 const suspectAfter = 20 * time.Millisecond
--- a/internal/node/gateway/wiring.go
+++ b/internal/node/gateway/wiring.go
@@ -19,6 +19,7 @@
 	"github.com/hickorydock/hickorydock/internal/transport/forward"
 	"github.com/hickorydock/hickorydock/internal/transport/guard"
 	"github.com/hickorydock/hickorydock/internal/transport/leafwire"
+	"github.com/hickorydock/hickorydock/internal/transport/links"
 	"github.com/hickorydock/hickorydock/internal/transport/mesh"
 	"github.com/hickorydock/hickorydock/internal/transport/metrics"
 	"github.com/hickorydock/hickorydock/internal/transport/tracing"
@@ -119,6 +120,25 @@
 	return f
 }
 
+// newLinks monitors the links to the leafs. When the node reaches them again, what failed
+// attempts say about single leafs is dropped: its own links had failed.
+func newLinks(leafClient *leafwire.Client, groups *group.Store, f *forward.Forwarder, m *metrics.Metrics, logger log.Interface, lifecycle fx.Lifecycle) *links.Monitor {
+	monitor := links.New(links.Config{
+		Client:   leafClient,
+		Observer: m,
+		Log:      logger,
+		OnReturn: groups.ForgetFailures,
+	})
+	f.Links = monitor
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	lifecycle.Append(fx.StartStopHook(
+		func() { go func() { defer close(done); monitor.Run(ctx) }() },
+		func() { cancel(); <-done },
+	))
+	return monitor
+}
+
 func newController(s settings.Settings, a Adapter, peerMesh *mesh.Mesh, routes *routing.Store, groups *group.Store, leafClient *leafwire.Client, r *relays, f *forward.Forwarder, m *metrics.Metrics, logger log.Interface, lifecycle fx.Lifecycle) *controller {
 	client := mesh.NewClient(a.Client(s), peerMesh, s.Forward.WatchWait())
 	c := &controller{
--- a/internal/state/group/group.go
+++ b/internal/state/group/group.go
@@ -74,6 +74,13 @@
 	return all
 }
 
+// ForgetFailures drops what failed subrequests say about each leaf.
+func (s *Store) ForgetFailures() {
+	for _, l := range s.All() {
+		s.table.Record(l.VM.ID).ForgetFailures()
+	}
+}
+
 // Put adds or replaces a leaf and returns its record. A leaf whose incarnation,
 // address or group changed starts with an empty record.
 func (s *Store) Put(l route.Leaf) *leaf.Record {
--- a/internal/state/leaf/leaf.go
+++ b/internal/state/leaf/leaf.go
@@ -172,6 +172,15 @@
 	}
 }
 
+// ForgetFailures drops what failed and unanswered subrequests say about the leaf.
+func (r *Record) ForgetFailures() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.stats.Failures = 0
+	r.stats.Unanswered = 0
+	r.stats.FailureShare = 0
+}
+
 // countFailure adds a result to the share of failures: 1 for a failure, 0 for an answer.
 func (r *Record) countFailure(failure float64) {
 	r.stats.FailureShare += failureWeight * (failure - r.stats.FailureShare)
--- a/internal/transport/forward/attempts.go
+++ b/internal/transport/forward/attempts.go
@@ -6,6 +6,7 @@
 
 	"go.opentelemetry.io/otel/attribute"
 
+	"github.com/hickorydock/hickorydock/internal/coordination/isolation"
 	"github.com/hickorydock/hickorydock/internal/coordination/quarantine"
 	"github.com/hickorydock/hickorydock/internal/coordination/replica"
 	"github.com/hickorydock/hickorydock/internal/coordination/subrequest"
@@ -21,6 +22,10 @@
 		return
 	}
 	run := &x.shards[shard]
+	if run.unreached {
+		x.failShard(now, shard, query.ReasonNoReplica)
+		return
+	}
 	run.budget = x.f.budget(run.group)
 	run.budget.Earn(1)
 	run.machine = subrequest.New(subrequest.Config{
@@ -120,6 +125,7 @@
 		Shard:             shard,
 		Record:            target.Record,
 		StartedAt:         now,
+		Patience:          x.patience(now),
 		Done:              x.done,
 		QuarantineAttempt: tracked,
 	}
@@ -131,6 +137,19 @@
 	x.f.leafClient.Start(call)
 }
 
+// patienceFactor is the ratio of the time after which a reply is overdue to the usual time.
+const patienceFactor = 3
+
+// patience returns the time after which the reply of a leaf is overdue: well above the usual
+// time, but within the time that is left.
+func (x *exchange) patience(now time.Time) time.Duration {
+	usual := x.window.Quantile()
+	if usual == 0 {
+		usual = x.req.target.Sub(x.req.arrived) / patienceFactor
+	}
+	return max(min(max(patienceFactor*usual, isolation.MinSilence), x.req.deadline.Sub(now)/2), 1)
+}
+
 // attemptKinds is the number of kinds of attempts.
 const attemptKinds = 3
 
@@ -209,6 +228,7 @@
 	x.mayHaveRun = x.mayHaveRun || call.Reply.Sent
 	run := &x.shards[call.Shard]
 	run.lastCall = call
+	run.lastReply = &call.Reply
 	x.handleResult(now, call.Shard, call.Reply.Result)
 }
 
@@ -219,12 +239,14 @@
 	if x.query.IsSettled(shard) {
 		return
 	}
+	if run.detoured {
+		x.detouredResult(now, shard, result)
+		return
+	}
 	decision, next := run.machine.AttemptEnded(now, result)
 	switch decision {
 	case subrequest.Deliver:
-		run.timerAt = time.Time{}
-		reply := &run.lastCall.Reply
-		x.addReply(now, shard, part{receipt: reply.Receipt, records: reply.Body, call: run.lastCall})
+		x.deliver(now, shard)
 	case subrequest.Abandon:
 		run.timerAt = time.Time{}
 		x.failShard(now, shard, run.machine.Reason())
@@ -236,6 +258,14 @@
 	}
 }
 
+// deliver adds the reply of the attempt that ended last.
+func (x *exchange) deliver(now time.Time, shard int) {
+	run := &x.shards[shard]
+	run.timerAt = time.Time{}
+	reply := &run.lastCall.Reply
+	x.addReply(now, shard, part{receipt: reply.Receipt, records: reply.Body, answer: reply})
+}
+
 // addReply adds the reply of a shard to the query. A reply for a settled shard is dropped.
 func (x *exchange) addReply(now time.Time, shard int, reply part) {
 	if x.query.IsSettled(shard) {
--- a/internal/transport/forward/exchange.go
+++ b/internal/transport/forward/exchange.go
@@ -22,8 +22,8 @@
 	records []byte
 	// merged holds the records instead if they were merged with those of other shards.
 	merged *mergedResult
-	// call is the attempt that received the reply; nil if it came from a relay.
-	call *leafwire.Call
+	// answer is the reply of the leaf; nil if only its records came from a relay.
+	answer *leafwire.Reply
 }
 
 // shardRun is the state of one shard of a request.
@@ -36,6 +36,13 @@
 	// timerAt is when the timer of the shard fires; zero means never.
 	timerAt  time.Time
 	lastCall *leafwire.Call
+	// lastReply is the last reply of a leaf, which a relay may have received.
+	lastReply *leafwire.Reply
+	// unreached is true if the group has leafs, but this node reaches none of them.
+	unreached bool
+	// detoured is true once the shard has gone to another node while attempts of this node
+	// were pending.
+	detoured bool
 	// lastTarget is the node or leaf to which the shard was sent last.
 	lastTarget string
 }
@@ -89,6 +96,11 @@
 	maxSends := 0
 	for i, group := range groups {
 		replicas := f.groups.Replicas(group)
+		reached := f.reached(replicas)
+		x.shards[i].unreached = len(replicas) > 0 && len(reached) == 0
+		if !x.shards[i].unreached {
+			replicas = reached
+		}
 		x.view.Replicas[i] = replicas
 		if len(replicas) > 0 {
 			x.view.Covered++
@@ -149,11 +161,11 @@
 	return true
 }
 
-// failUnusableShards fails the shards that have no leaf which takes new requests, so that a
-// request that cannot be served is refused before anything is sent.
+// failUnusableShards fails the shards that have no leaf which takes new requests and which this
+// node reaches, so that a request that cannot be served is refused before anything is sent.
 func (x *exchange) failUnusableShards(now time.Time) {
 	for shard, replicas := range x.view.Replicas {
-		if len(replicas) > 0 && !slices.ContainsFunc(replicas, isUsable) {
+		if x.shards[shard].unreached || len(replicas) > 0 && !slices.ContainsFunc(replicas, isUsable) {
 			x.failShard(now, shard, query.ReasonNoReplica)
 		}
 	}
@@ -177,6 +189,7 @@
 func (x *exchange) loop(ctx context.Context, isDone func(now time.Time) bool) bool {
 	timer := time.NewTimer(time.Until(x.nextWake()))
 	defer timer.Stop()
+	lost := x.f.Links.Lost()
 	for !isDone(time.Now()) {
 		select {
 		case <-ctx.Done():
@@ -189,6 +202,9 @@
 			x.drainEvents()
 		case now := <-timer.C:
 			x.fireTimers(now)
+		case <-lost:
+			lost = nil
+			x.linksLost(time.Now())
 		}
 		timer.Reset(time.Until(x.nextWake()))
 	}
--- a/internal/transport/forward/forward.go
+++ b/internal/transport/forward/forward.go
@@ -115,11 +115,15 @@
 	// Relays sends shards to other nodes. Nil means that this node sends to all leafs
 	// itself.
 	Relays Relays
+	// Links says which leafs this node reaches.
+	Links Links
+	// detours is the number of batches in progress of nodes that are cut off from the leafs.
+	detours atomic.Int64
 }
 
 // New returns a Forwarder.
 func New(cfg Config, routes *routing.Store, groups *group.Store, leafClient LeafClient, g *guard.Guard, observer Observer, logger log.Interface) *Forwarder {
-	return &Forwarder{cfg: cfg, routing: routes, groups: groups, leafClient: leafClient, guard: g, observer: observer, log: logger, startedAt: time.Now(), limitPhase: rand.Float64(), Tracer: tracing.Off()}
+	return &Forwarder{cfg: cfg, routing: routes, groups: groups, leafClient: leafClient, guard: g, observer: observer, log: logger, startedAt: time.Now(), limitPhase: rand.Float64(), Tracer: tracing.Off(), Links: soundLinks{}}
 }
 
 // Stop makes the connections of callers close after their next response.
--- a/internal/transport/forward/merge_test.go
+++ b/internal/transport/forward/merge_test.go
@@ -270,6 +270,8 @@
 	link     *narrowLink
 }
 
+func (r *linkRelays) Others() (near, far []shardmap.Replica) { return nil, nil }
+
 func (r *linkRelays) Clusters(*route.Route) []Cluster { return r.clusters }
 
 func (r *linkRelays) Do(ctx context.Context, node string, batch *contract.Batch, deliver func(peer.Result)) error {
--- a/internal/transport/forward/relay.go
+++ b/internal/transport/forward/relay.go
@@ -44,6 +44,9 @@
 	// Clusters partitions the shards of a route by their relays, or returns nil if this
 	// node sends to all leafs itself. Callers must not modify the result.
 	Clusters(r *route.Route) []Cluster
+	// Others returns other nodes that reach leafs themselves, those in the availability zone
+	// of this node first.
+	Others() (near, far []shardmap.Replica)
 	// Do sends a batch to a node; see peer.Client.Do.
 	Do(ctx context.Context, node string, batch *contract.Batch, deliver func(peer.Result)) error
 }
@@ -54,6 +57,8 @@
 	cancel  context.CancelFunc
 	// answered is true once a reply for any shard has arrived.
 	answered bool
+	// tries is the number of relays that the shards were sent to.
+	tries int
 	// hedgeAt is when the unanswered shards are sent to another relay; zero means never.
 	hedgeAt time.Time
 }
@@ -67,6 +72,9 @@
 	// other relay merges results, since two merged results that overlap cannot both be
 	// used.
 	hedge bool
+	// detour is true if this node would send the shards to the leafs itself if it reached
+	// them.
+	detour bool
 }
 
 // relayEvent is the reply of one shard, or the end of a batch.
@@ -116,14 +124,20 @@
 // startAtRelays sends the shards to their relays, and directly to the leafs of clusters
 // that this node relays to. It returns false if this node sends to all leafs itself.
 func (x *exchange) startAtRelays(now time.Time) bool {
-	if x.f.Relays == nil || !x.req.route.IsQuery() || x.req.relayed {
+	if x.f.Relays == nil || x.req.relayed {
 		return false
 	}
-	clusters := x.f.Relays.Clusters(x.req.route)
+	var clusters []Cluster
+	if x.req.route.IsQuery() {
+		clusters = x.f.Relays.Clusters(x.req.route)
+	}
+	if x.hasUnreached() {
+		clusters = x.detours(clusters)
+	}
 	if clusters == nil {
 		return false
 	}
-	x.relayEvents = make(chan relayEvent, 2*(len(x.shards)+len(clusters)))
+	x.makeRelayEvents(len(clusters))
 	for _, c := range clusters {
 		if !c.Direct && x.startCluster(now, c) {
 			continue
@@ -135,6 +149,19 @@
 	return true
 }
 
+func (x *exchange) hasUnreached() bool {
+	return slices.ContainsFunc(x.shards, func(run shardRun) bool { return run.unreached })
+}
+
+// makeRelayEvents makes the channel of the events of relays, unless there is one. It holds all
+// that can come at a time from each cluster, which is at two relays at most, and from the
+// shards that linksLost sends to other nodes, so that relays never wait for the exchange.
+func (x *exchange) makeRelayEvents(clusters int) {
+	if x.relayEvents == nil {
+		x.relayEvents = make(chan relayEvent, 2*(len(x.shards)+clusters)+2*(len(x.shards)+1))
+	}
+}
+
 // startCluster sends the shards of a cluster to one of its relays. It returns false if
 // there is none.
 func (x *exchange) startCluster(now time.Time, c Cluster) bool {
@@ -145,7 +172,8 @@
 			shards = append(shards, shard)
 		}
 	}
-	if len(shards) == 0 || !x.sendToRelay(now, run, relayRequest{shards: shards, attempts: x.req.route.MaxAttempts - x.reservedAttempts()}) {
+	relayReq := relayRequest{shards: shards, attempts: x.req.route.MaxAttempts - x.reservedAttempts(), detour: x.shards[c.Shards[0]].unreached}
+	if len(shards) == 0 || !x.sendToRelay(now, run, relayReq) {
 		return len(shards) == 0
 	}
 	if x.reservedAttempts() > 0 {
@@ -159,7 +187,7 @@
 // relay, so that the shard can be sent to another relay: 1 if enough attempts remain for
 // the first relay's own hedge, else 0.
 func (x *exchange) reservedAttempts() int {
-	if x.req.route.MaxAttempts > 2 {
+	if x.req.route.MaxAttempts > 2 && x.req.route.Idempotent {
 		return 1
 	}
 	return 0
@@ -185,10 +213,14 @@
 		batch.Shards[k] = uint32(k)
 		x.shards[shard].lastTarget = relay.VM.ID
 	}
+	if !x.req.route.Idempotent {
+		batch.Class = contract.Class_CLASS_COMMAND
+	}
 	ctx, cancel := context.WithDeadline(context.Background(), x.req.deadline)
 	cancelPrevious := run.cancel
 	run.cancel = func() { cancelPrevious(); cancel() }
 	relay.Record.Begin(now)
+	run.tries++
 	x.relayBatches++
 	x.pendingAtRelays += len(relayReq.shards)
 	e := relayEvent{cluster: run, call: &relayCall{relayRequest: relayReq, node: relay, startedAt: now, pending: len(relayReq.shards)}}
@@ -218,6 +250,9 @@
 // chooseRelay removes a relay that was not tried from the cluster and returns it.
 // Preferred relays come first, and silent relays, preferred or not, last.
 func (x *exchange) chooseRelay(now time.Time, run *clusterRun) (shardmap.Replica, bool) {
+	if run.tries >= maxRelayTries {
+		return shardmap.Replica{}, false
+	}
 	for _, unsuitable := range []func(time.Time, []shardmap.Replica) replica.Set{silentRelays, noRelays} {
 		for _, relays := range []*[]shardmap.Replica{&run.cluster.Preferred, &run.cluster.Fallback} {
 			i := replica.Choose(now, *relays, unsuitable(now, *relays), x.f.cfg.AvailabilityZone, rand.Uint64())
@@ -252,18 +287,22 @@
 		Method:   x.message.Method,
 		Head:     x.message.Head,
 		Body:     x.message.Body,
-		Groups:   make([]string, len(relayReq.shards)),
 		Route:    r.Name,
 		Version:  x.req.version,
 		Attempts: uint32(max(relayReq.attempts, 0)),
 		Top:      uint32(max(r.MaxRecords, 0)),
 
 		Merge:       !relayReq.hedge,
+		Detour:      relayReq.detour,
 		Fingerprint: uint64(x.req.fingerprint),
 		TargetUs:    max((x.req.target.Sub(now) - relayReplyReserve).Microseconds(), 0),
 	}
-	for k, shard := range relayReq.shards {
-		m.Groups[k] = x.shards[shard].group
+	if !r.IsQuery() {
+		m.Single = &contract.Single{Group: x.shards[0].group}
+		return m
+	}
+	for _, shard := range relayReq.shards {
+		m.Groups = append(m.Groups, x.shards[shard].group)
 	}
 	return m
 }
--- a/internal/transport/forward/relay_test.go
+++ b/internal/transport/forward/relay_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"maps"
 	"net/http"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -48,6 +50,14 @@
 	return []Cluster{c, {Shards: []int{len(groups) - 1}, Direct: true}}
 }
 
+// Others returns the relays in the order of their names.
+func (r *fakeRelays) Others() (near, far []shardmap.Replica) {
+	for _, id := range slices.Sorted(maps.Keys(r.handlers)) {
+		far = append(far, shardmap.Replica{VM: platform.VM{ID: id}, Record: r.records.Record(id)})
+	}
+	return nil, far
+}
+
 func (r *fakeRelays) Do(ctx context.Context, node string, batch *contract.Batch, deliver func(peer.Result)) error {
 	r.mu.Lock()
 	r.sentTo = append(r.sentTo, node)
--- a/internal/transport/forward/relayevents.go
+++ b/internal/transport/forward/relayevents.go
@@ -26,7 +26,12 @@
 	case contract.Status_STATUS_OK:
 		x.mayHaveRun = true
 		e.cluster.answered = true
-		x.addRelayResult(now, e)
+		x.f.Links.ServedByPeer()
+		if x.req.route.IsQuery() {
+			x.addRelayResult(now, e)
+		} else {
+			x.addAnswer(now, e)
+		}
 	case contract.Status_STATUS_NOT_RUN:
 		x.shardNotRun(now, e, shard)
 	default:
@@ -114,7 +119,11 @@
 func (x *exchange) retryAtRelay(now time.Time, e relayEvent) {
 	retry := e.call.relayRequest
 	retry.shards = slices.DeleteFunc(slices.Clone(e.call.notRun), x.query.IsSettled)
-	if len(retry.shards) == 0 || x.sendToRelay(now, e.cluster, retry) || retry.hedge {
+	if len(retry.shards) > 0 && x.sendToRelay(now, e.cluster, retry) {
+		return
+	}
+	if retry.hedge {
+		x.detourEnded(now, e.call.shards)
 		return
 	}
 	for _, shard := range retry.shards {
--- a/internal/transport/forward/response.go
+++ b/internal/transport/forward/response.go
@@ -47,12 +47,12 @@
 // writeSingleResponse writes the reply of the one leaf, or a failure if there is none.
 func (x *exchange) writeSingleResponse(w http.ResponseWriter) {
 	if replies := x.query.Replies(); len(replies) == 1 {
-		x.copyResponse(w, replies[0].call)
+		x.copyResponse(w, replies[0].answer)
 		x.recordOutcome(outcomeDone, log.DebugLevel)
 		return
 	}
-	last := x.shards[0].lastCall
-	if last != nil && x.mayHaveRun && len(x.pending) == 0 && last.Reply.Status != 0 && last.Reply.Sent && last.Reply.Receipt != "" && last.Reply.Status >= 300 {
+	last := x.shards[0].lastReply
+	if x.mayHaveRun && len(x.pending) == 0 && x.pendingAtRelays == 0 && isLeafFailure(last) {
 		x.copyResponse(w, last)
 		x.recordOutcome(outcomeLeafFailure, log.InfoLevel)
 		return
@@ -61,10 +61,10 @@
 }
 
 // copyResponse writes a leaf's reply unchanged, except for the headers of its connection.
-func (x *exchange) copyResponse(w http.ResponseWriter, call *leafwire.Call) {
+func (x *exchange) copyResponse(w http.ResponseWriter, reply *leafwire.Reply) {
 	h := w.Header()
-	connectionHeaders := connectionOptions(call.Reply.Header)
-	for name, values := range call.Reply.Header {
+	connectionHeaders := connectionOptions(reply.Header)
+	for name, values := range reply.Header {
 		if !slices.Contains(hopByHopHeaders, name) && !slices.Contains(connectionHeaders, name) {
 			h[name] = values
 		}
@@ -73,10 +73,10 @@
 		h["Content-Type"] = nil // otherwise net/http detects one from the body
 	}
 	if x.req.httpRequest.Method != http.MethodHead {
-		h.Set("Content-Length", strconv.Itoa(len(call.Reply.Body)))
+		h.Set("Content-Length", strconv.Itoa(len(reply.Body)))
 	}
-	w.WriteHeader(call.Reply.Status)
-	_, _ = w.Write(call.Reply.Body) // the caller may have disconnected
+	w.WriteHeader(reply.Status)
+	_, _ = w.Write(reply.Body) // the caller may have disconnected
 }
 
 // writeQueryResponse writes the merged records of the shards that replied.
@@ -173,7 +173,7 @@
 	if at, ok := pause.Until(x.view.Replicas, needed); ok && at.After(now) && at.Before(x.req.deadline) {
 		return at.Sub(now)
 	}
-	if x.totalSends() == 0 {
+	if x.totalSends() == 0 || x.f.Links.Isolated() {
 		return noLeafRetryAfter
 	}
 	return rejectedRetryAfter
--- a/internal/transport/forward/serve.go
+++ b/internal/transport/forward/serve.go
@@ -24,10 +24,23 @@
 // arrive.
 func (f *Forwarder) Serve(ctx context.Context, batch *contract.Batch, reply func(peer.Result)) {
 	var m contract.Passed
-	if err := proto.Unmarshal(batch.Body, &m); err != nil || len(m.Groups) != len(batch.Shards) {
+	err := proto.Unmarshal(batch.Body, &m)
+	single := m.Single != nil
+	if single {
+		m.Groups = []string{m.Single.Group}
+	}
+	if err != nil || len(m.Groups) != len(batch.Shards) {
 		f.log.WithField("request", batch.RequestId).WithError(err).Warn("cannot decode batch")
 		return
 	}
+	if m.Detour {
+		if f.detours.Add(1) > maxDetours {
+			f.detours.Add(-1)
+			replyNoReplica(len(batch.Shards), reply)
+			return
+		}
+		defer f.detours.Add(-1)
+	}
 	now := time.Now()
 	deadline, ok := ctx.Deadline()
 	if !ok {
@@ -41,7 +54,7 @@
 		version:     m.Version,
 		relayed:     true,
 		fingerprint: quarantine.Fingerprint(m.Fingerprint),
-		route:       &route.Route{Name: m.Route, Idempotent: true, Shards: m.Groups, MaxAttempts: int(m.Attempts), MaxRecords: int(m.Top)},
+		route:       &route.Route{Name: m.Route, Idempotent: batch.Class == contract.Class_CLASS_QUERY, Shards: m.Groups, MaxAttempts: int(m.Attempts), MaxRecords: int(m.Top)},
 	}
 	x := newExchange(f, req)
 	if batch.Traceparent != "" {
@@ -52,6 +65,14 @@
 	defer x.reportAttempts()
 	out := resultSender{merge: m.Merge, maxRecords: req.route.MaxRecords, reply: reply}
 	x.onReply = out.add
+	if single {
+		x.onReply = func(int, part) { reply(answerResult(x.shards[0].lastCall)) }
+		if x.start(now) {
+			x.loopUntil(ctx, deadline)
+		}
+		x.replyFailure(reply)
+		return
+	}
 	if x.start(now) {
 		for _, at := range []time.Time{now.Add(hedge.ReportDelay(req.target.Sub(now))), req.target} {
 			x.loopUntil(ctx, at)
@@ -105,10 +126,28 @@
 	return true
 }
 
+// replyNoReplica replies that this node can run none of the shards of a batch.
+func replyNoReplica(shards int, reply func(peer.Result)) {
+	for shard := range shards {
+		reply(peer.Result{Index: shard, Status: contract.Status_STATUS_NOT_RUN, Reason: string(query.ReasonNoReplica)})
+	}
+}
+
+// replyFailure sends the failure of a request to one leaf: that of the leaf if it ran the
+// request and no other attempt may still succeed.
+func (x *exchange) replyFailure(reply func(peer.Result)) {
+	run := &x.shards[0]
+	if !x.query.HasReply(0) && x.mayHaveRun && len(x.pending) == 0 && isLeafFailure(run.lastReply) {
+		reply(answerResult(run.lastCall))
+		return
+	}
+	x.replyFailures(reply)
+}
+
 // replyFailures sends a failure for each shard without a reply, which says whether the
-// shard may have run. If no attempt was sent at all, the reason is that there is no
-// replica, since another relay may have one; but leafs that have asked for a pause must not
-// get the shard from another relay.
+// shard may have run. If no attempt was sent at all, or this node reaches no leaf of a shard,
+// the reason is that there is no replica, since another relay may have one; but leafs that have
+// asked for a pause must not get the shard from another relay.
 func (x *exchange) replyFailures(reply func(peer.Result)) {
 	failure := peer.Result{Status: contract.Status_STATUS_FAILED, Reason: string(query.ReasonUpstreamError)}
 	if !x.mayHaveRun && len(x.pending) == 0 {
@@ -124,7 +163,10 @@
 		}
 		result := failure
 		result.Index = shard
-		if at, ok := pause.Until(x.view.Replicas[shard:shard+1], 1); ok && !at.IsZero() {
+		if x.shards[shard].unreached {
+			result.Status = contract.Status_STATUS_NOT_RUN
+			result.Reason = string(query.ReasonNoReplica)
+		} else if at, ok := pause.Until(x.view.Replicas[shard:shard+1], 1); ok && !at.IsZero() {
 			result.Reason = string(query.ReasonShed)
 		}
 		reply(result)
--- a/internal/transport/leafwire/conn.go
+++ b/internal/transport/leafwire/conn.go
@@ -57,6 +57,7 @@
 	c.call = call
 	c.writing = call.Message.isLong()
 	call.conn = c
+	c.pool.sent[call] = struct{}{}
 }
 
 // write sends the request of the assigned call. On a failure it closes the
@@ -100,6 +101,7 @@
 			c.closeWithoutReply(fault.Wrap(err, fault.StepReply, c.pool.vm.Address, "connection to leaf %s", c.pool.vm.ID))
 			return
 		}
+		c.pool.client.lastReply.Store(int64(time.Since(c.pool.client.startedAt)))
 		reply, reusable := c.readReply(call)
 		complete := reply.Result != subrequest.ConnectionLost && reply.Result != subrequest.BadReply
 		c.hadReply = c.hadReply || complete
@@ -135,6 +137,9 @@
 func (c *conn) reportLoss(call *Call, err error) {
 	c.pool.mu.Lock()
 	cancelled := call.cancelled
+	if !cancelled {
+		c.pool.failedAt = time.Now()
+	}
 	c.pool.mu.Unlock()
 	if !cancelled {
 		c.pool.reportFailure(lossCause(err))
@@ -153,6 +158,7 @@
 func (c *conn) endCall(call *Call, reply Reply, reusable bool) bool {
 	c.pool.mu.Lock()
 	reusable = reusable && !c.writing && !c.closing
+	delete(c.pool.sent, call)
 	c.call = nil
 	call.conn = nil
 	call.ended = true
--- a/internal/transport/leafwire/leafwire.go
+++ b/internal/transport/leafwire/leafwire.go
@@ -12,6 +12,7 @@
 	"net/http"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/hickorydock/hickorydock/internal/coordination/quarantine"
@@ -99,6 +100,8 @@
 	Span tracing.Span
 	// StartedAt is when the call was passed to Start.
 	StartedAt time.Time
+	// Patience is the time after which the reply is overdue; 0 means never.
+	Patience time.Duration
 	// Done receives the call when it has ended. It must be buffered: the send must not
 	// block.
 	Done  chan<- *Call
@@ -132,9 +135,17 @@
 
 // Client sends calls. It is safe for concurrent use.
 type Client struct {
-	cfg    Config
-	pools  sync.Map // leaf identifier -> *pool
-	bodies bodyBudget
+	cfg       Config
+	pools     sync.Map // leaf identifier -> *pool
+	bodies    bodyBudget
+	startedAt time.Time
+	// lastReply is the time from startedAt to the last reply of any leaf, in nanoseconds.
+	lastReply atomic.Int64
+
+	failedMu sync.Mutex
+	// failedGroups are the groups to whose leafs a dial has failed since the last one that
+	// succeeded.
+	failedGroups map[string]struct{}
 }
 
 // New returns a client without connections.
@@ -151,14 +162,14 @@
 	if cfg.OnFailure == nil {
 		cfg.OnFailure = noFailureHandler
 	}
-	return &Client{cfg: cfg}
+	return &Client{cfg: cfg, startedAt: time.Now(), failedGroups: make(map[string]struct{})}
 }
 
 func (c *Client) pool(vm platform.VM) *pool {
 	if p, ok := c.findPool(vm.ID); ok {
 		return p
 	}
-	p, _ := c.pools.LoadOrStore(vm.ID, &pool{client: c, vm: vm})
+	p, _ := c.pools.LoadOrStore(vm.ID, &pool{client: c, vm: vm, sent: make(map[*Call]struct{})})
 	return p.(*pool)
 }
 
@@ -251,8 +262,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.open == 0 {
-		p.open++
-		go p.dial()
+		p.startDial()
 	}
 }
 
--- a/internal/transport/leafwire/pool.go
+++ b/internal/transport/leafwire/pool.go
@@ -20,9 +20,13 @@
 	mu      sync.Mutex
 	idle    []*conn // the most recently used one is last
 	waiting []*Call
-	// open counts the connections, including those being dialled.
-	open    int
-	removed bool
+	sent    map[*Call]struct{} // calls that have a connection
+	// open counts the connections, including dialling, those being dialled.
+	open     int
+	dialling int
+	// failedAt is when a dial failed or a connection was lost last.
+	failedAt time.Time
+	removed  bool
 	// reducedLimit bounds open until reducedUntil, after the leaf has reset a fresh
 	// connection.
 	reducedLimit int
@@ -55,11 +59,17 @@
 func (p *pool) enqueue(call *Call) {
 	p.waiting = append(p.waiting, call)
 	if p.open < p.connectionLimit(call.StartedAt) && call.StartedAt.After(p.dialAfter) || p.open == 0 {
-		p.open++
-		go p.dial()
+		p.startDial()
 	}
 }
 
+// startDial opens a connection in the background. The caller must hold mu.
+func (p *pool) startDial() {
+	p.open++
+	p.dialling++
+	go p.dial()
+}
+
 // closeIdle closes the idle connections; their readLoop updates the connection count.
 func (p *pool) closeIdle() {
 	p.mu.Lock()
@@ -93,6 +103,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), dialTimeout)
 	raw, err := p.client.cfg.Dial(ctx, p.vm.Address)
 	cancel()
+	p.client.recordDial(p.vm.Group, err)
 	if err != nil {
 		p.dialFailed(fault.Wrap(err, fault.StepConnect, p.vm.Address, "connect to leaf %s", p.vm.ID))
 		p.reportFailure(dialCause(err))
@@ -101,6 +112,7 @@
 	defer p.client.cfg.OnConnect()()
 	c := newConn(p, raw)
 	p.mu.Lock()
+	p.dialling--
 	first := p.assignNextOrIdle(c)
 	p.mu.Unlock()
 	if first != nil {
@@ -111,9 +123,12 @@
 
 // dialFailed records a failed dial. If no connection is left, it ends the waiting calls.
 func (p *pool) dialFailed(err error) {
+	now := time.Now()
 	p.mu.Lock()
 	p.open--
-	p.dialAfter = time.Now().Add(redialDelay)
+	p.dialling--
+	p.failedAt = now
+	p.dialAfter = now.Add(redialDelay)
 	var failed []*Call
 	if p.open == 0 {
 		failed = p.takeWaiting()
@@ -195,8 +210,7 @@
 	}
 	open := p.open
 	if len(p.waiting) > 0 && p.open < p.connectionLimit(now) {
-		p.open++
-		go p.dial()
+		p.startDial()
 	}
 	p.mu.Unlock()
 	if firstRefusal {
--- a/internal/transport/metrics/metrics.go
+++ b/internal/transport/metrics/metrics.go
@@ -76,6 +76,8 @@
 	routingVersion        prometheus.Gauge
 	listedLeafs           prometheus.Gauge
 	platformEra           prometheus.Gauge
+	isolated              prometheus.Gauge
+	linkProbes            *prometheus.CounterVec
 }
 
 // latencyBuckets are upper bounds in seconds. They are close together around the
@@ -119,11 +121,13 @@
 	m.routingVersion = gauge("routing_version", "Version of the current routing table of this node.")
 	m.listedLeafs = gauge("leafs_listed", "Leafs in the platform's list.")
 	m.platformEra = gauge("platform_era", "Era of the platform, which rises when it is restored from an older copy.")
+	m.isolated = gauge("isolated", "1 while this node is cut off from all leafs, else 0.")
+	m.linkProbes = counterVec("link_probes_total", "Probes of the links to the leafs, by result: reached if any leaf answered, else failed.", "result")
 	m.registry.MustRegister(
 		collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}),
 		m.queryDuration, m.queryCoverage, m.queriesInFlight, m.subrequests, m.cancelledSubrequests, m.refusals, m.refusedSubrequests, m.admissionLimit, m.admissionWaiting, m.invariantViolations,
 		m.catalogueRevision, m.oldRevisions, m.platformCalls, m.leafConnections, m.leafConnectionsOpened, m.leafConnectionsFailed, m.quarantineEntries, m.quarantineEvents, m.quarantineReports, m.peers,
-		m.forwardDuration, m.forwardCoverage, m.forwardAttempts, m.leafNotices, m.routingVersion, m.listedLeafs, m.platformEra,
+		m.forwardDuration, m.forwardCoverage, m.forwardAttempts, m.leafNotices, m.routingVersion, m.listedLeafs, m.platformEra, m.isolated, m.linkProbes,
 	)
 	return m
 }
@@ -336,6 +340,29 @@
 	}
 }
 
+// SetIsolated sets whether the node is cut off from all leafs.
+func (m *Metrics) SetIsolated(isolated bool) {
+	if m == nil {
+		return
+	}
+	m.isolated.Set(0)
+	if isolated {
+		m.isolated.Set(1)
+	}
+}
+
+// LinksProbed counts a probe of the links to the leafs.
+func (m *Metrics) LinksProbed(reachedAny bool) {
+	if m == nil {
+		return
+	}
+	result := "failed"
+	if reachedAny {
+		result = "reached"
+	}
+	m.linkProbes.WithLabelValues(result).Inc()
+}
+
 // SetListedLeafs sets the number of leafs in the platform's list.
 func (m *Metrics) SetListedLeafs(n int) {
 	if m != nil {
