Withdraw crashes of leafs that a gateway reported because its own links had failed

Two gateways that lose connections under the same new request put it into quarantine for ten minutes on all of them, though it crashes nothing.

A connection on which nothing is acknowledged is no evidence of a crash any more, since a crash closes connections; nor is a lost one while open connections carry nothing.

--- a/internal/coordination/quarantine/event.go
+++ b/internal/coordination/quarantine/event.go
@@ -14,13 +14,17 @@
 	// EventExplained means that the quarantine of another fingerprint removed
 	// attributions.
 	EventExplained EventKind = "explained"
+	// EventWithdrawn means that a node withdrew an attribution, since its own links had
+	// failed.
+	EventWithdrawn EventKind = "withdrawn"
 )
 
 // Event is a change in what a node knows of a fingerprint.
 type Event struct {
 	Kind        EventKind
 	Fingerprint Fingerprint
-	// Leaf is the leaf of an attribution; empty for other events.
+	// Leaf is the leaf of an attribution, also of one that is withdrawn; empty for other
+	// events.
 	Leaf string
 	// Attributions is the number of attributions after the event.
 	Attributions int
--- a/internal/coordination/quarantine/quarantine.go
+++ b/internal/coordination/quarantine/quarantine.go
@@ -71,6 +71,9 @@
 	TrialEnded
 	// Cleared means that the leaf answered a suspect.
 	Cleared
+	// Withdrawn means that an attribution was wrong: the reporting node's own links had
+	// failed.
+	Withdrawn
 )
 
 // Report is what one node sends to the others about a suspect.
@@ -135,6 +138,7 @@
 	periodStart        time.Time                // of the current period
 	down               map[string]time.Time     // first loss of leafs that have not answered since
 	peerTrials         map[string]trial         // by leaf
+	local              []localAttribution       // by time
 	observe            func(Event)              // may be nil
 }
 
@@ -328,6 +332,8 @@
 		l.peerTrials[r.Leaf] = trial{r.Fingerprint, now.Add(trialTTL)}
 	case Cleared:
 		l.markVerified(now, r.Fingerprint)
+	case Withdrawn:
+		l.withdraw(now, r.Fingerprint, r.Leaf)
 	case TrialEnded:
 	}
 }
--- a/internal/coordination/quarantine/suspect.go
+++ b/internal/coordination/quarantine/suspect.go
@@ -59,6 +59,9 @@
 		return false
 	}
 	attributed := l.attribute(now, a.Fingerprint, a.Leaf)
+	if attributed {
+		l.rememberLocal(now, a.Fingerprint, a.Leaf)
+	}
 	if s := l.suspects[a.Fingerprint]; s != nil {
 		s.lastLocal = now
 	}
--- a/internal/node/gateway/wiring.go
+++ b/internal/node/gateway/wiring.go
@@ -120,14 +120,20 @@
 	return f
 }
 
+// withdrawBefore is the time before a node is isolated in which its lost connections are no
+// evidence against requests.
+const withdrawBefore = time.Second
+
 // newLinks monitors the links to the leafs. When the node reaches them again, what failed
 // attempts say about single leafs is dropped: its own links had failed.
-func newLinks(leafClient *leafwire.Client, groups *group.Store, f *forward.Forwarder, peerMesh *mesh.Mesh, m *metrics.Metrics, logger log.Interface, lifecycle fx.Lifecycle) *links.Monitor {
+func newLinks(leafClient *leafwire.Client, groups *group.Store, f *forward.Forwarder, peerMesh *mesh.Mesh, g *guard.Guard, m *metrics.Metrics, logger log.Interface, lifecycle fx.Lifecycle) *links.Monitor {
 	monitor := links.New(links.Config{
 		Client:    leafClient,
 		Observer:  m,
 		Log:       logger,
 		OnLasting: func() { peerMesh.SetIsolated(true) },
+		// Connections may have been reset before they were found to have failed.
+		OnConfirmed: func(since time.Time) { g.Withdraw(since.Add(-withdrawBefore)) },
 		OnReturn: func() {
 			groups.ForgetFailures()
 			peerMesh.SetIsolated(false)
--- a/internal/transport/forward/attemptend.go
+++ b/internal/transport/forward/attemptend.go
@@ -17,7 +17,7 @@
 func (f *Forwarder) recordAttempt(window *latency.Window, now time.Time, call *leafwire.Call) {
 	elapsed := now.Sub(call.StartedAt)
 	reply := &call.Reply
-	f.guard.Leave(call.QuarantineAttempt, quarantineOutcome(call))
+	f.guard.Leave(call.QuarantineAttempt, f.quarantineOutcome(call))
 	call.Span.End(reply.Err)
 	call.Record.End(now, elapsed, leafResult(call))
 	if reply.Result == subrequest.OK {
@@ -31,8 +31,9 @@
 
 // quarantineOutcome returns the outcome of an attempt for the quarantine. A server error is
 // no evidence: the leaf may have failed before it ran the request. Neither are bytes that are
-// no answer: the leaf has not crashed.
-func quarantineOutcome(call *leafwire.Call) quarantine.Outcome {
+// no answer: the leaf has not crashed. Nor is a connection on which nothing is acknowledged, or
+// any lost one while this node's links carry nothing: a crash closes connections.
+func (f *Forwarder) quarantineOutcome(call *leafwire.Call) quarantine.Outcome {
 	switch call.Reply.Result {
 	case subrequest.OK:
 		return quarantine.Answered
@@ -41,7 +42,7 @@
 			return quarantine.Answered
 		}
 	case subrequest.ConnectionLost:
-		if call.Reply.Sent && !call.IsCancelled() && !errors.Is(call.Reply.Err, leafwire.ErrMalformed) {
+		if call.Reply.Sent && !call.IsCancelled() && !errors.Is(call.Reply.Err, leafwire.ErrMalformed) && !leafwire.IsTimeout(call.Reply.Err) && !f.Links.Silent() {
 			return quarantine.ConnectionLost
 		}
 	}
--- a/internal/transport/forward/crash_test.go
+++ b/internal/transport/forward/crash_test.go
@@ -8,6 +8,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"syscall"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -265,3 +266,44 @@
 		}
 	})
 }
+
+// timedOut is the end of a connection on which nothing is acknowledged.
+var timedOut = leafwire.Reply{Result: subrequest.ConnectionLost, Sent: true, Err: fmt.Errorf("leaf: %w", syscall.ETIMEDOUT)}
+
+// TestTimedOutConnectionsAreNoCrashes guards against a good request that is quarantined on all
+// nodes since the links of one or two had failed under it.
+func TestTimedOutConnectionsAreNoCrashes(t *testing.T) {
+	for name, test := range map[string]struct {
+		reply leafwire.Reply
+		cut   bool
+	}{
+		"time-outs": {timedOut, false},
+		"connections that are reset while the links carry nothing": {connectionLost, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				r := newRig(t, queryRoute(1, 1), map[string]behaviour{"a/1": endingAfter(ms, test.reply), "a/2": endingAfter(ms, test.reply)})
+				reports := 0
+				r.guard.SetPeers(countingPeers{&reports})
+				links := newFakeLinks()
+				r.Links = links
+				for range 5 {
+					if test.cut {
+						time.AfterFunc(ms/2, links.cut)
+					}
+					r.do(t.Context(), http.MethodGet, "/good")
+					time.Sleep(time.Second)
+					links.mend()
+				}
+				if reports > 0 {
+					t.Errorf("%d reports to other nodes", reports)
+				}
+			})
+		})
+	}
+}
+
+// countingPeers counts reports.
+type countingPeers struct{ n *int }
+
+func (p countingPeers) Broadcast(quarantine.Report) { *p.n++ }
--- a/internal/transport/forward/detour.go
+++ b/internal/transport/forward/detour.go
@@ -26,6 +26,8 @@
 	Isolated() bool
 	// Reaches reports whether the node can send to a leaf itself.
 	Reaches(leafID string) bool
+	// Silent reports whether the node is isolated and open connections carry nothing either.
+	Silent() bool
 	// Lost returns a channel that is closed while the node is isolated.
 	Lost() <-chan struct{}
 	// ServedByPeer records that a leaf has answered a request that another node sent.
@@ -37,6 +39,7 @@
 
 func (soundLinks) Isolated() bool        { return false }
 func (soundLinks) Reaches(string) bool   { return true }
+func (soundLinks) Silent() bool          { return false }
 func (soundLinks) Lost() <-chan struct{} { return nil }
 func (soundLinks) ServedByPeer()         {}
 
--- a/internal/transport/forward/detour_test.go
+++ b/internal/transport/forward/detour_test.go
@@ -34,12 +34,26 @@
 	return &fakeLinks{lost: make(chan struct{}), reaches: map[string]bool{}}
 }
 
-func (l *fakeLinks) cut() *fakeLinks {
+// cutLinks are links that are cut already.
+func cutLinks() *fakeLinks {
+	l := newFakeLinks()
+	l.cut()
+	return l
+}
+
+func (l *fakeLinks) cut() {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.isolated = true
 	close(l.lost)
-	return l
+}
+
+// mend ends a cut.
+func (l *fakeLinks) mend() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.isolated = false
+	l.lost = make(chan struct{})
 }
 
 func (l *fakeLinks) Isolated() bool {
@@ -49,7 +63,13 @@
 }
 
 func (l *fakeLinks) Reaches(id string) bool { return !l.Isolated() || l.reaches[id] }
-func (l *fakeLinks) Lost() <-chan struct{}  { return l.lost }
+func (l *fakeLinks) Silent() bool           { return l.Isolated() && len(l.reaches) == 0 }
+
+func (l *fakeLinks) Lost() <-chan struct{} {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.lost
+}
 
 func (l *fakeLinks) ServedByPeer() {
 	l.mu.Lock()
@@ -108,7 +128,7 @@
 		{"the failure of a leaf", singleRoute(false), "POST", map[string]behaviour{"a/1": failing}, "", nil, 500, 20 * ms, 0, 1},
 		{"a leaf turns it away", singleRoute(false), "POST", map[string]behaviour{"a/1": endingAfter(ms, notRun)}, "", nil, 503, 20 * ms, 0, 1},
 		{"the first node is isolated too", queryRoute(3, 1), "GET", all, "", func(_ *fakeRelays, nodes map[string]*rig) {
-			nodes["x"].Links = newFakeLinks().cut()
+			nodes["x"].Links = cutLinks()
 		}, 200, 20 * ms, 0, 3},
 		{"the first node is gone", singleRoute(false), "POST", all, "", func(relays *fakeRelays, _ map[string]*rig) {
 			relays.fail["x"] = peer.ErrNotSent
@@ -120,7 +140,7 @@
 			relays.fail["x"], relays.fail["y"] = peer.ErrStreamLost, peer.ErrStreamLost
 		}, 502, 20 * ms, 0, 0},
 		{"all nodes are isolated", queryRoute(3, 1), "GET", all, "", func(_ *fakeRelays, nodes map[string]*rig) {
-			nodes["x"].Links, nodes["y"].Links = newFakeLinks().cut(), newFakeLinks().cut()
+			nodes["x"].Links, nodes["y"].Links = cutLinks(), cutLinks()
 		}, 503, 20 * ms, 0, 0},
 		{"there is no other node", singleRoute(false), "POST", all, "", func(relays *fakeRelays, _ map[string]*rig) {
 			clear(relays.handlers)
@@ -130,7 +150,7 @@
 		t.Run(test.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				entry, nodes, relays := fleet(t, test.rt, test.leafs, "x", "y")
-				links := newFakeLinks().cut()
+				links := cutLinks()
 				links.reaches[test.reaches] = true
 				entry.Links = links
 				if test.prepare != nil {
@@ -171,7 +191,7 @@
 		leafs := map[string]behaviour{"a/1": fast, "b/1": fast, "c/1": fast}
 		entry, nodes, relays := fleet(t, queryRoute(3, 1), leafs, "preferred", "second")
 		entry.Relays = relays
-		nodes["preferred"].Links = newFakeLinks().cut()
+		nodes["preferred"].Links = cutLinks()
 		response, took := entry.do(t.Context(), http.MethodGet, "/x")
 		if response.Code != http.StatusOK || took > 20*ms || nodes["preferred"].leafClient.startCount > 0 || nodes["second"].leafClient.startCount != 2 {
 			t.Errorf("status %d after %v, %d and %d attempts of the relays", response.Code, took, nodes["preferred"].leafClient.startCount, nodes["second"].leafClient.startCount)
@@ -230,7 +250,7 @@
 func TestDetoursAreBounded(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		entry, nodes, _ := fleet(t, singleRoute(true), map[string]behaviour{"a/1": replyingAfter(50 * ms)}, "x")
-		entry.Links = newFakeLinks().cut()
+		entry.Links = cutLinks()
 		var served, refused int
 		var mu sync.Mutex
 		var running sync.WaitGroup
@@ -316,7 +336,7 @@
 			entry, nodes, relays := fleet(t, singleRoute(false), map[string]behaviour{"a/1": behave, "a/2": behave}, "x", "y", "z")
 			entry.Relays = faultyRelays{others{relays}, random}
 			if random(2) == 0 {
-				nodes["y"].Links = newFakeLinks().cut()
+				nodes["y"].Links = cutLinks()
 			}
 			links := newFakeLinks()
 			entry.Links = links
@@ -347,7 +367,7 @@
 			return ms, reply
 		}
 		entry, _, _ := fleet(t, singleRoute(true), map[string]behaviour{"a/1": leaving}, "x")
-		entry.Links = newFakeLinks().cut()
+		entry.Links = cutLinks()
 		response, _ := entry.do(t.Context(), http.MethodGet, "/x")
 		if response.Code != 200 || response.Body.String() != body || fmt.Sprint(response.Header()["X-Two"]) != "[1 2]" || response.Header().Get("Content-Length") != strconv.Itoa(len(body)) {
 			t.Errorf("status %d, headers %v, body %q", response.Code, response.Header(), response.Body)
--- a/internal/transport/guard/guard.go
+++ b/internal/transport/guard/guard.go
@@ -121,6 +121,19 @@
 	g.broadcast(reports)
 }
 
+// Withdraw withdraws what this node has concluded from lost connections since a time, because
+// its own links had failed.
+func (g *Guard) Withdraw(since time.Time) {
+	g.mu.Lock()
+	reports := g.ledger.Withdraw(time.Now(), since)
+	for _, r := range reports {
+		g.wakeLocked(r.Fingerprint)
+	}
+	g.reportSizeLocked()
+	g.mu.Unlock()
+	g.broadcast(reports)
+}
+
 // broadcast sends reports to the peers. It does not hold the lock meanwhile, since a peer
 // may call Receive.
 func (g *Guard) broadcast(reports []quarantine.Report) {
--- a/internal/transport/leafwire/failure.go
+++ b/internal/transport/leafwire/failure.go
@@ -34,7 +34,7 @@
 // dialCause returns the cause of a failed dial.
 func dialCause(err error) Cause {
 	switch {
-	case isTimeout(err):
+	case IsTimeout(err):
 		return CauseDialTimeout
 	case errors.Is(err, syscall.ECONNREFUSED), errors.Is(err, syscall.ECONNRESET):
 		return CauseDialRefused
@@ -46,7 +46,7 @@
 // lossCause returns the cause of the loss of an open connection.
 func lossCause(err error) Cause {
 	switch {
-	case isTimeout(err):
+	case IsTimeout(err):
 		return CauseTimeout
 	case errors.Is(err, io.EOF), errors.Is(err, io.ErrUnexpectedEOF):
 		return CauseClosed
@@ -57,7 +57,8 @@
 	}
 }
 
-func isTimeout(err error) bool {
+// IsTimeout reports whether an error means that nothing came from the leaf's host.
+func IsTimeout(err error) bool {
 	var network net.Error
 	return errors.Is(err, syscall.ETIMEDOUT) || errors.Is(err, os.ErrDeadlineExceeded) || errors.As(err, &network) && network.Timeout()
 }
--- a/internal/transport/links/links.go
+++ b/internal/transport/links/links.go
@@ -189,6 +189,9 @@
 	return !state.Isolated || !state.Silent && m.cfg.Client.HasConnection(id)
 }
 
+// Silent reports whether the node is isolated and open connections carry nothing either.
+func (m *Monitor) Silent() bool { return m.state.Load().Silent }
+
 // Lost returns a channel that is closed while the node is isolated.
 func (m *Monitor) Lost() <-chan struct{} {
 	m.mu.Lock()
