Make nodes list again whose copy lies between two that their source has had

Cause: a node that takes a newer list records the differences to its old one as changes of the list's version. An object that was added and removed between the two is not among them. A node that had the addition from another source and then follows this one never hears of the removal; nor does one that follows a third node which has applied these changes.

A copy now remembers the gap, hands it on with the changes, and answers a watch from a version within one as too old, so that the watcher lists. Other watchers go on as before. The test's model of a follower hands gaps on as mesh does.

--- a/internal/state/mirror/mirror.go
+++ b/internal/state/mirror/mirror.go
@@ -34,6 +34,7 @@
 	// oldest is the version after which all changes are retained.
 	oldest  uint64
 	version uint64
+	gaps    []Gap // by time
 	// confirmed is when the platform last confirmed this state.
 	confirmed time.Time
 	wake      chan struct{} // closed at the next change
@@ -85,9 +86,11 @@
 	k.keepHeld(next, restored)
 	if k.known && !restored {
 		k.recordDifference(next, listing.Version)
+		k.addGap(Gap{After: k.version, Before: listing.Version})
 	} else {
 		// A watcher may have seen changes that this node has not and that were lost.
 		k.changes = nil
+		k.gaps = nil
 		k.oldest = listing.Version
 		k.notify()
 	}
@@ -167,6 +170,7 @@
 	if excess := len(k.changes) - maxChanges; excess > 0 {
 		k.oldest = k.changes[excess-1].Object.Version
 		k.changes = slices.Delete(k.changes, 0, excess)
+		k.gaps = slices.DeleteFunc(k.gaps, func(g Gap) bool { return g.Before <= k.oldest })
 	}
 }
 
@@ -243,7 +247,7 @@
 
 // Changes waits until a kind has changes after a version, at most for wait. It
 // returns the changes and the version to continue from. It fails with ErrTooOld
-// when they are no longer retained and with ErrUnavailable while the kind is
+// when they are no longer retained or from lies in a gap, and with ErrUnavailable while the kind is
 // unknown or this node's copy is of an earlier era than from.
 func (m *Mirror) Changes(ctx context.Context, name platform.Kind, from uint64, wait time.Duration) (changes []platform.Event, version uint64, confirmed time.Time, err error) {
 	timer := time.NewTimer(wait)
@@ -251,13 +255,14 @@
 	k := m.kind(name)
 	for {
 		k.mu.Lock()
-		known, era, oldest, wake := k.known, platform.Era(k.version), k.oldest, k.wake
+		known, era, wake := k.known, platform.Era(k.version), k.wake
+		tooOld := from < k.oldest || k.isInGap(from)
 		changes, version, confirmed = k.changesSince(from), max(k.version, from), k.confirmed
 		k.mu.Unlock()
 		switch {
 		case !known, era < platform.Era(from):
 			return nil, 0, time.Time{}, platform.ErrUnavailable
-		case from < oldest:
+		case tooOld:
 			return nil, 0, time.Time{}, platform.ErrTooOld
 		case len(changes) > 0:
 			return changes, version, confirmed, nil
--- a/internal/state/mirror/restore_test.go
+++ b/internal/state/mirror/restore_test.go
@@ -145,6 +145,7 @@
 		changes, reached, _, err := source.mirror.Changes(t.Context(), testKind, f.from, 0)
 		switch {
 		case err == nil:
+			f.mirror.AddGaps(testKind, source.mirror.Gaps(testKind, f.from))
 			f.from = max(f.from, reached)
 			f.mirror.Apply(testKind, changes, f.from, time.Now())
 			return
@@ -166,6 +167,33 @@
 	return values
 }
 
+// TestChangesAcrossMissedVersions guards against an object that was added and removed while a
+// node saw neither, and that stays with a node which follows it and had seen the addition.
+func TestChangesAcrossMissedVersions(t *testing.T) {
+	at := func(v uint64, objects ...platform.Object) platform.Listing {
+		return platform.Listing{Version: v, Objects: objects}
+	}
+	now := time.Now()
+	source, middle := New(), New()
+	source.Replace(testKind, at(1), now)
+	middle.Replace(testKind, at(1), now)
+	source.Replace(testKind, at(3), now)
+	changes, version, _, err := source.Changes(t.Context(), testKind, 1, 0)
+	if err != nil || len(changes) != 0 || version != 3 {
+		t.Errorf("from the version before: %d changes up to %d, %v", len(changes), version, err)
+	}
+	middle.AddGaps(testKind, source.Gaps(testKind, 1))
+	middle.Apply(testKind, changes, version, now)
+	for name, m := range map[string]*Mirror{"the node that missed it": source, "one that follows it": middle} {
+		if _, _, _, err := m.Changes(t.Context(), testKind, 2, 0); !errors.Is(err, platform.ErrTooOld) {
+			t.Errorf("%s, from a version that it has not seen: %v", name, err)
+		}
+		if _, _, _, err := m.Changes(t.Context(), testKind, 3, 0); err != nil {
+			t.Errorf("%s, from the newest version: %v", name, err)
+		}
+	}
+}
+
 // TestRandomRestores: in random orders of changes, restores, reads among nodes that are in
 // different eras and late replies, no copy goes back, and all agree with the store once
 // each has read its source.
--- a/internal/transport/mesh/followpeer.go
+++ b/internal/transport/mesh/followpeer.go
@@ -10,6 +10,7 @@
 	"github.com/hickorydock/hickorydock/internal/protocol/fault"
 	contract "github.com/hickorydock/hickorydock/internal/protocol/peer"
 	"github.com/hickorydock/hickorydock/internal/protocol/platform"
+	"github.com/hickorydock/hickorydock/internal/state/mirror"
 	"github.com/hickorydock/hickorydock/internal/transport/peer"
 )
 
@@ -74,6 +75,11 @@
 		changes = append(changes, platform.Event{Deleted: object.Deleted, Object: decode(kind, object)})
 	}
 	from = max(from, reply.Version)
+	gaps := make([]mirror.Gap, 0, len(reply.Gaps))
+	for _, g := range reply.Gaps {
+		gaps = append(gaps, mirror.Gap{After: g.After, Before: g.Before})
+	}
+	c.mesh.cfg.Mirror.AddGaps(kind, gaps)
 	c.mesh.cfg.Mirror.Apply(kind, changes, from, confirmed)
 	return from, deliver(latestChanges(changes), from, kind, each)
 }
--- a/internal/transport/mesh/service.go
+++ b/internal/transport/mesh/service.go
@@ -45,6 +45,9 @@
 		return nil, err
 	}
 	reply.Version = version
+	for _, g := range s.mesh.cfg.Mirror.Gaps(kind, request.From) {
+		reply.Gaps = append(reply.Gaps, &contract.Gap{After: g.After, Before: g.Before})
+	}
 	for _, e := range changes {
 		reply.Objects = append(reply.Objects, encode(e.Object, e.Deleted))
 	}
