Attribute no crash to a request whose connection timed out in serve

The nodes of serve draw the same conclusion as the gateways did: a connection on which the host of a leaf acknowledged nothing counted as its crash, and the report went to all nodes. A crash closes connections.

--- a/internal/transport/forward/attemptend.go
+++ b/internal/transport/forward/attemptend.go
@@ -8,6 +8,7 @@
 	"github.com/hickorydock/hickorydock/internal/coordination/latency"
 	"github.com/hickorydock/hickorydock/internal/coordination/quarantine"
 	"github.com/hickorydock/hickorydock/internal/coordination/subrequest"
+	"github.com/hickorydock/hickorydock/internal/protocol/fault"
 	"github.com/hickorydock/hickorydock/internal/state/leaf"
 	"github.com/hickorydock/hickorydock/internal/transport/leafwire"
 )
@@ -42,7 +43,7 @@
 			return quarantine.Answered
 		}
 	case subrequest.ConnectionLost:
-		if call.Reply.Sent && !call.IsCancelled() && !errors.Is(call.Reply.Err, leafwire.ErrMalformed) && !leafwire.IsTimeout(call.Reply.Err) && !f.Links.Silent() {
+		if call.Reply.Sent && !call.IsCancelled() && !errors.Is(call.Reply.Err, leafwire.ErrMalformed) && !fault.IsTimeout(call.Reply.Err) && !f.Links.Silent() {
 			return quarantine.ConnectionLost
 		}
 	}
--- a/internal/transport/leafwire/failure.go
+++ b/internal/transport/leafwire/failure.go
@@ -3,10 +3,9 @@
 import (
 	"errors"
 	"io"
-	"net"
-	"os"
 	"syscall"
 
+	"github.com/hickorydock/hickorydock/internal/protocol/fault"
 	"github.com/hickorydock/hickorydock/internal/protocol/platform"
 )
 
@@ -34,7 +33,7 @@
 // dialCause returns the cause of a failed dial.
 func dialCause(err error) Cause {
 	switch {
-	case IsTimeout(err):
+	case fault.IsTimeout(err):
 		return CauseDialTimeout
 	case errors.Is(err, syscall.ECONNREFUSED), errors.Is(err, syscall.ECONNRESET):
 		return CauseDialRefused
@@ -46,7 +45,7 @@
 // lossCause returns the cause of the loss of an open connection.
 func lossCause(err error) Cause {
 	switch {
-	case IsTimeout(err):
+	case fault.IsTimeout(err):
 		return CauseTimeout
 	case errors.Is(err, io.EOF), errors.Is(err, io.ErrUnexpectedEOF):
 		return CauseClosed
@@ -57,12 +56,6 @@
 	}
 }
 
-// IsTimeout reports whether an error means that nothing came from the leaf's host.
-func IsTimeout(err error) bool {
-	var network net.Error
-	return errors.Is(err, syscall.ETIMEDOUT) || errors.Is(err, os.ErrDeadlineExceeded) || errors.As(err, &network) && network.Timeout()
-}
-
 // reportFailure calls OnFailure with the number of connections that are left.
 func (p *pool) reportFailure(cause Cause) {
 	p.mu.Lock()
--- a/internal/transport/relay/quarantine.go
+++ b/internal/transport/relay/quarantine.go
@@ -38,12 +38,13 @@
 }
 
 // outcomeOf returns the outcome of an attempt for the quarantine. An error of the leaf is
-// no evidence: it may have failed before it ran the request.
+// no evidence: it may have failed before it ran the request. Nor is a connection on which
+// nothing came back: a crash closes it.
 func outcomeOf(reply upstream.Reply, result leaf.Result) quarantine.Outcome {
 	switch {
 	case reply.Result == subrequest.OK:
 		return quarantine.Answered
-	case result == leaf.Errored && reply.Sent && reply.Result == subrequest.ConnectionLost:
+	case result == leaf.Errored && reply.Sent && reply.Result == subrequest.ConnectionLost && !fault.IsTimeout(reply.Err):
 		return quarantine.ConnectionLost
 	default:
 		return quarantine.Inconclusive
