--- a/internal/transport/forward/detour.go
+++ b/internal/transport/forward/detour.go
@@ -11,14 +11,9 @@
 	"github.com/hickorydock/hickorydock/internal/state/shardmap"
 )
 
-const (
-	// maxDetours is the number of batches of nodes which are cut off from the leafs that a
-	// node runs at a time. Further ones go to other nodes.
-	maxDetours = 128
-	// maxRelayTries is the number of nodes that the shards of a cluster are sent to in turn
-	// when none of them runs any.
-	maxRelayTries = 6
-)
+// maxDetours is the number of batches of nodes which are cut off from the leafs that a node
+// runs at a time. Further ones go to other nodes.
+const maxDetours = 128
 
 // Links says which leafs this node reaches. It is implemented by links.Monitor.
 type Links interface {
--- a/internal/transport/forward/fake_test.go
+++ b/internal/transport/forward/fake_test.go
@@ -219,3 +219,60 @@
 func recorder() *httptest.ResponseRecorder { return httptest.NewRecorder() }
 
 var emptyRouting routing.Store
+
+// fakeLinks are links that a test cuts.
+type fakeLinks struct {
+	mu       sync.Mutex
+	isolated bool
+	lost     chan struct{}
+	// reaches are the leafs that the node reaches although it is isolated.
+	reaches map[string]bool
+	served  int
+}
+
+func newFakeLinks() *fakeLinks {
+	return &fakeLinks{lost: make(chan struct{}), reaches: map[string]bool{}}
+}
+
+// cutLinks are links that are cut already.
+func cutLinks() *fakeLinks {
+	l := newFakeLinks()
+	l.cut()
+	return l
+}
+
+func (l *fakeLinks) cut() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.isolated = true
+	close(l.lost)
+}
+
+// mend ends a cut.
+func (l *fakeLinks) mend() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.isolated = false
+	l.lost = make(chan struct{})
+}
+
+func (l *fakeLinks) Isolated() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.isolated
+}
+
+func (l *fakeLinks) Reaches(id string) bool { return !l.Isolated() || l.reaches[id] }
+func (l *fakeLinks) Silent() bool           { return l.Isolated() && len(l.reaches) == 0 }
+
+func (l *fakeLinks) Lost() <-chan struct{} {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.lost
+}
+
+func (l *fakeLinks) ServedByPeer() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.served++
+}
--- a/internal/transport/forward/relay.go
+++ b/internal/transport/forward/relay.go
@@ -2,23 +2,20 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"net/http"
 	"slices"
 	"sync"
 	"time"
 
-	"go.opentelemetry.io/otel/attribute"
-	"google.golang.org/protobuf/proto"
-
 	"github.com/hickorydock/hickorydock/internal/coordination/hedge"
-	"github.com/hickorydock/hickorydock/internal/coordination/replica"
 	contract "github.com/hickorydock/hickorydock/internal/protocol/peer"
 	"github.com/hickorydock/hickorydock/internal/protocol/route"
 	"github.com/hickorydock/hickorydock/internal/state/leaf"
 	"github.com/hickorydock/hickorydock/internal/state/shardmap"
 	"github.com/hickorydock/hickorydock/internal/transport/peer"
 	"github.com/hickorydock/hickorydock/internal/transport/tracing"
+	"go.opentelemetry.io/otel/attribute"
+	"google.golang.org/protobuf/proto"
 )
 
 // relayReplyReserve is the part of a query's time that is reserved for the transfer of a
@@ -244,43 +241,6 @@
 	return true
 }
 
-// silentRelayAvoidance is how long a relay that did not reply to its last batch is avoided.
-const silentRelayAvoidance = 2 * time.Second
-
-// chooseRelay removes a relay that was not tried from the cluster and returns it.
-// Preferred relays come first, and silent relays, preferred or not, last.
-func (x *exchange) chooseRelay(now time.Time, run *clusterRun) (shardmap.Replica, bool) {
-	if run.tries >= maxRelayTries {
-		return shardmap.Replica{}, false
-	}
-	for _, unsuitable := range []func(time.Time, []shardmap.Replica) replica.Set{silentRelays, noRelays} {
-		for _, relays := range []*[]shardmap.Replica{&run.cluster.Preferred, &run.cluster.Fallback} {
-			i := replica.Choose(now, *relays, unsuitable(now, *relays), x.f.cfg.AvailabilityZone, rand.Uint64())
-			if i == replica.None {
-				continue
-			}
-			relay := (*relays)[i]
-			*relays = slices.Delete(slices.Clone(*relays), i, i+1)
-			return relay, true
-		}
-	}
-	return shardmap.Replica{}, false
-}
-
-// silentRelays returns the relays that recently did not reply to a batch.
-func silentRelays(now time.Time, relays []shardmap.Replica) replica.Set {
-	var set replica.Set
-	for i, relay := range relays {
-		stats := relay.Record.Stats()
-		if stats.Unanswered+stats.Failures > 0 && now.Sub(stats.LastSend) < silentRelayAvoidance {
-			set = set.With(i)
-		}
-	}
-	return set
-}
-
-func noRelays(time.Time, []shardmap.Replica) replica.Set { return 0 }
-
 func (x *exchange) relayMessage(now time.Time, relayReq relayRequest) *contract.Passed {
 	r := x.req.route
 	m := &contract.Passed{
