--- a/internal/coordination/isolation/isolation.go
+++ b/internal/coordination/isolation/isolation.go
@@ -1,9 +1,8 @@
-// Package isolation decides whether a node is cut off from all leafs. A node cannot tell from
-// one failed connection whether the leaf or its own link has failed. When nothing is received
-// from any leaf although replies are overdue, or when connections to leafs of several groups
-// fail in a row, it probes: it dials a few leafs that have not failed lately. Only if all of
-// these dials fail is the node isolated. It stops being so once most dials of a later probe
-// succeed.
+// Package isolation decides whether a node is cut off from all leafs. One failed connection does
+// not show whether the leaf or the node's own link has failed. When nothing is received from any
+// leaf although replies are overdue, or when connections to leafs of several groups fail in a
+// row, the node probes: it dials a few leafs that have not failed lately. Only if all of these
+// dials fail is the node isolated. It stops being so once two dials of a later probe succeed.
 //
 // A Detector takes observations with their time, does no I/O and relies on the lock of its
 // owner.
--- a/internal/transport/forward/crash_test.go
+++ b/internal/transport/forward/crash_test.go
@@ -293,7 +293,7 @@
 					}
 					r.do(t.Context(), http.MethodGet, "/good")
 					time.Sleep(time.Second)
-					links.mend()
+					links.restore()
 				}
 				if reports > 0 {
 					t.Errorf("%d reports to other nodes", reports)
--- a/internal/transport/forward/fake_test.go
+++ b/internal/transport/forward/fake_test.go
@@ -248,8 +248,8 @@
 	close(l.lost)
 }
 
-// mend ends a cut.
-func (l *fakeLinks) mend() {
+// restore ends a cut.
+func (l *fakeLinks) restore() {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.isolated = false
--- a/internal/transport/forward/relay.go
+++ b/internal/transport/forward/relay.go
@@ -69,8 +69,7 @@
 	// other relay merges results, since two merged results that overlap cannot both be
 	// used.
 	hedge bool
-	// detour is true if this node would send the shards to the leafs itself if it reached
-	// them.
+	// detour is true if this node is isolated and reaches no leaf of the shards itself.
 	detour bool
 }
 
--- a/internal/transport/leafwire/failure_test.go
+++ b/internal/transport/leafwire/failure_test.go
@@ -21,8 +21,8 @@
 	}
 }
 
-// TestFailureCauses checks that the log can tell a leaf that resets connections from a link
-// on which nothing arrives: each failure of a connection is reported once, with its cause.
+// TestFailureCauses checks that the log distinguishes a leaf that resets connections from a
+// link on which nothing arrives: each failure of a connection is reported once, with its cause.
 func TestFailureCauses(t *testing.T) {
 	reset := func(_ int, c net.Conn, r *bufio.Reader) {
 		_, _ = http.ReadRequest(r)
--- a/internal/transport/leafwire/links_test.go
+++ b/internal/transport/leafwire/links_test.go
@@ -43,7 +43,7 @@
 	await(t, done)
 }
 
-// TestWhatLinksShow checks what the client tells of its links: the last reply, overdue calls,
+// TestWhatLinksShow checks what the client reports of its links: the last reply, overdue calls,
 // open connections and groups whose leafs cannot be dialled.
 func TestWhatLinksShow(t *testing.T) {
 	received, answer := make(chan struct{}), make(chan struct{})
