Count calls that a leaf's notice kept from it as unsent

Callers saw: after a leaf had asked for a pause or begun to leave, calls that had waited for a connection to it were failed with ErrStayAway and counted as failures of the leaf, so it was ejected when it took requests again. TestWithheldCallsAreNoFailures showed one failure and a share of 0.3 before. They now end as unsent, which says nothing about the leaf.

--- a/internal/transport/forward/attemptend.go
+++ b/internal/transport/forward/attemptend.go
@@ -57,6 +57,8 @@
 		return leaf.Answered
 	case call.IsCancelled():
 		return leaf.Cancelled
+	case errors.Is(call.Reply.Err, leafwire.ErrStayAway):
+		return leaf.Unsent
 	case call.Reply.Status != 0 && call.Reply.Result == subrequest.NotRun:
 		return leaf.Shed
 	default:
--- a/internal/transport/forward/notices_test.go
+++ b/internal/transport/forward/notices_test.go
@@ -260,3 +260,18 @@
 		})
 	}
 }
+
+// TestWithheldCallsAreNoFailures guards against a leaf that counts as failing because calls that
+// waited for a connection to it were sent elsewhere when it asked for a pause.
+func TestWithheldCallsAreNoFailures(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newRig(t, singleRoute(true), map[string]behaviour{"a/1": unreachable})
+		go r.do(t.Context(), http.MethodGet, "/x")
+		time.Sleep(ms)
+		r.leafClient.FailWaiting("a/1")
+		synctest.Wait()
+		if stats := r.groups.Replicas("a")[0].Record.Stats(); stats.Failures > 0 || stats.FailureShare > 0 || stats.InFlight > 0 {
+			t.Errorf("statistics of the leaf: %+v", stats)
+		}
+	})
+}
