Pass over a source without a copy of a kind for that kind only

A node of an earlier release has no copies of kinds that are new. It was passed over for all kinds, so during an upgrade a node that follows a new kind would also have lost its sources of the other kinds, and read the platform instead.

--- a/internal/transport/mesh/client.go
+++ b/internal/transport/mesh/client.go
@@ -39,14 +39,20 @@
 	unanswered atomic.Bool
 
 	mu    sync.Mutex
-	stale map[string]time.Time // sources that are passed over, with the end of that time
+	stale map[staleSource]time.Time // with the end of the time in which it is passed over
 	links map[platform.Kind]*link
 }
 
+// staleSource is a source that is passed over for one kind, or for all kinds if kind is empty.
+type staleSource struct {
+	node string
+	kind platform.Kind
+}
+
 // NewClient returns a client that shares the reads of the platform with other nodes.
 // watchWait is how long a watch waits for a change.
 func NewClient(store platform.Client, m *Mesh, watchWait time.Duration) *Client {
-	return &Client{Client: store, mesh: m, watchWait: watchWait, stale: make(map[string]time.Time), links: make(map[platform.Kind]*link)}
+	return &Client{Client: store, mesh: m, watchWait: watchWait, stale: make(map[staleSource]time.Time), links: make(map[platform.Kind]*link)}
 }
 
 // source chooses the source to read a kind from now.
@@ -55,11 +61,12 @@
 	confirmed := c.mesh.cfg.Mirror.Confirmed(kind)
 	c.mu.Lock()
 	var stale []string
-	for id, until := range c.stale {
-		if now.Before(until) {
-			stale = append(stale, id)
-		} else {
-			delete(c.stale, id)
+	for s, until := range c.stale {
+		switch {
+		case !now.Before(until):
+			delete(c.stale, s)
+		case s.kind == "" || s.kind == kind:
+			stale = append(stale, s.node)
 		}
 	}
 	c.mu.Unlock()
--- a/internal/transport/mesh/follow.go
+++ b/internal/transport/mesh/follow.go
@@ -142,5 +142,5 @@
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.stale[c.mesh.cfg.Node] = time.Now().Add(platformRejectionTTL)
+	c.stale[staleSource{node: c.mesh.cfg.Node}] = time.Now().Add(platformRejectionTTL)
 }
--- a/internal/transport/mesh/followpeer.go
+++ b/internal/transport/mesh/followpeer.go
@@ -103,12 +103,13 @@
 	defer cancel()
 	reply, err := c.callFollow(ctx, id, kind, request)
 	confirmed := time.Now()
-	ttl := failedSourceTTL
+	source, ttl := staleSource{node: id}, failedSourceTTL
 	switch {
 	case err != nil:
 		err = fault.Wrap(err, fault.StepPeer, id, "follow %s", kind)
 	case !reply.Known:
-		ttl = emptySourceTTL
+		// A node of an earlier release has copies of fewer kinds.
+		source.kind, ttl = kind, emptySourceTTL
 		err = fault.Wrap(platform.ErrUnavailable, fault.StepPeer, id, "follow %s: node has no usable copy", kind)
 	case reply.GetHello().GetVersion() < peer.VersionWithEras && c.mesh.cfg.Mirror.Era(kind) > 0:
 		err = fault.Wrap(platform.ErrUnavailable, fault.StepPeer, id, "follow %s: node does not know the era of its copy", kind)
@@ -123,8 +124,8 @@
 		return nil, confirmed, err
 	}
 	c.mu.Lock()
-	_, listed := c.stale[id]
-	c.stale[id] = time.Now().Add(ttl)
+	_, listed := c.stale[source]
+	c.stale[source] = time.Now().Add(ttl)
 	c.mu.Unlock()
 	if !listed {
 		c.mesh.cfg.Log.WithFields(log.Fields{"node": id, "kind": string(kind)}).WithError(err).Warn("source passed over")
