Send no requests to leafs of evacuated availability zones

Callers' operators asked that nothing more be sent to the leafs of a zone and gateways went on sending: the entries were not read at all.

The entries are followed like the list of leafs; a leaf of an evacuated zone is not usable for attempts of any kind, calls that wait for a connection to it go elsewhere, and a gateway sends to no leaf before it has a list. Entry gateways refuse at once what only such leafs could serve, also where relays send.

--- a/internal/coordination/pause/pause.go
+++ b/internal/coordination/pause/pause.go
@@ -44,7 +44,7 @@
 
 // Until returns when enough groups can be sent to again for a request that needs a leaf of
 // at least needed of them. It returns the zero time if enough can be sent to now, and false
-// if too many have only leafs that leave, or none.
+// if too many have only leafs that leave or are in an evacuated zone, or none.
 func Until(groups [][]shardmap.Replica, needed int) (time.Time, bool) {
 	var times []time.Time
 	for _, replicas := range groups {
@@ -65,7 +65,7 @@
 	for _, r := range replicas {
 		stats := r.Record.Stats()
 		switch {
-		case stats.Draining:
+		case stats.IsWithdrawn():
 		case stats.UsableFrom().IsZero():
 			return time.Time{}, true
 		case !ok || stats.UsableFrom().Before(first):
--- a/internal/node/gateway/clusters.go
+++ b/internal/node/gateway/clusters.go
@@ -71,13 +71,15 @@
 // zoneSet is a set of availability zones.
 type zoneSet map[string]bool
 
-// shardZones returns the zones in which each of the shards has a leaf.
+// shardZones returns the zones in which each of the shards has a leaf in service.
 func (r *relays) shardZones(shards []int, groups []string) map[int]zoneSet {
 	zones := make(map[int]zoneSet, len(shards))
 	for _, shard := range shards {
 		zones[shard] = make(zoneSet)
 		for _, replica := range r.groups.Replicas(groups[shard]) {
-			zones[shard][replica.VM.AvailabilityZone] = true
+			if stats := replica.Record.Stats(); !stats.IsWithdrawn() {
+				zones[shard][replica.VM.AvailabilityZone] = true
+			}
 		}
 	}
 	return zones
--- a/internal/node/gateway/control.go
+++ b/internal/node/gateway/control.go
@@ -10,6 +10,7 @@
 	"github.com/apex/log"
 
 	"github.com/hickorydock/hickorydock/internal/coordination/backoff"
+	"github.com/hickorydock/hickorydock/internal/coordination/evacuation"
 	"github.com/hickorydock/hickorydock/internal/protocol/platform"
 	"github.com/hickorydock/hickorydock/internal/protocol/route"
 	"github.com/hickorydock/hickorydock/internal/state/group"
@@ -39,9 +40,12 @@
 	stopping atomic.Bool
 	// heartbeat is the time between two heartbeats of a leaf at the platform.
 	heartbeat time.Duration
+	// followsEvacuations is true if the platform's operator can evacuate availability zones.
+	followsEvacuations bool
 
-	mu    sync.Mutex // serialises changes of the list of leafs and guards the fields below
+	mu    sync.Mutex // serialises changes of leafs and zones and guards the fields below
 	leafs leafList
+	zones evacuation.Zones
 }
 
 // run watches the platform until ctx ends.
@@ -49,6 +53,9 @@
 	var running sync.WaitGroup
 	running.Go(func() { c.watcher(platform.KindRouting, c.tableListed, c.tableChanged).Run(ctx) })
 	running.Go(func() { c.watcher(platform.KindVM, c.leafsListed, c.leafChanged).Run(ctx) })
+	if c.followsEvacuations {
+		running.Go(func() { c.watcher(platform.KindEvacuation, c.evacuationsListed, c.evacuationChanged).Run(ctx) })
+	}
 	running.Go(func() { c.client.RunContacts(ctx) })
 	running.Go(func() { c.client.RunQuarantines(ctx) })
 	running.Go(func() { c.client.AdoptFromMember(ctx, platform.KindRouting, c.tableListed) })
@@ -77,7 +84,8 @@
 	}
 }
 
-// Ready returns nil once the node has a routing table and a list of leafs.
+// Ready returns nil once the node has a routing table, a list of leafs and, where there are
+// evacuations, a list of them.
 func (c *controller) Ready() error {
 	if c.routing.Current() == nil {
 		return errors.New("no routing table known yet")
@@ -85,6 +93,9 @@
 	if !c.leafsKnown.Load() {
 		return errors.New("no list of leafs known yet")
 	}
+	if c.followsEvacuations && !c.zonesKnown() {
+		return errors.New("no list of evacuated availability zones known yet")
+	}
 	return nil
 }
 
--- a/internal/node/gateway/leafs.go
+++ b/internal/node/gateway/leafs.go
@@ -132,7 +132,10 @@
 		c.leafClient.RemoveLeaf(next.VM.ID)
 	}
 	leaving := next.VM.State == platform.VMLeaving
-	c.groups.Put(next).UpdateDrain(func(d leaf.DrainState) leaf.DrainState { return drain.OnList(d, leaving) })
+	c.groups.Put(next, func(record *leaf.Record) {
+		record.UpdateDrain(func(d leaf.DrainState) leaf.DrainState { return drain.OnList(d, leaving) })
+		record.SetEvacuated(c.isEvacuated(next))
+	})
 	if known && !replaced && old.VM.State == next.VM.State {
 		return
 	}
--- a/internal/node/gateway/relays_test.go
+++ b/internal/node/gateway/relays_test.go
@@ -89,7 +89,7 @@
 			r.node, r.zone = test.node, test.zone
 			for _, name := range rt.Shards {
 				for _, zone := range test.leafs {
-					r.groups.Put(route.Leaf{VM: platform.VM{ID: name + zone, Group: name, AvailabilityZone: zone}})
+					r.groups.Put(route.Leaf{VM: platform.VM{ID: name + zone, Group: name, AvailabilityZone: zone}}, nil)
 				}
 			}
 			zones := map[string]bool{}
@@ -131,7 +131,7 @@
 		for i, name := range rt.Shards {
 			for k := range leafsEach {
 				zone := fmt.Sprintf("az-%d", (i+k)%zones)
-				r.groups.Put(route.Leaf{VM: platform.VM{ID: name + zone, Group: name, AvailabilityZone: zone}})
+				r.groups.Put(route.Leaf{VM: platform.VM{ID: name + zone, Group: name, AvailabilityZone: zone}}, nil)
 			}
 		}
 		parts := r.Clusters(rt)
--- a/internal/node/gateway/wiring.go
+++ b/internal/node/gateway/wiring.go
@@ -161,6 +161,8 @@
 		metrics:    m,
 		log:        logger,
 		heartbeat:  s.Forward.LeafHeartbeat(),
+
+		followsEvacuations: s.Forward.HasEvacuations(),
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	r.onAssignment = func() {
--- a/internal/protocol/platform/platform.go
+++ b/internal/protocol/platform/platform.go
@@ -26,6 +26,9 @@
 	KindClaim Kind = "claim"
 	// KindRouting holds the current routing table, in the object RoutingName.
 	KindRouting Kind = "routing"
+	// KindEvacuation holds one object for each availability zone whose leafs the operator wants
+	// to get no requests, named after the zone. Their values mean nothing.
+	KindEvacuation Kind = "evacuation"
 	// KindNode holds one object for each node, with its status.
 	KindNode Kind = "node"
 	// KindContact holds the addresses of a few gateways, for those that start.
--- a/internal/state/group/group.go
+++ b/internal/state/group/group.go
@@ -74,16 +74,22 @@
 	return all
 }
 
-// ForgetFailures drops what failed subrequests say about each leaf.
-func (s *Store) ForgetFailures() {
+// Each calls visit with every leaf and its record, ordered by identifier.
+func (s *Store) Each(visit func(route.Leaf, *leaf.Record)) {
 	for _, l := range s.All() {
-		s.table.Record(l.VM.ID).ForgetFailures()
+		visit(l, s.table.Record(l.VM.ID))
 	}
 }
 
+// ForgetFailures drops what failed subrequests say about each leaf.
+func (s *Store) ForgetFailures() {
+	s.Each(func(_ route.Leaf, record *leaf.Record) { record.ForgetFailures() })
+}
+
 // Put adds or replaces a leaf and returns its record. A leaf whose incarnation,
-// address or group changed starts with an empty record.
-func (s *Store) Put(l route.Leaf) *leaf.Record {
+// address or group changed starts with an empty record. prepare, which may be nil, sets up
+// the record before the leaf can be chosen.
+func (s *Store) Put(l route.Leaf, prepare func(*leaf.Record)) *leaf.Record {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	old, known := s.leafs[l.VM.ID]
@@ -92,6 +98,9 @@
 	}
 	s.leafs[l.VM.ID] = l
 	record := s.table.Record(l.VM.ID)
+	if prepare != nil {
+		prepare(record)
+	}
 	s.updateReplicas(l.VM.Group, func(list []shardmap.Replica) []shardmap.Replica {
 		return append(without(list, l.VM.ID), shardmap.Replica{VM: l.VM, Record: record})
 	})
--- a/internal/state/group/group_test.go
+++ b/internal/state/group/group_test.go
@@ -15,10 +15,10 @@
 
 func TestGroups(t *testing.T) {
 	s := NewStore(leaf.NewTable())
-	s.Put(newLeaf("b", "x", 1))
-	s.Put(newLeaf("a", "x", 1))
+	s.Put(newLeaf("b", "x", 1), nil)
+	s.Put(newLeaf("a", "x", 1), nil)
 	before := s.Replicas("x")
-	s.Put(newLeaf("a", "y", 1))
+	s.Put(newLeaf("a", "y", 1), nil)
 	if len(before) != 2 || before[0].VM.ID != "a" {
 		t.Errorf("Put changed a list returned before: %+v", before)
 	}
@@ -36,13 +36,13 @@
 func TestNewIncarnationResetsRecord(t *testing.T) {
 	s := NewStore(leaf.NewTable())
 	now := time.Unix(1000, 0)
-	record := s.Put(newLeaf("a", "x", 1))
+	record := s.Put(newLeaf("a", "x", 1), nil)
 	record.Begin(now)
 	record.End(now, time.Second, leaf.Errored)
-	if s.Put(newLeaf("a", "x", 1)).Stats().Failures != 1 {
+	if s.Put(newLeaf("a", "x", 1), nil).Stats().Failures != 1 {
 		t.Error("Put of the same incarnation reset the record")
 	}
-	if s.Put(newLeaf("a", "x", 2)).Stats().Failures != 0 {
+	if s.Put(newLeaf("a", "x", 2), nil).Stats().Failures != 0 {
 		t.Error("the failures of the previous incarnation were kept")
 	}
 }
--- a/internal/state/leaf/leaf.go
+++ b/internal/state/leaf/leaf.go
@@ -46,6 +46,9 @@
 	LastReply time.Time
 	// Draining is true when the leaf is leaving.
 	Draining bool
+	// Evacuated is true while the operator wants no requests at the leafs of the leaf's
+	// availability zone.
+	Evacuated bool
 	// PausedUntil is when the pause ends that the leaf has asked for; zero without one.
 	PausedUntil time.Time
 	// Limited is true when the leaf limits the requests of all nodes, and LimitedUntil is
@@ -57,8 +60,13 @@
 // IsPaused reports whether the leaf has asked for a pause that has not ended.
 func (s *Stats) IsPaused() bool { return !s.PausedUntil.IsZero() }
 
-// IsUsable reports whether the leaf may get new work.
-func (s *Stats) IsUsable() bool { return !s.Draining && s.UsableFrom().IsZero() }
+// IsUsable reports whether the leaf may get new work now. These are all reasons why it may
+// not; a leaf that fails is only chosen less often.
+func (s *Stats) IsUsable() bool { return !s.IsWithdrawn() && s.UsableFrom().IsZero() }
+
+// IsWithdrawn reports whether the leaf gets no new work until the platform or the leaf itself
+// says otherwise.
+func (s *Stats) IsWithdrawn() bool { return s.Draining || s.Evacuated }
 
 // UsableFrom returns when the leaf can be sent to again; the zero time if it can be now.
 func (s *Stats) UsableFrom() time.Time {
@@ -213,6 +221,16 @@
 	r.stats.Draining = r.drain.IsDraining()
 }
 
+// SetEvacuated records whether the leaf's availability zone is evacuated, and reports whether
+// that changed.
+func (r *Record) SetEvacuated(evacuated bool) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	changed := r.stats.Evacuated != evacuated
+	r.stats.Evacuated = evacuated
+	return changed
+}
+
 // Pause records that the leaf asks for no requests until a time, and reports whether it was
 // not paused before. Resume ends the pause.
 func (r *Record) Pause(until time.Time) bool {
--- a/internal/transport/forward/detour.go
+++ b/internal/transport/forward/detour.go
@@ -38,11 +38,8 @@
 func (soundLinks) Lost() <-chan struct{} { return nil }
 func (soundLinks) ServedByPeer()         {}
 
-// reached returns the replicas that this node can send to.
+// reached returns the replicas that this node, which is isolated, can send to.
 func (f *Forwarder) reached(replicas []shardmap.Replica) []shardmap.Replica {
-	if !f.Links.Isolated() {
-		return replicas
-	}
 	return slices.DeleteFunc(slices.Clone(replicas), func(r shardmap.Replica) bool { return !f.Links.Reaches(r.VM.ID) })
 }
 
--- a/internal/transport/forward/exchange.go
+++ b/internal/transport/forward/exchange.go
@@ -38,7 +38,7 @@
 	lastCall *leafwire.Call
 	// lastReply is the last reply of a leaf, which a relay may have received.
 	lastReply *leafwire.Reply
-	// unreached is true if the group has leafs, but this node reaches none of them.
+	// unreached is true if the group has leafs in service, but this node reaches none of them.
 	unreached bool
 	// detoured is true once the shard has gone to another node while attempts of this node
 	// were pending.
@@ -96,10 +96,12 @@
 	maxSends := 0
 	for i, group := range groups {
 		replicas := f.groups.Replicas(group)
-		reached := f.reached(replicas)
-		x.shards[i].unreached = len(replicas) > 0 && len(reached) == 0
-		if !x.shards[i].unreached {
-			replicas = reached
+		if f.Links.Isolated() {
+			reached := f.reached(replicas)
+			x.shards[i].unreached = !slices.ContainsFunc(reached, isInService) && slices.ContainsFunc(replicas, isInService)
+			if !x.shards[i].unreached {
+				replicas = reached
+			}
 		}
 		x.view.Replicas[i] = replicas
 		if len(replicas) > 0 {
@@ -148,10 +150,15 @@
 		x.message = x.f.encodeMessage(x.req)
 	}
 	x.advanceLimits(now)
+	x.failShardsWithout(now, isInService)
+	if x.query.CannotReachMinCoverage() {
+		return false
+	}
 	if x.startAtRelays(now) {
 		return true
 	}
-	x.failUnusableShards(now)
+	x.failUnreachedShards(now)
+	x.failShardsWithout(now, isUsable)
 	if x.query.CannotReachMinCoverage() {
 		return false
 	}
@@ -161,21 +168,37 @@
 	return true
 }
 
-// failUnusableShards fails the shards that have no leaf which takes new requests and which this
-// node reaches, so that a request that cannot be served is refused before anything is sent.
-func (x *exchange) failUnusableShards(now time.Time) {
+// failShardsWithout fails the shards of which no leaf satisfies a condition, so that a request
+// that cannot be served is refused before anything is sent.
+func (x *exchange) failShardsWithout(now time.Time, condition func(shardmap.Replica) bool) {
 	for shard, replicas := range x.view.Replicas {
-		if x.shards[shard].unreached || len(replicas) > 0 && !slices.ContainsFunc(replicas, isUsable) {
+		if len(replicas) > 0 && !slices.ContainsFunc(replicas, condition) {
+			x.failShard(now, shard, query.ReasonNoReplica)
+		}
+	}
+}
+
+// failUnreachedShards fails the shards that only other nodes reach.
+func (x *exchange) failUnreachedShards(now time.Time) {
+	for shard := range x.shards {
+		if x.shards[shard].unreached {
 			x.failShard(now, shard, query.ReasonNoReplica)
 		}
 	}
 }
 
+// isUsable reports whether this node may send to a leaf now.
 func isUsable(r shardmap.Replica) bool {
 	stats := r.Record.Stats()
 	return stats.IsUsable()
 }
 
+// isInService reports whether any node may send to a leaf, now or soon.
+func isInService(r shardmap.Replica) bool {
+	stats := r.Record.Stats()
+	return !stats.IsWithdrawn()
+}
+
 // run processes the request until its response can be sent. It returns false if the
 // caller disconnected.
 func (x *exchange) run(ctx context.Context) bool {
--- a/internal/transport/forward/fake_test.go
+++ b/internal/transport/forward/fake_test.go
@@ -178,7 +178,7 @@
 	r := &rig{leafClient: &fakeLeafClient{leafs: leafs, ended: map[*leafwire.Call]bool{}, waiting: map[*leafwire.Call]bool{}}, observer: &fakeObserver{outcomes: map[string]int{}, notices: map[string]int{}}, groups: group.NewStore(leaf.NewTable())}
 	for id := range leafs {
 		name, _, _ := strings.Cut(id, "/")
-		r.groups.Put(route.Leaf{VM: platform.VM{ID: id, Group: name}})
+		r.groups.Put(route.Leaf{VM: platform.VM{ID: id, Group: name}}, nil)
 	}
 	cfg := Config{Names: testNames, CallerTrip: 3 * ms, MergeReserve: 4 * ms, ExtraShare: 0.2, ExtraSlack: 10, Linger: 200 * ms}
 	r.Forwarder = New(cfg, store, r.groups, r.leafClient, guard.New(nil), r.observer, &log.Logger{Handler: discard.Default})
--- a/internal/transport/forward/notices_test.go
+++ b/internal/transport/forward/notices_test.go
@@ -68,7 +68,7 @@
 			t.Errorf("%d requests to the leaf that leaves, want the first one only", got)
 		}
 		listed := route.Leaf{VM: platform.VM{ID: "a/1", Group: "a", State: platform.VMLive}}
-		r.groups.Put(listed)
+		r.groups.Put(listed, nil)
 		r.load(t, 10*ms, time.Second)
 		if got := r.leafClient.sends()["a/1"]; got != 1 {
 			t.Errorf("%d requests to the leaf after it was listed as live", got)
@@ -78,7 +78,7 @@
 		}
 		leafs["a/1"] = replyingAfter(5 * ms)
 		listed.Incarnation++
-		r.groups.Put(listed)
+		r.groups.Put(listed, nil)
 		r.load(t, 10*ms, time.Second)
 		if got := r.leafClient.sends()["a/1"]; got == 1 {
 			t.Error("no request to the next run of the leaf")
--- a/internal/transport/forward/relay.go
+++ b/internal/transport/forward/relay.go
@@ -164,7 +164,7 @@
 	run := &clusterRun{cluster: c, cancel: func() {}}
 	shards := make([]int, 0, len(c.Shards))
 	for _, shard := range c.Shards {
-		if len(x.view.Replicas[shard]) > 0 {
+		if len(x.view.Replicas[shard]) > 0 && !x.query.IsSettled(shard) {
 			shards = append(shards, shard)
 		}
 	}
--- a/internal/transport/forward/removed_test.go
+++ b/internal/transport/forward/removed_test.go
@@ -23,7 +23,7 @@
 		if response, _ := r.do(t.Context(), http.MethodGet, "/x"); response.Code != http.StatusOK {
 			t.Errorf("status %d", response.Code)
 		}
-		stats := r.groups.Put(route.Leaf{VM: platform.VM{ID: "g/1", Group: "g"}, Incarnation: 2}).Stats()
+		stats := r.groups.Put(route.Leaf{VM: platform.VM{ID: "g/1", Group: "g"}, Incarnation: 2}, nil).Stats()
 		if stats.InFlight != 0 || stats.Latency != 0 {
 			t.Errorf("the new leaf starts with %d in flight and a latency of %v", stats.InFlight, stats.Latency)
 		}
--- a/internal/transport/metrics/metrics.go
+++ b/internal/transport/metrics/metrics.go
@@ -75,6 +75,7 @@
 	leafNotices           *prometheus.CounterVec
 	routingVersion        prometheus.Gauge
 	listedLeafs           prometheus.Gauge
+	evacuatedZones        prometheus.Gauge
 	platformEra           prometheus.Gauge
 	isolated              prometheus.Gauge
 	linkProbes            *prometheus.CounterVec
@@ -120,6 +121,7 @@
 	m.leafNotices = counterVec("leaf_notices_total", "Replies in which a leaf asks for no or fewer new requests, by notice: leaving, pause or limit. Repeated ones are not counted.", "notice")
 	m.routingVersion = gauge("routing_version", "Version of the current routing table of this node.")
 	m.listedLeafs = gauge("leafs_listed", "Leafs in the platform's list.")
+	m.evacuatedZones = gauge("evacuated_zones", "Availability zones whose leafs get no requests, as this node knows them.")
 	m.platformEra = gauge("platform_era", "Era of the platform, which rises when it is restored from an older copy.")
 	m.isolated = gauge("isolated", "1 while this node is cut off from all leafs, else 0.")
 	m.linkProbes = counterVec("link_probes_total", "Probes of the links to the leafs, by result: reached if any leaf answered, else failed.", "result")
@@ -127,7 +129,7 @@
 		collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}),
 		m.queryDuration, m.queryCoverage, m.queriesInFlight, m.subrequests, m.cancelledSubrequests, m.refusals, m.refusedSubrequests, m.admissionLimit, m.admissionWaiting, m.invariantViolations,
 		m.catalogueRevision, m.oldRevisions, m.platformCalls, m.leafConnections, m.leafConnectionsOpened, m.leafConnectionsFailed, m.quarantineEntries, m.quarantineEvents, m.quarantineReports, m.peers,
-		m.forwardDuration, m.forwardCoverage, m.forwardAttempts, m.leafNotices, m.routingVersion, m.listedLeafs, m.platformEra, m.isolated, m.linkProbes,
+		m.forwardDuration, m.forwardCoverage, m.forwardAttempts, m.leafNotices, m.routingVersion, m.listedLeafs, m.evacuatedZones, m.platformEra, m.isolated, m.linkProbes,
 	)
 	return m
 }
@@ -369,3 +371,10 @@
 		m.listedLeafs.Set(float64(n))
 	}
 }
+
+// SetEvacuatedZones sets the number of evacuated availability zones.
+func (m *Metrics) SetEvacuatedZones(n int) {
+	if m != nil {
+		m.evacuatedZones.Set(float64(n))
+	}
+}
