Limit requests to cold leafs, and let warm leafs go first

Cause: registrations' warmup and the routing table's rate were not used.

One mechanism with the limits that leafs state: ratelimit keeps the lower limit, with a pace for bounds over a single second.

--- a/internal/coordination/replica/replica.go
+++ b/internal/coordination/replica/replica.go
@@ -38,6 +38,8 @@
 	toleratedUnanswered = 1
 	// failurePenalty multiplies the cost once for each failure since the last answer.
 	failurePenalty = 4
+	// coldPenalty multiplies the cost of a leaf that warms up, so that others go first.
+	coldPenalty = 2
 	// maxFailureShare bounds the share of failures in the cost, which is otherwise infinite.
 	maxFailureShare = 0.9
 	// maxPenalisedFailures bounds how often failurePenalty is applied.
@@ -191,6 +193,9 @@
 	for range min(failures(s), maxPenalisedFailures) {
 		cost *= failurePenalty
 	}
+	if s.Cold {
+		cost *= coldPenalty
+	}
 	return cost * attemptCost(s)
 }
 
--- a/internal/node/gateway/control.go
+++ b/internal/node/gateway/control.go
@@ -14,6 +14,7 @@
 	"github.com/hickorydock/hickorydock/internal/protocol/platform"
 	"github.com/hickorydock/hickorydock/internal/protocol/route"
 	"github.com/hickorydock/hickorydock/internal/state/group"
+	"github.com/hickorydock/hickorydock/internal/state/leaf"
 	"github.com/hickorydock/hickorydock/internal/state/routing"
 	"github.com/hickorydock/hickorydock/internal/transport/follow"
 	"github.com/hickorydock/hickorydock/internal/transport/leafwire"
@@ -42,10 +43,16 @@
 	heartbeat time.Duration
 	// followsEvacuations is true if the platform's operator can evacuate availability zones.
 	followsEvacuations bool
+	// setCold passes to the forwarder whether a leaf is cold, see Forwarder.SetCold.
+	setCold func(record *leaf.Record, group string, cold bool, perSecond float64)
+	// leafsConfirmedAt is when the platform last confirmed the list of leafs.
+	leafsConfirmedAt func() time.Time
 
 	mu    sync.Mutex // serialises changes of leafs and zones and guards the fields below
 	leafs leafList
 	zones evacuation.Zones
+	// zonesApplied is true once leafs have been marked by a list of the evacuated zones.
+	zonesApplied bool
 }
 
 // run watches the platform until ctx ends.
@@ -130,6 +137,7 @@
 	c.log.WithFields(fields).Info("routing table read")
 	if replaced {
 		c.metrics.SetRoutingVersion(table.Version)
+		c.renewColdLimits()
 		c.relays.scheduleAssignment()
 	}
 }
--- a/internal/node/gateway/control_test.go
+++ b/internal/node/gateway/control_test.go
@@ -52,6 +52,9 @@
 		leafClient: leafwire.New(leafwire.Config{MaxConnections: func(string) int { return 1 }}),
 		relays:     &relays{routing: routes, groups: groups, records: leaf.NewTable(), log: logger},
 		log:        logger,
+
+		setCold:          func(record *leaf.Record, _ string, cold bool, _ float64) { record.SetCold(cold) },
+		leafsConfirmedAt: time.Now,
 	}
 }
 
--- a/internal/node/gateway/evacuations.go
+++ b/internal/node/gateway/evacuations.go
@@ -48,6 +48,8 @@
 // connection then go elsewhere, and those of other zones as usable. The caller holds c.mu.
 func (c *controller) applyEvacuations(revision uint64) {
 	changed, inFlight := 0, 0
+	released := c.zonesApplied
+	c.zonesApplied = c.zones.Known()
 	c.groups.Each(func(l route.Leaf, record *leaf.Record) {
 		evacuated := c.isEvacuated(l)
 		switch {
@@ -57,6 +59,8 @@
 			c.leafClient.FailWaiting(l.VM.ID)
 			stats := record.Stats()
 			inFlight += stats.InFlight
+		case released:
+			c.assumeCold(l, record)
 		}
 		changed++
 	})
--- a/internal/node/gateway/leafs.go
+++ b/internal/node/gateway/leafs.go
@@ -135,11 +135,14 @@
 	c.groups.Put(next, func(record *leaf.Record) {
 		record.UpdateDrain(func(d leaf.DrainState) leaf.DrainState { return drain.OnList(d, leaving) })
 		record.SetEvacuated(c.isEvacuated(next))
+		if next.Cold || known && old.Cold {
+			c.applyCold(next, record, next.Cold)
+		}
 	})
-	if known && !replaced && old.VM.State == next.VM.State {
+	if known && !replaced && old.VM.State == next.VM.State && old.Cold == next.Cold {
 		return
 	}
-	fields := log.Fields{"leaf": next.VM.ID, "group": next.VM.Group, "state": string(next.VM.State), "revision": platform.Revision(object.Version), "born": next.Incarnation}
+	fields := log.Fields{"leaf": next.VM.ID, "group": next.VM.Group, "state": string(next.VM.State), "cold": next.Cold, "revision": platform.Revision(object.Version), "born": next.Incarnation}
 	c.log.WithFields(fields).Info("leaf listed")
 	if !leaving && c.relays.connectsTo(next.VM.Group) {
 		c.leafClient.Warm(next.VM)
--- a/internal/node/gateway/wiring.go
+++ b/internal/node/gateway/wiring.go
@@ -163,6 +163,8 @@
 		heartbeat:  s.Forward.LeafHeartbeat(),
 
 		followsEvacuations: s.Forward.HasEvacuations(),
+		setCold:            f.SetCold,
+		leafsConfirmedAt:   f.LeafListConfirmedAt,
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	r.onAssignment = func() {
--- a/internal/protocol/route/route.go
+++ b/internal/protocol/route/route.go
@@ -85,6 +85,11 @@
 	Connections int
 	// HealthPath is the path of a leaf's health check.
 	HealthPath string
+	// Warmup is how long a leaf is cold after its start.
+	Warmup time.Duration
+	// WarmupPerSecond is the number of requests a second that a cold leaf takes from all nodes
+	// together; 0 means that it states none.
+	WarmupPerSecond float64
 }
 
 // Table is one version of the routing table. It is immutable.
@@ -100,6 +105,8 @@
 	VM platform.VM
 	// Slots is the number of requests that the leaf runs concurrently.
 	Slots int
+	// Cold is true while the leaf warms up, in which it is slow and takes fewer requests.
+	Cold bool
 	// Incarnation identifies one run of a leaf's process under its identifier.
 	Incarnation int64
 }
--- a/internal/state/group/group.go
+++ b/internal/state/group/group.go
@@ -63,6 +63,9 @@
 	return l, ok
 }
 
+// Record returns the record of a leaf of the store.
+func (s *Store) Record(id string) *leaf.Record { return s.table.Record(id) }
+
 // All returns every leaf, ordered by identifier.
 func (s *Store) All() []route.Leaf {
 	s.mu.Lock()
--- a/internal/state/leaf/leaf.go
+++ b/internal/state/leaf/leaf.go
@@ -49,10 +49,12 @@
 	// Evacuated is true while the operator wants no requests at the leafs of the leaf's
 	// availability zone.
 	Evacuated bool
+	// Cold is true while the leaf warms up.
+	Cold bool
 	// PausedUntil is when the pause ends that the leaf has asked for; zero without one.
 	PausedUntil time.Time
-	// Limited is true when the leaf limits the requests of all nodes, and LimitedUntil is
-	// when this node may send to it again; zero if it may now.
+	// Limited is true while the requests of all nodes to the leaf are limited, and
+	// LimitedUntil is when this node may send to it again; zero if it may now.
 	Limited      bool
 	LimitedUntil time.Time
 }
@@ -76,18 +78,23 @@
 	return s.PausedUntil
 }
 
-// Limit is the rate that a leaf states for all nodes together; coordination/ratelimit updates
-// it.
+// Limit bounds the requests a second of all nodes together to a leaf; coordination/ratelimit
+// updates it.
 type Limit struct {
 	// Stated is true while the leaf states a limit, PerSecond requests a second.
 	Stated    bool
 	PerSecond float64
+	// WarmupPerSecond is the bound while the leaf is cold; 0 if it is warm or has none.
+	WarmupPerSecond float64
 	// StatedAt is the time of the last reply that stated it.
 	StatedAt time.Time
 	// NextSend is when this node may send the next request.
 	NextSend time.Time
 }
 
+// IsActive reports whether requests are limited.
+func (l *Limit) IsActive() bool { return l.Stated || l.WarmupPerSecond > 0 }
+
 // DrainState holds what each source reports about whether a leaf is leaving;
 // coordination/drain updates it.
 type DrainState struct {
@@ -231,6 +238,13 @@
 	return changed
 }
 
+// SetCold records whether the leaf warms up.
+func (r *Record) SetCold(cold bool) {
+	r.mu.Lock()
+	r.stats.Cold = cold
+	r.mu.Unlock()
+}
+
 // Pause records that the leaf asks for no requests until a time, and reports whether it was
 // not paused before. Resume ends the pause.
 func (r *Record) Pause(until time.Time) bool {
@@ -260,9 +274,9 @@
 	defer r.mu.Unlock()
 	before := r.stats.LimitedUntil
 	r.limit = update(r.limit)
-	r.stats.Limited = r.limit.Stated
+	r.stats.Limited = r.limit.IsActive()
 	r.stats.LimitedUntil = time.Time{}
-	if r.limit.Stated && r.limit.NextSend.After(now) {
+	if r.stats.Limited && r.limit.NextSend.After(now) {
 		r.stats.LimitedUntil = r.limit.NextSend
 	}
 	if r.stats.LimitedUntil.Equal(before) {
--- a/internal/transport/forward/forward.go
+++ b/internal/transport/forward/forward.go
@@ -93,8 +93,8 @@
 	startedAt  time.Time
 	nodeCount  atomic.Int64
 	limitNodes nodeCounter
-	// limitsStated is true once any leaf has stated a limit.
-	limitsStated atomic.Bool
+	// limitsSet is true once requests to any leaf have been limited.
+	limitsSet atomic.Bool
 	// limitPhase is the phase of this node in ratelimit.Node.
 	limitPhase float64
 	lag        lag.Lag
--- a/internal/transport/forward/limit.go
+++ b/internal/transport/forward/limit.go
@@ -76,6 +76,24 @@
 	return ratelimit.Node{Sharers: f.sharers(now, group), Phase: f.limitPhase, Origin: f.startedAt}
 }
 
+// SetCold records that a leaf of a group has become cold, in which it takes perSecond requests
+// from all nodes together (0 if it has no bound), or that it is warm.
+func (f *Forwarder) SetCold(record *leaf.Record, group string, cold bool, perSecond float64) {
+	if !cold {
+		perSecond = 0
+	}
+	record.SetCold(cold)
+	now := time.Now()
+	node := f.limitNode(now, group)
+	f.changeLimit(now, record, func(l leaf.Limit) leaf.Limit {
+		if l.WarmupPerSecond == 0 && perSecond == 0 {
+			return l
+		}
+		f.limitsSet.Store(true)
+		return ratelimit.OnWarmup(l, perSecond, node, now)
+	})
+}
+
 // takeFromLimit reports whether a request may be sent to a leaf now, and counts it if the
 // leaf limits the requests of all nodes. Until the next one may be sent, the leaf is not used.
 func (f *Forwarder) takeFromLimit(now time.Time, record *leaf.Record, group string) bool {
@@ -94,7 +112,7 @@
 // advanceLimits brings the limits of the leafs of a request up to now, so that what can be
 // sent is known before anything is sent.
 func (x *exchange) advanceLimits(now time.Time) {
-	if !x.f.limitsStated.Load() {
+	if !x.f.limitsSet.Load() {
 		return
 	}
 	for shard, replicas := range x.view.Replicas {
@@ -131,7 +149,7 @@
 		f.log.WithFields(fields).WithError(err).Warn("limit that a leaf states ignored")
 		return
 	}
-	f.limitsStated.Store(true)
+	f.limitsSet.Store(true)
 	node := f.limitNode(now, call.Leaf.Group)
 	var before, after leaf.Limit
 	f.changeLimit(now, call.Record, func(l leaf.Limit) leaf.Limit {
