--- a/internal/protocol/settings/load.go
+++ b/internal/protocol/settings/load.go
@@ -236,13 +236,29 @@
 			continue
 		}
 		l.envVars[f.Path] = f.Env
-		target := f.value(&l.settings)
-		if target.Kind() == reflect.Slice {
-			target.Set(reflect.ValueOf(splitList(text)))
-			continue
+		if !assignText(f.value(&l.settings), text) {
+			l.fail(f.Path, "is not of type %s", f.Type)
+		}
+	}
+}
+
+// assignText stores the value of a variable; it returns false when the text has another type.
+// Empty text leaves a number as it is.
+func assignText(target reflect.Value, text string) bool {
+	switch target.Kind() {
+	case reflect.Slice:
+		target.Set(reflect.ValueOf(splitList(text)))
+	case reflect.Float64:
+		if text == "" {
+			return true
 		}
+		n, err := strconv.ParseFloat(text, 64)
+		target.SetFloat(n)
+		return err == nil
+	default:
 		target.SetString(text)
 	}
+	return true
 }
 
 func splitList(text string) []string {
--- a/internal/protocol/settings/settings.go
+++ b/internal/protocol/settings/settings.go
@@ -118,7 +118,7 @@
 	LingerMS       float64 `toml:"linger_ms" min:"0" max:"10000" doc:"Time that an attempt which is no longer needed may run on, in milliseconds, so that its connection is kept."`
 	ApplyMS        float64 `toml:"apply_ms" min:"100" max:"600000" doc:"Time within which a change of the routing table must be in force, in milliseconds."`
 	DrainMS        float64 `toml:"drain_ms" min:"100" max:"600000" doc:"Time within which a leaf that leaves must get no new work, in milliseconds."`
-	EvacuateMS     float64 `toml:"evacuate_ms" min:"0" max:"600000" doc:"Time within which the leafs of an evacuated availability zone must get no new work, in milliseconds; 0 on a platform without evacuations, whose entries are then not read."`
+	EvacuateMS     float64 `toml:"evacuate_ms" env:"HICKORYDOCK_EVACUATE_MS" min:"0" max:"600000" doc:"Time within which the leafs of an evacuated availability zone must get no new work, in milliseconds; 0 on a platform without evacuations, whose entries are then not read."`
 	HeartbeatMS    float64 `toml:"leaf_heartbeat_ms" min:"10" max:"600000" doc:"Time between two heartbeats of a leaf at the platform, in milliseconds; without three of them its registration expires."`
 	GraceS         float64 `toml:"grace_s" min:"0.1" max:"3600" doc:"Time between SIGTERM and the end of the process that the platform allows, in seconds."`
 }
--- a/internal/protocol/settings/settings_test.go
+++ b/internal/protocol/settings/settings_test.go
@@ -132,3 +132,20 @@
 		}
 	}
 }
+
+// TestNumbersInEnvironment: a variable sets a number, an empty one does not, and one that is no
+// number or out of range is reported by its name.
+func TestNumbersInEnvironment(t *testing.T) {
+	for text, want := range map[string]float64{"5000": 5000, "2500.5": 2500.5, "": 0} {
+		s, err := Load("f", minimalSettings, func(name string) (string, bool) { return text, name == "HICKORYDOCK_EVACUATE_MS" })
+		if err != nil || s.Forward.EvacuateMS != want {
+			t.Errorf("%q: %v, want %v, error %v", text, s.Forward.EvacuateMS, want, err)
+		}
+	}
+	for _, text := range []string{"soon", "-1", "NaN", "5 s"} {
+		_, err := Load("f", minimalSettings, func(name string) (string, bool) { return text, name == "HICKORYDOCK_EVACUATE_MS" })
+		if err == nil || !strings.Contains(err.Error(), "HICKORYDOCK_EVACUATE_MS") {
+			t.Errorf("%q: error %v", text, err)
+		}
+	}
+}
