Spread that a gateway is isolated also past nodes that drop the field

With half of 67 nodes of a release that does not know the field, 8 views stayed wrong for good: such a node was the first to pass an entry on without it, and digests did not cover the field, so lists counted as equal. The digest covers it now. Against a release whose digest lacks it lists differ for as long as a member is isolated; since a node always asked the same such neighbour then, it now asks a random member if the last one did not help.

--- a/internal/coordination/membership/isolated_test.go
+++ b/internal/coordination/membership/isolated_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -86,3 +87,46 @@
 		t.Errorf("%d nodes see it isolated after its end", isolated)
 	}
 }
+
+// withoutIsolated returns updates as a release reads them that does not know the field.
+func withoutIsolated(updates []membership.Member) []membership.Member {
+	read := slices.Clone(updates)
+	for i := range read {
+		read[i].Isolated = false
+	}
+	return read
+}
+
+// TestIsolationSpreadsBesideEarlierRelease guards against nodes that never learn that another
+// one is isolated, because a node of an earlier release, which drops the field, was the first
+// to pass its entry on.
+func TestIsolationSpreadsBesideEarlierRelease(t *testing.T) {
+	const exchanges = 6
+	for _, size := range []int{8, 67} {
+		n := newNetwork(size)
+		random := rand.New(rand.NewPCG(1, 2))
+		n.drop = func(Packet) bool { return random.Float64() < 0.02 }
+		n.earlier = map[string]bool{}
+		for i := range size / 2 {
+			n.earlier[name(2*i)] = true
+		}
+		for _, isolated := range []bool{true, false} {
+			for i := range size / 4 {
+				id := name(2*i + 1)
+				n.dispatch(id, n.nodes[id].SetIsolated(n.now, isolated))
+			}
+			n.run(exchanges * minSyncInterval)
+			wrong := 0
+			for id, m := range n.nodes {
+				for _, other := range n.nodes {
+					if known, _ := m.Lookup(other.self.ID); !n.earlier[id] && known.Isolated != other.self.Isolated {
+						wrong++
+					}
+				}
+			}
+			if wrong > 0 {
+				t.Errorf("%d nodes: %d views are wrong after %d exchanges of lists since a quarter became isolated: %t", size, wrong, exchanges, isolated)
+			}
+		}
+	}
+}
--- a/internal/coordination/membership/membership.go
+++ b/internal/coordination/membership/membership.go
@@ -137,6 +137,7 @@
 	nextGossip  time.Time
 	nextRecheck time.Time
 	nextSync    time.Time
+	lastSync    string // the member that was asked last
 	seq         uint64
 
 	probes         map[string]*probe
@@ -213,7 +214,9 @@
 	if m.superseded || m.self.Isolated == isolated {
 		return a
 	}
+	m.digest ^= digestOf(m.self)
 	m.self.Isolated = isolated
+	m.digest ^= digestOf(m.self)
 	m.refute(m.self.Refutation + 1)
 	m.gossip(now, &a)
 	a.Changed = append(a.Changed, m.self)
--- a/internal/coordination/membership/membership_test.go
+++ b/internal/coordination/membership/membership_test.go
@@ -17,10 +17,12 @@
 // network runs members under virtual time. Messages take one step of 1 ms; drop
 // reports whether a message is not delivered.
 type network struct {
-	now      time.Time
-	nodes    map[string]*Membership
-	down     map[string]bool // failed or paused
-	drop     func(p Packet) bool
+	now   time.Time
+	nodes map[string]*Membership
+	down  map[string]bool // failed or paused
+	drop  func(p Packet) bool
+	// earlier are the nodes of a release that does not know Member.Isolated.
+	earlier  map[string]bool
 	inFlight []Packet
 	// falseDeaths describes members that were declared dead while they ran.
 	falseDeaths []string
@@ -76,6 +78,9 @@
 		if target == nil || n.down[p.To] || (n.drop != nil && n.drop(p)) {
 			continue
 		}
+		if n.earlier[p.To] {
+			p.Message.Updates = withoutIsolated(p.Message.Updates)
+		}
 		n.dispatch(p.To, target.Receive(n.now, p.Message))
 	}
 }
--- a/internal/coordination/membership/receive.go
+++ b/internal/coordination/membership/receive.go
@@ -112,12 +112,19 @@
 }
 
 // startSync requests what this node lacks from another one, at most once per
-// minSyncInterval. The other node does the same when it finds that the lists differ.
+// minSyncInterval. The other node does the same when it finds that the lists differ. If the
+// lists still differ from those of the node that was asked last, a random one is asked: the
+// former may be of a release whose digest never agrees.
 func (m *Membership) startSync(now time.Time, peer string, a *Actions) {
 	if now.Before(m.nextSync) {
 		return
 	}
 	m.nextSync = now.Add(minSyncInterval)
+	m.refresh()
+	if peer == m.lastSync && len(m.present) > 0 {
+		peer = m.present[m.random.IntN(len(m.present))]
+	}
+	m.lastSync = peer
 	m.requestList(peer, a)
 }
 
--- a/internal/coordination/membership/ring.go
+++ b/internal/coordination/membership/ring.go
@@ -9,6 +9,10 @@
 	"github.com/hickorydock/hickorydock/internal/protocol/membership"
 )
 
+// isolatedBit is set beside the state of an isolated member. A release whose digest lacks it
+// differs while a member is isolated, and exchanges lists each minSyncInterval.
+const isolatedBit = 0x80
+
 // digestOf hashes the fields of one member that a digest covers. Digests of several
 // members are combined by exclusive or.
 func digestOf(m membership.Member) uint64 {
@@ -18,6 +22,9 @@
 	binary.LittleEndian.PutUint64(tail[:], m.Start)
 	binary.LittleEndian.PutUint32(tail[8:], m.Refutation)
 	tail[12] = byte(m.State)
+	if m.Isolated {
+		tail[12] |= isolatedBit
+	}
 	_, _ = h.Write(tail[:])
 	return h.Sum64()
 }
