Record messages of the release in production, and what may change between releases

What a release does with reports and batches that it does not know is tested; both were right already.

--- a/internal/coordination/quarantine/withdraw_test.go
+++ b/internal/coordination/quarantine/withdraw_test.go
@@ -116,3 +116,22 @@
 		}
 	})
 }
+
+// TestReportsOfLaterReleases guards against reports of a kind that this release does not know,
+// which must change nothing: as this one's withdrawals do at earlier releases, which keep the
+// request in quarantine until it ends.
+func TestReportsOfLaterReleases(t *testing.T) {
+	now := time.Unix(1000, 0)
+	l := New()
+	for _, leaf := range []string{"x", "y"} {
+		l.Receive(now, Report{Kind: CrashAttributed, Fingerprint: 1, Leaf: leaf})
+		l.Receive(now, Report{Kind: 99, Fingerprint: 1, Leaf: leaf})
+		l.Receive(now, Report{Kind: 99, Fingerprint: 2, Leaf: leaf})
+	}
+	if _, quarantined := l.Quarantined(now, 1); !quarantined {
+		t.Error("a report of an unknown kind ends a quarantine")
+	}
+	if l.IsSuspect(now, 2) {
+		t.Error("a report of an unknown kind makes a request suspect")
+	}
+}
--- a/internal/protocol/membership/codec_test.go
+++ b/internal/protocol/membership/codec_test.go
@@ -1,6 +1,7 @@
 package membership
 
 import (
+	"encoding/hex"
 	"errors"
 	"reflect"
 	"testing"
@@ -67,3 +68,20 @@
 		}
 	})
 }
+
+// TestDatagramOfEarlierRelease guards against gossip that nodes of the release in production
+// (17141dd) and of this one read differently while they run side by side.
+func TestDatagramOfEarlierRelease(t *testing.T) {
+	const recorded = "080312026e31214d000000000000003a1b0a026e32120a31302e302e302e323a311a01612005280330013801"
+	want := Message{Kind: Gossip, From: "n1", Digest: 77, Updates: []Member{{ID: "n2", Address: "10.0.0.2:1", AvailabilityZone: "a", Start: 5, Refutation: 3, State: Alive, Isolated: true}}}
+	bytes, err := hex.DecodeString(recorded)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if got, err := Decode(bytes); err != nil || !reflect.DeepEqual(got, want) {
+		t.Errorf("decoded %+v, want %+v, error %v", got, want, err)
+	}
+	if got := hex.EncodeToString(want.Append(nil)); got != recorded {
+		t.Errorf("encoded %s, want %s", got, recorded)
+	}
+}
--- a/internal/transport/forward/detour_test.go
+++ b/internal/transport/forward/detour_test.go
@@ -320,3 +320,24 @@
 		}
 	})
 }
+
+// earlierNode is a node of a release that cannot decode requests to one leaf: it ends the batch
+// without a result.
+type earlierNode struct{}
+
+func (earlierNode) Serve(context.Context, *contract.Batch, func(peer.Result)) {}
+
+// TestDetourToEarlierRelease guards against a caller who is told that a request did not run by a
+// node that cannot know, since the other node ended its batch without a result.
+func TestDetourToEarlierRelease(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		entry, _, relays := fleet(t, singleRoute(false), map[string]behaviour{"a/1": replyingAfter(10 * ms)})
+		relays.handlers["earlier"] = earlierNode{}
+		entry.Links = cutLinks()
+		response, took := entry.do(t.Context(), http.MethodPost, "/x")
+		if response.Code != http.StatusBadGateway || took > 20*ms {
+			t.Errorf("status %d after %v, want 502 at once", response.Code, took)
+		}
+		entry.observer.violations = nil
+	})
+}
