Read the load that leafs state

Instance-Load is decoded in the adapter into typed fields and kept in the leaf's record with the time of the reply. No decision uses it yet.

--- a/internal/node/gateway/control_test.go
+++ b/internal/node/gateway/control_test.go
@@ -40,6 +40,8 @@
 	return l, err
 }
 
+func (plainAdapter) DecodeLoad(string) (route.Load, error) { return route.Load{}, nil }
+
 func newTestController() *controller {
 	routes := &routing.Store{}
 	logger := &log.Logger{Handler: discard.Default}
--- a/internal/node/gateway/gateway.go
+++ b/internal/node/gateway/gateway.go
@@ -41,6 +41,8 @@
 	DecodeTable(object platform.Object) (route.Table, error)
 	// DecodeLeaf decodes an object of platform.KindVM.
 	DecodeLeaf(object platform.Object) (route.Leaf, error)
+	// DecodeLoad decodes the header HeaderNames.Load of a leaf's reply.
+	DecodeLoad(value string) (route.Load, error)
 }
 
 var adapters = map[string]Adapter{}
--- a/internal/node/gateway/wiring.go
+++ b/internal/node/gateway/wiring.go
@@ -109,6 +109,7 @@
 	f := forward.New(forward.Config{
 		AvailabilityZone: s.Node.AvailabilityZone,
 		Names:            a.Headers(),
+		DecodeLoad:       a.DecodeLoad,
 		CallerTrip:       s.Forward.CallerTrip(),
 		MergeReserve:     s.Forward.MergeReserve(),
 		ExtraShare:       s.Forward.ExtraShare,
--- a/internal/protocol/route/route.go
+++ b/internal/protocol/route/route.go
@@ -133,4 +133,17 @@
 	// Limit holds the requests a second, a decimal number, that a leaf in need takes from
 	// all nodes together.
 	Limit string
+	// Load holds the load of a leaf, in the platform's format.
+	Load string
+}
+
+// Load is the load that a leaf states in a reply.
+type Load struct {
+	// Running and Waiting count the requests of all nodes that the leaf runs and queues.
+	Running, Waiting int
+	// Slots is the number of requests that the leaf runs concurrently.
+	Slots int
+	// WorkTime is the ratio of the time that work takes on the leaf's machine now to the usual
+	// time.
+	WorkTime float64
 }
--- a/internal/state/leaf/leaf.go
+++ b/internal/state/leaf/leaf.go
@@ -8,6 +8,8 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+
+	"github.com/hickorydock/hickorydock/internal/protocol/route"
 )
 
 // tableShards is the number of locks of a Table; a power of two.
@@ -51,6 +53,9 @@
 	Evacuated bool
 	// Cold is true while the leaf warms up.
 	Cold bool
+	// Load is what the leaf stated last, in a reply at LoadAt; LoadAt is zero if it states none.
+	Load   route.Load
+	LoadAt time.Time
 	// PausedUntil is when the pause ends that the leaf has asked for; zero without one.
 	PausedUntil time.Time
 	// Limited is true while the requests of all nodes to the leaf are limited, and
@@ -238,6 +243,14 @@
 	return changed
 }
 
+// SetLoad records the load that the leaf has stated.
+func (r *Record) SetLoad(now time.Time, load route.Load) {
+	r.mu.Lock()
+	r.stats.Load = load
+	r.stats.LoadAt = now
+	r.mu.Unlock()
+}
+
 // SetCold records whether the leaf warms up.
 func (r *Record) SetCold(cold bool) {
 	r.mu.Lock()
--- a/internal/transport/forward/fake_test.go
+++ b/internal/transport/forward/fake_test.go
@@ -26,7 +26,7 @@
 
 const ms = time.Millisecond
 
-var testNames = route.HeaderNames{RequestID: "Id", TimeLeft: "Left", Target: "Target", Receipt: "Receipt", Receipts: "Receipts", Missing: "Missing", NotRun: "Not-Run", Leaving: "Leaving", Limit: "Limit"}
+var testNames = route.HeaderNames{RequestID: "Id", TimeLeft: "Left", Target: "Target", Receipt: "Receipt", Receipts: "Receipts", Missing: "Missing", NotRun: "Not-Run", Leaving: "Leaving", Limit: "Limit", Load: "Load"}
 
 // behaviour returns the reply of a leaf to a call and the time after which it is sent.
 type behaviour func(call *leafwire.Call) (after time.Duration, reply leafwire.Reply)
--- a/internal/transport/forward/forward.go
+++ b/internal/transport/forward/forward.go
@@ -47,6 +47,8 @@
 type Config struct {
 	AvailabilityZone string
 	Names            route.HeaderNames
+	// DecodeLoad decodes the header Names.Load; nil if leafs state no load.
+	DecodeLoad func(value string) (route.Load, error)
 	// CallerTrip is the one-way latency between a caller and a node.
 	CallerTrip time.Duration
 	// MergeReserve is the time reserved for merging and writing a response.
--- a/internal/transport/forward/notices.go
+++ b/internal/transport/forward/notices.go
@@ -19,14 +19,17 @@
 	noticeLeaving = "leaving"
 	noticePause   = "pause"
 	noticeLimit   = "limit"
+	// noticeBadLoad is a load that could not be decoded and is ignored.
+	noticeBadLoad = "bad_load"
 )
 
 // leavingValue is the value of HeaderNames.Leaving on the replies of a leaf that leaves.
 const leavingValue = "1"
 
-// handleNotices handles what a reply says about its leaf: that it is leaving, that it asks
-// for a pause, or that it limits the requests of all nodes. Calls that wait for a connection to it then go to another leaf. A reply
-// of another leaf at the same address is ignored.
+// handleNotices handles what a reply says about its leaf: its load, that it is leaving, that it
+// asks for a pause, or that it limits the requests of all nodes. Calls that wait for a
+// connection to it then go to another leaf. A reply of another leaf at the same address is
+// ignored.
 func (f *Forwarder) handleNotices(now time.Time, call *leafwire.Call) {
 	reply := &call.Reply
 	if reply.Header == nil || reply.Misdirected {
@@ -34,6 +37,7 @@
 	}
 	if reply.Result != subrequest.BadReply {
 		f.noteLimit(now, call)
+		f.noteLoad(now, call)
 	}
 	if reply.Header.Get(f.cfg.Names.Leaving) == leavingValue {
 		f.leafLeaves(now, call)
@@ -43,6 +47,21 @@
 	}
 }
 
+// noteLoad records the load that a reply states.
+func (f *Forwarder) noteLoad(now time.Time, call *leafwire.Call) {
+	value := call.Reply.Header.Get(f.cfg.Names.Load)
+	if value == "" || f.cfg.DecodeLoad == nil {
+		return
+	}
+	load, err := f.cfg.DecodeLoad(value)
+	if err != nil {
+		f.observer.LeafNotice(noticeBadLoad)
+		f.log.WithFields(log.Fields{"leaf": call.Leaf.ID, "group": call.Leaf.Group, "request": call.Message.ID}).WithError(err).Warn("load that a leaf states ignored")
+		return
+	}
+	call.Record.SetLoad(now, load)
+}
+
 // leafLeaves ends new work for a leaf. The platform's list cannot undo this for the same run
 // of the leaf; another run has a new record.
 func (f *Forwarder) leafLeaves(now time.Time, call *leafwire.Call) {
--- a/internal/transport/forward/notices_test.go
+++ b/internal/transport/forward/notices_test.go
@@ -275,3 +275,33 @@
 		}
 	})
 }
+
+// TestLoadOfLeafs: the load that a leaf states is kept with its time, and one that cannot be
+// decoded changes nothing but a counter.
+func TestLoadOfLeafs(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		value := "2"
+		r := newRig(t, singleRoute(true), map[string]behaviour{"a/1": func(call *leafwire.Call) (time.Duration, leafwire.Reply) {
+			reply := ok(call)
+			reply.Header.Set("Load", value)
+			return 5 * ms, reply
+		}})
+		r.cfg.DecodeLoad = func(text string) (route.Load, error) {
+			running, err := strconv.Atoi(text)
+			return route.Load{Running: running, WorkTime: 1}, err
+		}
+		r.do(t.Context(), http.MethodGet, "/x")
+		statedAt := time.Now()
+		for _, value = range []string{"many", ""} {
+			if response, _ := r.do(t.Context(), http.MethodGet, "/y"); response.Code != http.StatusOK {
+				t.Errorf("load %q: status %d", value, response.Code)
+			}
+		}
+		if stats := r.groups.Replicas("a")[0].Record.Stats(); stats.Load.Running != 2 || !stats.LoadAt.Equal(statedAt) {
+			t.Errorf("load %+v of %v, want that of %v", stats.Load, stats.LoadAt, statedAt)
+		}
+		if r.observer.notices[noticeBadLoad] != 1 {
+			t.Errorf("notices %v", r.observer.notices)
+		}
+	})
+}
