Assign relays once for several announcements

With each announcement that a gateway is isolated every gateway divided the groups anew and changed its connections, and so did announcements that change nothing for relays (refutations), and requests that came together computed the same assignment several times. Which members are isolated now takes effect at once for the first announcement and for the others together, each 200 ms; equal lists change nothing; one request computes an assignment.

TestIsolatedNodesAreNoRelays waits for that time, its checks are the same.

--- a/internal/node/gateway/relays.go
+++ b/internal/node/gateway/relays.go
@@ -53,6 +53,20 @@
 	return &memberList{members: alive, reaching: reaching}
 }
 
+// hasSameMembers reports whether both lists have the same members, isolated or not.
+func (l *memberList) hasSameMembers(other *memberList) bool {
+	return slices.EqualFunc(l.members, other.members, func(a, b membership.Member) bool {
+		return a.ID == b.ID && a.AvailabilityZone == b.AvailabilityZone
+	})
+}
+
+// isEquivalent reports whether both lists assign groups alike.
+func (l *memberList) isEquivalent(other *memberList) bool {
+	return l.hasSameMembers(other) && slices.EqualFunc(l.members, other.members, func(a, b membership.Member) bool {
+		return a.Isolated == b.Isolated
+	})
+}
+
 // relays assigns groups to the nodes that relay to them. It is safe for concurrent use.
 type relays struct {
 	node    string
@@ -67,20 +81,60 @@
 	alive        atomic.Pointer[memberList]
 	current      atomic.Pointer[assignment]
 
-	mu          sync.Mutex
+	assigning sync.Mutex // held while an assignment is computed
+
+	mu          sync.Mutex // guards the fields below
 	assignTimer *time.Timer // renews the assignment; nil before the first change
+	// membersSetAt is when alive was set last, and nextMembers the list that replaces it
+	// reassignDelay later; nil if there is none.
+	membersSetAt time.Time
+	nextMembers  *memberList
 }
 
-// reassignDelay is how long scheduleAssignment waits for further changes, since many
-// nodes start and stop together. A request that needs the assignment does not wait.
+// reassignDelay is how long scheduleAssignment waits for further changes, since many nodes start
+// and stop together, and the shortest time between two changes of which nodes are isolated. A
+// request that needs the assignment does not wait.
 const reassignDelay = 200 * time.Millisecond
 
 // setMembers sets the members, of which only those that are alive and reach leafs get groups.
+// When many nodes lose their links together, the first one takes effect at once and the
+// others together; requests to relays that are isolated go to the next one meanwhile.
 func (r *relays) setMembers(members []membership.Member) {
-	r.alive.Store(newMemberList(slices.DeleteFunc(slices.Clone(members), func(m membership.Member) bool {
+	next := newMemberList(slices.DeleteFunc(slices.Clone(members), func(m membership.Member) bool {
 		return m.State != membership.Alive
-	})))
-	r.scheduleAssignment()
+	}))
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	wait := reassignDelay - time.Since(r.membersSetAt)
+	current := r.alive.Load()
+	if wait <= 0 || current == nil || !current.hasSameMembers(next) {
+		r.applyMembers(next)
+		return
+	}
+	if r.nextMembers == nil {
+		time.AfterFunc(wait, r.applyNextMembers)
+	}
+	r.nextMembers = next
+}
+
+func (r *relays) applyNextMembers() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.nextMembers != nil {
+		r.applyMembers(r.nextMembers)
+	}
+}
+
+// applyMembers makes next the list of members, unless it assigns groups as the current one does.
+// The caller holds r.mu.
+func (r *relays) applyMembers(next *memberList) {
+	r.nextMembers = nil
+	if current := r.alive.Load(); current != nil && current.isEquivalent(next) {
+		return
+	}
+	r.membersSetAt = time.Now()
+	r.alive.Store(next)
+	r.scheduleLocked()
 }
 
 // isIsolated reports whether this node has announced that it reaches no leaf.
@@ -93,6 +147,11 @@
 func (r *relays) scheduleAssignment() {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	r.scheduleLocked()
+}
+
+// scheduleLocked is scheduleAssignment for a caller that holds r.mu.
+func (r *relays) scheduleLocked() {
 	if r.assignTimer == nil {
 		r.assignTimer = time.AfterFunc(reassignDelay, func() { r.assignment() })
 		return
@@ -110,6 +169,12 @@
 	if a := r.current.Load(); a != nil && a.members == members && a.index == index {
 		return a
 	}
+	r.assigning.Lock()
+	defer r.assigning.Unlock()
+	members, index = r.alive.Load(), r.routing.Current()
+	if a := r.current.Load(); a != nil && a.members == members && a.index == index {
+		return a // another request has computed it meanwhile
+	}
 	a := &assignment{members: members, index: index, owners: r.assign(members.reaching, index)}
 	r.current.Store(a)
 	if r.onAssignment != nil {
--- a/internal/node/gateway/relays_test.go
+++ b/internal/node/gateway/relays_test.go
@@ -5,11 +5,13 @@
 	"encoding/json"
 	"fmt"
 	"maps"
+	"math"
 	"math/bits"
 	"net"
 	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -258,6 +260,10 @@
 // TestIsolatedNodesAreNoRelays guards against groups whose relays all reach no leaf: those that
 // do are the relays, unless none does.
 func TestIsolatedNodesAreNoRelays(t *testing.T) {
+	synctest.Test(t, checkIsolatedNodesAreNoRelays)
+}
+
+func checkIsolatedNodesAreNoRelays(t *testing.T) {
 	r, rt := newTestRelays(70, 90, 56)
 	for _, isolated := range []int{0, 14, 60, 69, 70} {
 		members := membersIn(4, 70)
@@ -265,6 +271,7 @@
 			members[i].Isolated = true
 		}
 		r.setMembers(members)
+		time.Sleep(reassignDelay) // until all announcements have taken effect
 		clusters := r.Clusters(rt)
 		direct := isolated == 60 || isolated == 69 // few enough to connect to every leaf
 		if (clusters == nil) != direct {
@@ -294,3 +301,38 @@
 		}
 	}
 }
+
+// TestAnnouncementsInSeries guards against nodes that assign all groups anew, and change their
+// connections, with each of many announcements that a node is isolated, or with one that
+// changes nothing.
+func TestAnnouncementsInSeries(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r, _ := newTestRelays(67, 90, 56)
+		r.assignment()
+		var assignments atomic.Int64
+		r.onAssignment = func() { assignments.Add(1) }
+		members := membersIn(4, 67)
+		const announcements, between = 57, 20 * time.Millisecond
+		for i := range announcements {
+			members[i].Isolated = true
+			members[i].Refutation++
+			r.setMembers(members)
+			r.assignment() // as each request does
+			time.Sleep(between)
+		}
+		time.Sleep(2 * reassignDelay)
+		synctest.Wait()
+		if most := int64(math.Ceil(float64(announcements*between)/float64(reassignDelay))) + 1; assignments.Load() > most {
+			t.Errorf("%d assignments for %d announcements in %v, want at most %d", assignments.Load(), announcements, announcements*between, most)
+		}
+		if list := r.alive.Load(); len(list.reaching) != len(members)-announcements {
+			t.Errorf("%d members reach leafs, want %d", len(list.reaching), len(members)-announcements)
+		}
+		before := r.assignment()
+		members[0].Refutation++
+		r.setMembers(members)
+		if time.Sleep(2 * reassignDelay); r.assignment() != before {
+			t.Error("an announcement that changes nothing leads to a new assignment")
+		}
+	})
+}
