Choose no sources of evacuations among nodes of an earlier release

A node of the release in production has no copy of the evacuations. Taken for failed sources, three of them made a gateway watch the platform itself, so half way through an upgrade all gateways of this release would have: priced calls that grow with the fleet. They now count as no members for this kind.

--- a/internal/node/gateway/relays.go
+++ b/internal/node/gateway/relays.go
@@ -83,7 +83,7 @@
 
 	assigning sync.Mutex // held while an assignment is computed
 
-	mu          sync.Mutex // guards the fields below
+	mu          sync.Mutex  // guards the fields below
 	assignTimer *time.Timer // renews the assignment; nil before the first change
 	// membersSetAt is when alive was set last, and nextMembers the list that replaces it
 	// reassignDelay later; nil if there is none.
--- a/internal/transport/mesh/mesh_test.go
+++ b/internal/transport/mesh/mesh_test.go
@@ -43,13 +43,15 @@
 	objects *mirror.Mirror
 	down    atomic.Bool
 	calls   atomic.Int64
-	mu      sync.Mutex
-	version uint64
+	// evacuationCalls counts the watches of evacuations.
+	evacuationCalls atomic.Int64
+	mu              sync.Mutex
+	version         uint64
 }
 
 func newPlatform() *fakePlatform {
 	p := &fakePlatform{objects: mirror.New(), version: 1}
-	for _, kind := range []platform.Kind{platform.KindRouting, platform.KindContact, platform.KindQuarantine} {
+	for _, kind := range []platform.Kind{platform.KindRouting, platform.KindContact, platform.KindQuarantine, platform.KindEvacuation} {
 		p.objects.Replace(kind, platform.Listing{Version: p.version}, time.Now())
 	}
 	return p
@@ -92,6 +94,9 @@
 func (p *fakePlatform) Watch(ctx context.Context, kind platform.Kind, from uint64, each func(platform.Event) error) error {
 	for {
 		p.calls.Add(1)
+		if kind == platform.KindEvacuation {
+			p.evacuationCalls.Add(1)
+		}
 		if p.down.Load() {
 			return platform.ErrUnavailable
 		}
--- a/internal/transport/peer/config.go
+++ b/internal/transport/peer/config.go
@@ -16,10 +16,12 @@
 
 // Versions of the messages that this build supports.
 const (
-	Version       = 2
+	Version       = 3
 	LowestVersion = 1
 	// VersionWithEras is the first version whose platform versions hold an era.
 	VersionWithEras = 2
+	// VersionWithEvacuations is the first version whose nodes follow evacuated zones.
+	VersionWithEvacuations = 3
 )
 
 // Config identifies one side of a stream and sets what it accepts.
