--- a/internal/transport/mesh/client.go
+++ b/internal/transport/mesh/client.go
@@ -3,13 +3,11 @@
 import (
 	"context"
 	"math/rand/v2"
-	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
 
 	"github.com/hickorydock/hickorydock/internal/coordination/reader"
-	messages "github.com/hickorydock/hickorydock/internal/protocol/membership"
 	"github.com/hickorydock/hickorydock/internal/protocol/platform"
 	"github.com/hickorydock/hickorydock/internal/transport/follow"
 )
@@ -42,10 +40,7 @@
 
 	mu    sync.Mutex
 	stale map[staleSource]time.Time // with the end of the time in which it is passed over
-	// earlier are the nodes of an earlier release that do not follow a kind, with the time
-	// until which they count as such.
-	earlier map[staleSource]time.Time
-	links   map[platform.Kind]*link
+	links map[platform.Kind]*link
 }
 
 // staleSource is a source that is passed over for one kind, or for all kinds if kind is empty.
@@ -57,7 +52,7 @@
 // NewClient returns a client that shares the reads of the platform with other nodes.
 // watchWait is how long a watch waits for a change.
 func NewClient(store platform.Client, m *Mesh, watchWait time.Duration) *Client {
-	return &Client{Client: store, mesh: m, watchWait: watchWait, stale: make(map[staleSource]time.Time), earlier: make(map[staleSource]time.Time), links: make(map[platform.Kind]*link)}
+	return &Client{Client: store, mesh: m, watchWait: watchWait, stale: make(map[staleSource]time.Time), links: make(map[platform.Kind]*link)}
 }
 
 // source chooses the source to read a kind from now.
@@ -74,13 +69,10 @@
 			stale = append(stale, s.node)
 		}
 	}
-	members := slices.DeleteFunc(slices.Clone(c.mesh.Members()), func(m messages.Member) bool {
-		return now.Before(c.earlier[staleSource{m.ID, kind}])
-	})
 	c.mu.Unlock()
 	return reader.Choose(reader.Input{
 		Self:       c.mesh.cfg.Node,
-		Members:    members,
+		Members:    c.mesh.Members(),
 		SinceStart: now.Sub(c.mesh.started),
 		HasSeeds:   len(c.mesh.cfg.Seeds) > 0,
 		IsSeed:     c.mesh.isSeed(),
--- a/internal/transport/mesh/followpeer.go
+++ b/internal/transport/mesh/followpeer.go
@@ -26,9 +26,6 @@
 	// must not be shorter than the wait between two attempts, or no other source would be
 	// tried.
 	emptySourceTTL = 1 * time.Second
-	// earlierReleaseTTL is how long a node of an earlier release, which does not follow a
-	// kind, is no source of it, before it may have been replaced by this release.
-	earlierReleaseTTL = 10 * time.Second
 	// failedSourceTTL is how long a source that failed, or whose copy is too old, is
 	// passed over. Another request costs only one message, since it replies at once.
 	failedSourceTTL = 2 * time.Second
@@ -110,10 +107,8 @@
 	switch {
 	case err != nil:
 		err = fault.Wrap(err, fault.StepPeer, id, "follow %s", kind)
-	case !reply.Known && kind == platform.KindEvacuation && reply.GetHello().GetVersion() < peer.VersionWithEvacuations:
-		c.noteEarlierRelease(id, kind)
-		return nil, confirmed, fault.Wrap(platform.ErrUnavailable, fault.StepPeer, id, "follow %s: node is of an earlier release", kind)
 	case !reply.Known:
+		// A node of an earlier release has copies of fewer kinds.
 		source.kind, ttl = kind, emptySourceTTL
 		err = fault.Wrap(platform.ErrUnavailable, fault.StepPeer, id, "follow %s: node has no usable copy", kind)
 	case reply.GetHello().GetVersion() < peer.VersionWithEras && c.mesh.cfg.Mirror.Era(kind) > 0:
@@ -137,17 +132,3 @@
 	}
 	return nil, confirmed, err
 }
-
-// noteEarlierRelease records that a node does not follow a kind. It is no member as far as the
-// sources of this kind are concerned, rather than one that has failed.
-func (c *Client) noteEarlierRelease(id string, kind platform.Kind) {
-	source := staleSource{id, kind}
-	now := time.Now()
-	c.mu.Lock()
-	_, known := c.earlier[source]
-	c.earlier[source] = now.Add(earlierReleaseTTL)
-	c.mu.Unlock()
-	if !known {
-		c.mesh.cfg.Log.WithFields(log.Fields{"node": id, "kind": string(kind)}).Info("node of an earlier release does not follow this kind")
-	}
-}
--- a/internal/transport/peer/config.go
+++ b/internal/transport/peer/config.go
@@ -16,12 +16,10 @@
 
 // Versions of the messages that this build supports.
 const (
-	Version       = 3
+	Version       = 2
 	LowestVersion = 1
 	// VersionWithEras is the first version whose platform versions hold an era.
 	VersionWithEras = 2
-	// VersionWithEvacuations is the first version whose nodes follow evacuated zones.
-	VersionWithEvacuations = 3
 )
 
 // Config identifies one side of a stream and sets what it accepts.
