--- a/internal/coordination/ratelimit/ratelimit_test.go
+++ b/internal/coordination/ratelimit/ratelimit_test.go
@@ -68,19 +68,23 @@
 				}
 			}
 		}
-		allowed := 1.5*limit*4 + 5
-		first := 0
-		for i := range sent {
-			for sent[i].Sub(sent[first]) > 4*time.Second {
-				first++
-			}
-			if n := float64(i - first + 1); n > allowed {
-				t.Fatalf("%v requests in 4 s, allowed %v", n, allowed)
-			}
-		}
+		checkWindows(t, sent, 4*time.Second, 1.5*limit*4+5)
 	})
 }
 
+// checkWindows fails the test if more requests than allowed were sent in any window.
+func checkWindows(t *rapid.T, sent []time.Time, window time.Duration, allowed float64) {
+	first := 0
+	for i := range sent {
+		for sent[i].Sub(sent[first]) > window {
+			first++
+		}
+		if n := float64(i - first + 1); n > allowed {
+			t.Fatalf("%v requests in %v, allowed %v", n, window, allowed)
+		}
+	}
+}
+
 // warmupFactor and warmupSlack are the users' bound: in any second, a cold leaf may get
 // warmupFactor times what it takes a second, and warmupSlack requests.
 const (
@@ -128,16 +132,7 @@
 				}
 			}
 		}
-		allowed := warmupFactor*limit + warmupSlack
-		first := 0
-		for i := range sent {
-			for sent[i].Sub(sent[first]) > time.Second {
-				first++
-			}
-			if n := float64(i - first + 1); n > allowed {
-				t.Fatalf("%v requests in a second, allowed %v", n, allowed)
-			}
-		}
+		checkWindows(t, sent, time.Second, warmupFactor*limit+warmupSlack)
 	})
 }
 
--- a/internal/node/gateway/evacuations_test.go
+++ b/internal/node/gateway/evacuations_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"encoding/json"
-	"slices"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -10,6 +9,7 @@
 	"github.com/hickorydock/hickorydock/internal/coordination/drain"
 	"github.com/hickorydock/hickorydock/internal/protocol/platform"
 	"github.com/hickorydock/hickorydock/internal/protocol/route"
+	"github.com/hickorydock/hickorydock/internal/state/leaf"
 	"github.com/hickorydock/hickorydock/internal/state/routing"
 )
 
@@ -32,21 +32,10 @@
 	return platform.Object{Kind: platform.KindEvacuation, Name: zone, Value: json.RawMessage(value)}
 }
 
-// evacuated returns the leafs that get no requests because of their zones.
-func (c *controller) evacuated() (ids []string) {
-	for _, r := range c.groups.Replicas("g") {
-		if r.Record.Stats().Evacuated {
-			ids = append(ids, r.VM.ID)
-		}
-	}
-	return ids
-}
-
+// checkEvacuated checks which leafs get no requests because of their zones.
 func checkEvacuated(t *testing.T, c *controller, when string, want ...string) {
 	t.Helper()
-	if got := c.evacuated(); !slices.Equal(got, want) {
-		t.Errorf("%s: leafs %v are evacuated, want %v", when, got, want)
-	}
+	checkLeafs(t, c, when, "evacuated", func(s *leaf.Stats) bool { return s.Evacuated }, want)
 }
 
 // TestEvacuatedZones guards against requests to leafs of an evacuated zone: leafs known before,
--- a/internal/node/gateway/restore_test.go
+++ b/internal/node/gateway/restore_test.go
@@ -10,6 +10,7 @@
 	"github.com/hickorydock/hickorydock/internal/coordination/drain"
 	"github.com/hickorydock/hickorydock/internal/protocol/platform"
 	"github.com/hickorydock/hickorydock/internal/protocol/route"
+	"github.com/hickorydock/hickorydock/internal/state/leaf"
 )
 
 // registration returns the entry of one run of a leaf.
@@ -28,21 +29,24 @@
 	return platform.Listing{Objects: objects, Version: version}
 }
 
-// usable returns the leafs that may get work.
-func (c *controller) usable() (ids []string) {
+// checkLeafs checks which leafs satisfy a condition.
+func checkLeafs(t *testing.T, c *controller, when, what string, condition func(*leaf.Stats) bool, want []string) {
+	t.Helper()
+	var got []string
 	for _, r := range c.groups.Replicas("g") {
-		if !r.Record.Stats().Draining {
-			ids = append(ids, r.VM.ID)
+		if stats := r.Record.Stats(); condition(&stats) {
+			got = append(got, r.VM.ID)
 		}
 	}
-	return ids
+	if !slices.Equal(got, want) {
+		t.Errorf("%s: leafs %v are %s, want %v", when, got, what, want)
+	}
 }
 
+// checkUsable checks which leafs may get work.
 func checkUsable(t *testing.T, c *controller, when string, want ...string) {
 	t.Helper()
-	if got := c.usable(); !slices.Equal(got, want) {
-		t.Errorf("%s: leafs %v are in use, want %v", when, got, want)
-	}
+	checkLeafs(t, c, when, "in use", func(s *leaf.Stats) bool { return !s.Draining }, want)
 }
 
 // TestRestoredRegistrations: the platform is restored from a copy made before one leaf left,
