Let no SIGHUP end a gateway whose program is still being loaded

A series of SIGHUPs and changes met a process that had just been started. Cause: until runGateway registers for SIGHUP the Go runtime ends the process with it. Subcommands other than gateway and serve still end with SIGHUP.

--- a/cmd/hickorydock/gateway.go
+++ b/cmd/hickorydock/gateway.go
@@ -23,7 +23,8 @@
 Examples:
   hickorydock gateway --config gateway.toml
   hickorydock gateway --config gateway.toml --print-settings`,
-	bind: bindGateway,
+	keepsOnHangup: true,
+	bind:          bindGateway,
 }
 
 func bindGateway(flags *flaggy.Subcommand) runFunc {
@@ -35,8 +36,7 @@
 
 // runGateway writes the log to out, since the process has no other output.
 func runGateway(ctx context.Context, opts serveOptions, out io.Writer) error {
-	// Without a registered receiver SIGHUP terminates the process, also while it
-	// starts or stops.
+	// A SIGHUP that comes while the gateway starts or stops is read later or never.
 	hangup := make(chan os.Signal, 1)
 	signal.Notify(hangup, syscall.SIGHUP)
 	s, err := loadSettings(opts.config)
--- a/cmd/hickorydock/main.go
+++ b/cmd/hickorydock/main.go
@@ -13,6 +13,8 @@
 	"syscall"
 
 	"github.com/integrii/flaggy"
+
+	_ "github.com/hickorydock/hickorydock/internal/transport/hangup"
 )
 
 // runFunc runs a subcommand. Results go to out, messages to errOut.
@@ -25,6 +27,8 @@
 	summary string
 	// examples are shown below the flags in the help.
 	examples string
+	// keepsOnHangup is true if SIGHUP asks the subcommand for something else than to end.
+	keepsOnHangup bool
 	// bind declares the flags and returns the function that reads them and runs the
 	// subcommand.
 	bind func(flags *flaggy.Subcommand) runFunc
@@ -75,6 +79,9 @@
 		sub.Description = c.summary
 		sub.AdditionalHelpAppend = "\n" + c.examples
 		runFuncs[sub] = c.bind(sub)
+		if !c.keepsOnHangup {
+			runFuncs[sub] = endOnHangup(runFuncs[sub])
+		}
 		parser.AttachSubcommand(sub, 1)
 	}
 	if name, ok := unknownCommand(args); ok {
@@ -91,6 +98,16 @@
 	return reportError(runSubcommand(ctx, out, errOut), errOut)
 }
 
+// endOnHangup returns a function whose context also ends with SIGHUP, which package hangup
+// makes the process ignore.
+func endOnHangup(next runFunc) runFunc {
+	return func(ctx context.Context, out, errOut io.Writer) error {
+		ctx, stop := signal.NotifyContext(ctx, syscall.SIGHUP)
+		defer stop()
+		return next(ctx, out, errOut)
+	}
+}
+
 // unknownCommand returns the first argument and true if it names no subcommand.
 func unknownCommand(args []string) (string, bool) {
 	if len(args) == 0 || strings.HasPrefix(args[0], "-") || args[0] == "completion" {
--- a/cmd/hickorydock/serve.go
+++ b/cmd/hickorydock/serve.go
@@ -22,7 +22,8 @@
 Examples:
   hickorydock serve --config node.toml
   hickorydock serve --config node.toml --print-settings`,
-	bind: bindServe,
+	keepsOnHangup: true,
+	bind:          bindServe,
 }
 
 // serveOptions are the flags of serve.
