--- a/internal/transport/forward/cold_test.go
+++ b/internal/transport/forward/cold_test.go
@@ -1,7 +1,6 @@
 package forward
 
 import (
-	"math"
 	"strings"
 	"testing"
 	"testing/synctest"
@@ -42,18 +41,10 @@
 			continue
 		}
 		l.mu.Lock()
-		first, worst := 0, math.MinInt
-		for i, at := range l.arrivals {
-			for at.Sub(l.arrivals[first]) > time.Second {
-				first++
-			}
-			if !l.arrivals[first].Before(from) {
-				worst = max(worst, i-first+1)
-			}
-		}
+		most := fullestWindow(l.arrivals, from, time.Second)
 		l.mu.Unlock()
-		if worst > allowed {
-			t.Errorf("cold leaf %s got %d requests in a second, allowed %d", id, worst, allowed)
+		if most > allowed {
+			t.Errorf("cold leaf %s got %d requests in a second, allowed %d", id, most, allowed)
 		}
 	}
 }
--- a/internal/transport/forward/limit_test.go
+++ b/internal/transport/forward/limit_test.go
@@ -58,17 +58,21 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	allowed := int(limitFactor*l.limit*limitWindow.Seconds()) + limitSlack
-	worst := math.MinInt
-	first := 0
-	for i, at := range l.arrivals {
-		for at.Sub(l.arrivals[first]) > limitWindow {
+	return fullestWindow(l.arrivals, l.limitedAt.Add(limitDelay), limitWindow) - allowed
+}
+
+// fullestWindow returns the largest number of arrivals in a window that begins at from or later.
+func fullestWindow(arrivals []time.Time, from time.Time, window time.Duration) int {
+	first, most := 0, 0
+	for i, at := range arrivals {
+		for at.Sub(arrivals[first]) > window {
 			first++
 		}
-		if l.arrivals[first].Sub(l.limitedAt) >= limitDelay {
-			worst = max(worst, i-first+1-allowed)
+		if !arrivals[first].Before(from) {
+			most = max(most, i-first+1)
 		}
 	}
-	return worst
+	return most
 }
 
 // limitFleet is a fleet of forwarders over the same limited leafs.
