--- a/internal/standin/platform/poll.go
+++ b/internal/standin/platform/poll.go
@@ -30,10 +30,7 @@
 		case <-ctx.Done():
 			return nil, 0, ctx.Err()
 		case <-timer.C:
-			if len(changes) == 0 {
-				from = max(from, p.store.currentVersion())
-			}
-			return nil, from, p.waitForFaults(ctx)
+			return nil, p.store.versionWithoutChanges(kind, from), p.waitForFaults(ctx)
 		case <-nextChange:
 		case <-faultsChanged:
 		}
@@ -76,8 +73,19 @@
 	p.store.dropChanges()
 }
 
-// currentVersion returns the version of the store, which every change of any
-// kind increases.
+// versionWithoutChanges returns the version of the store, which every change of any kind
+// increases, or from if the kind has changed since from.
+func (s *store) versionWithoutChanges(kind platform.Kind, from uint64) uint64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	log := s.logOf(kind)
+	if n := len(log.changes); n > 0 && log.changes[n-1].version > from || from < log.compacted {
+		return from
+	}
+	return max(from, s.version)
+}
+
+// currentVersion returns the version of the store.
 func (s *store) currentVersion() uint64 {
 	s.mu.Lock()
 	defer s.mu.Unlock()
