--- a/internal/transport/forward/detour_test.go
+++ b/internal/transport/forward/detour_test.go
@@ -327,8 +327,8 @@
 
 func (earlierNode) Serve(context.Context, *contract.Batch, func(peer.Result)) {}
 
-// TestDetourToEarlierRelease guards against a caller who is told that a request did not run by a
-// node that cannot know, since the other node ended its batch without a result.
+// TestDetourToEarlierRelease guards against the answer "not run" for a request whose batch another
+// node ended without a result.
 func TestDetourToEarlierRelease(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		entry, _, relays := fleet(t, singleRoute(false), map[string]behaviour{"a/1": replyingAfter(10 * ms)})
--- a/internal/transport/mesh/earlier_test.go
+++ b/internal/transport/mesh/earlier_test.go
@@ -13,9 +13,8 @@
 	"github.com/hickorydock/hickorydock/internal/transport/follow"
 )
 
-// TestEvacuationsBesideEarlierRelease guards against nodes that do not hear of an evacuation, or
-// that all watch the platform for it, while half of the nodes are of a release that does not
-// follow evacuations.
+// TestEvacuationsBesideEarlierRelease guards against nodes that miss an evacuation, or that all
+// watch the platform, while half of the nodes do not follow evacuations.
 func TestEvacuationsBesideEarlierRelease(t *testing.T) {
 	const count = 12
 	store := newPlatform()
