--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -11,6 +11,8 @@
 import (
 	"fmt"
 	"os"
+	"os/signal"
+	"syscall"
 )
 
 // Exit codes.
@@ -47,6 +49,7 @@
 	defer os.RemoveAll(dir)
 	f := &fleet{dir: dir, record: newRecord(out)}
 	defer f.stop()
+	stopOnSignal(f)
 	if f.store, err = newStore(); err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		return couldNot
@@ -64,3 +67,15 @@
 	}
 	return held
 }
+
+// stopOnSignal ends the gateways when the case is ended early.
+func stopOnSignal(f *fleet) {
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+	go func() {
+		<-signals
+		f.stop()
+		_ = os.RemoveAll(f.dir)
+		os.Exit(couldNot)
+	}()
+}
