--- a/review/1/run.sh
+++ b/review/1/run.sh
@@ -6,7 +6,10 @@
 here=$(cd "$(dirname "$0")" && pwd)
 cd "$here/../.." || exit 2
 [ -x target/hickorydock ] && [ -x target/review-standin ] || exit 2
-timeout -k 5 110 target/review-standin late-copy "$here/record.txt"
+timeout -k 5 110 target/review-standin late-copy "$here/record.txt" &
+case=$!
+trap 'kill -TERM "$case" 2>/dev/null; wait "$case"; exit 2' TERM INT HUP
+wait "$case"
 result=$?
 [ "$result" -le 1 ] || exit 2
 exit "$result"
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -12,6 +12,7 @@
 	"fmt"
 	"os"
 	"os/signal"
+	"runtime"
 	"syscall"
 )
 
@@ -28,7 +29,12 @@
 	"leave-early": leaveEarly,
 }
 
-func main() { os.Exit(run()) }
+// main starts the gateways from the first thread: they are killed when that thread ends, so that
+// none is left behind if this process is killed.
+func main() {
+	runtime.LockOSThread()
+	os.Exit(run())
+}
 
 func run() int {
 	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
