Keep nothing of a leaf's reply that belongs to another request

Cause: leafwire recognised the reply by its ID but kept status, headers, body and receipt and only set Result to BadReply. isLeafFailure, which decides whether the last reply is passed on, looked at status and receipt, not at Result. replyFailure does the same for requests of other nodes.

Why this works: a foreign reply leaves an error in the result and nothing else, so no later decision can use it, and only UpstreamError counts as a leaf's failure. The check comes after the reply is classified, so it covers failures and rejections too: a copy without its ID of a rejection no longer says that the next request has not run. Answers of other nodes are checked again, since an earlier release passes foreign failures on. A log line and the notice foreign_reply name each such reply; nothing did before.

--- a/internal/transport/forward/answer.go
+++ b/internal/transport/forward/answer.go
@@ -3,8 +3,10 @@
 import (
 	"errors"
 	"net/http"
+	"slices"
 	"time"
 
+	"github.com/apex/log"
 	"google.golang.org/protobuf/proto"
 
 	"github.com/hickorydock/hickorydock/internal/coordination/subrequest"
@@ -59,6 +61,13 @@
 	return answer.Leaf, reply, nil
 }
 
+// isForeign reports whether a leaf's reply that another node has received states another request.
+// Nodes of an earlier release check only successful replies.
+func (x *exchange) isForeign(reply *leafwire.Reply) bool {
+	stated := reply.Header.Values(x.f.cfg.Names.RequestID)
+	return slices.ContainsFunc(stated, func(id string) bool { return id != x.req.id })
+}
+
 // addAnswer uses the reply of a leaf to which another node has sent the request. What it says
 // about the leaf holds for this node too.
 func (x *exchange) addAnswer(now time.Time, e relayEvent) {
@@ -68,6 +77,11 @@
 		x.failShard(now, 0, query.ReasonBadReply)
 		return
 	}
+	if x.isForeign(&reply) {
+		x.f.log.WithFields(log.Fields{"request": x.req.id, "node": e.call.node.VM.ID, "leaf": leafID}).Warn("answer of another node belongs to another request")
+		x.failShard(now, 0, query.ReasonBadReply)
+		return
+	}
 	if r, ok := findReplica(x.view.Replicas[0], leafID); ok {
 		x.f.handleNotices(now, &leafwire.Call{Message: x.message, Leaf: r.VM, Record: r.Record, StartedAt: e.call.startedAt, Reply: reply})
 	}
@@ -92,5 +106,5 @@
 
 // isLeafFailure reports whether a reply is the failure of a leaf that ran the request.
 func isLeafFailure(reply *leafwire.Reply) bool {
-	return reply != nil && reply.Status >= 300 && reply.Sent && reply.Receipt != ""
+	return reply != nil && reply.Result == subrequest.UpstreamError && reply.Sent && reply.Receipt != ""
 }
--- a/internal/transport/forward/attemptend.go
+++ b/internal/transport/forward/attemptend.go
@@ -5,6 +5,8 @@
 	"net/http"
 	"time"
 
+	"github.com/apex/log"
+
 	"github.com/hickorydock/hickorydock/internal/coordination/latency"
 	"github.com/hickorydock/hickorydock/internal/coordination/quarantine"
 	"github.com/hickorydock/hickorydock/internal/coordination/subrequest"
@@ -25,6 +27,10 @@
 		window.Observe(now, elapsed)
 	}
 	f.handleNotices(now, call)
+	if errors.Is(reply.Err, leafwire.ErrRequestIDMismatch) {
+		f.observer.LeafNotice(noticeForeignReply)
+		f.log.WithFields(log.Fields{"leaf": call.Leaf.ID, "group": call.Leaf.Group, "request": call.Message.ID}).WithError(reply.Err).Warn("reply of a leaf belongs to another request")
+	}
 	if reply.Misdirected && f.OnMisdirected != nil {
 		f.OnMisdirected(call.Leaf.ID)
 	}
--- a/internal/transport/forward/notices.go
+++ b/internal/transport/forward/notices.go
@@ -21,6 +21,8 @@
 	noticeLimit   = "limit"
 	// noticeBadLoad is a load that could not be decoded and is ignored.
 	noticeBadLoad = "bad_load"
+	// noticeForeignReply is a reply that belongs to another request and is not used.
+	noticeForeignReply = "foreign_reply"
 )
 
 // leavingValue is the value of HeaderNames.Leaving on the replies of a leaf that leaves.
--- a/internal/transport/leafwire/pool.go
+++ b/internal/transport/leafwire/pool.go
@@ -4,7 +4,6 @@
 	"context"
 	"slices"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/hickorydock/hickorydock/internal/coordination/subrequest"
@@ -33,8 +32,8 @@
 	reducedUntil time.Time
 	// refusedUntil is the end of refusalPeriod.
 	refusedUntil time.Time
-	// echoes is true once a successful reply of the leaf has stated its request.
-	echoes atomic.Bool
+	// echoes are the kinds of replies in which the leaf has stated the request.
+	echoes echoes
 	// dialAfter is the time before which no connection is dialled after a failed dial,
 	// unless no connection is open.
 	dialAfter time.Time
@@ -140,16 +139,6 @@
 	}
 }
 
-// checkEcho reports whether a successful reply may belong to its call: one without the
-// request's ID is not accepted from a leaf that states it in others.
-func (p *pool) checkEcho(echoed bool) bool {
-	if echoed {
-		p.echoes.Store(true)
-		return true
-	}
-	return !p.echoes.Load()
-}
-
 // takeWaiting empties the queue and returns its calls, which the caller then delivers. The
 // caller must hold mu.
 func (p *pool) takeWaiting() []*Call {
--- a/internal/transport/leafwire/reply.go
+++ b/internal/transport/leafwire/reply.go
@@ -39,25 +39,14 @@
 		WillClose: response.Close,
 	}
 	reusable := !response.Close && c.reader.Buffered() == 0
-	echoedID := response.Header.Get(names.RequestID)
-	if echoedID != "" && echoedID != call.Message.ID {
-		return c.mismatched(reply), false
-	}
 	c.classify(&reply)
-	if reply.Result == subrequest.OK && !c.pool.checkEcho(echoedID != "") {
-		return c.mismatched(reply), false
+	if err := c.checkOwner(call, &reply); err != nil {
+		return c.foreignReply(err), false
 	}
 	c.updateIdleUntil(response.Header)
 	return reply, reusable
 }
 
-// mismatched returns the reply as one that belongs to another request.
-func (c *conn) mismatched(reply Reply) Reply {
-	reply.Result = subrequest.BadReply
-	reply.Err = fault.Wrap(ErrRequestIDMismatch, fault.StepReply, c.pool.vm.Address, "leaf %s", c.pool.vm.ID)
-	return reply
-}
-
 // classify sets the result that a complete reply implies.
 func (c *conn) classify(reply *Reply) {
 	names := &c.pool.client.cfg.Names
--- a/internal/transport/metrics/metrics.go
+++ b/internal/transport/metrics/metrics.go
@@ -118,7 +118,7 @@
 	m.forwardDuration = histogramVec("forward_duration_seconds", "Time from a forwarded request's header to its response, by route and outcome.", latencyBuckets, "route", "outcome")
 	m.forwardCoverage = histogramVec("forward_coverage_ratio", "Share of shards that the response to a forwarded request covers, by route.", coverageBuckets, "route")
 	m.forwardAttempts = counterVec("forward_attempts_total", "Attempts sent to leafs for forwarded requests, by route and kind: first, hedge or retry.", "route", "kind")
-	m.leafNotices = counterVec("leaf_notices_total", "Replies in which a leaf asks for no or fewer new requests, by notice: leaving, pause or limit; repeated ones are not counted. bad_load counts loads that could not be read.", "notice")
+	m.leafNotices = counterVec("leaf_notices_total", "Replies in which a leaf asks for no or fewer new requests, by notice: leaving, pause or limit; repeated ones are not counted. bad_load counts loads that could not be read, foreign_reply replies that belong to another request.", "notice")
 	m.routingVersion = gauge("routing_version", "Version of the current routing table of this node.")
 	m.listedLeafs = gauge("leafs_listed", "Leafs in the platform's list.")
 	m.evacuatedZones = gauge("evacuated_zones", "Availability zones whose leafs get no requests, as this node knows them.")
