Require rejections of queries to name the subrequest that has not run

What callers of serve would see: not_run for a query that runs, if a leaf sends a rejection twice, the second time late.

Cause: the client of leafs verified successes, and all replies to commands, but took 503 with Not-Run, and 410, of queries as they came, although UPSTREAM.md uses no reply that does not name its subrequest.

Why this works: a reply that promises that nothing ran is used only if it names the subrequest; any other one counts as a bad reply of an attempt that may have run.

--- a/internal/transport/upstream/client.go
+++ b/internal/transport/upstream/client.go
@@ -242,9 +242,8 @@
 		reply.Err = fault.Wrap(err, fault.StepReply, vm.ID, "read body")
 		return reply
 	}
-	if sub.Class == contract.ClassCommand {
-		// A reply that allows sending the command to another leaf must itself identify
-		// the command.
+	if sub.Class == contract.ClassCommand || isPromise(response) {
+		// A reply that says that nothing ran must itself identify what has not run.
 		if err := sub.VerifyReply(response.Header, body); err != nil {
 			reply.Result = subrequest.BadReply
 			reply.Err = fault.Wrap(err, fault.StepReply, vm.ID, "verify")
@@ -266,6 +265,11 @@
 	return reply
 }
 
+// isPromise reports whether a reply declares that the subrequest did not run.
+func isPromise(response *http.Response) bool {
+	return contract.IsNotRun(response.StatusCode, response.Header) || response.StatusCode == http.StatusGone
+}
+
 // holdingsTag reads the tag of the leaf's holdings; an oversized one is ignored.
 func holdingsTag(h http.Header) string {
 	tag := h.Get(contract.HeaderHoldings)
--- a/internal/transport/upstream/hostile_test.go
+++ b/internal/transport/upstream/hostile_test.go
@@ -62,6 +62,11 @@
 	return replyHead(sub, body, append(more, fmt.Sprintf("Content-Length: %d", len(body)))...) + "\r\n" + body
 }
 
+// rejection is a reply that declares that nothing ran.
+func rejection(sub contract.Subrequest, status string) string {
+	return strings.Replace(fullReply(sub, `""`, contract.HeaderNotRun+": 1"), "200 OK", status, 1)
+}
+
 // modified returns the test subrequest after change.
 func modified(change func(s *contract.Subrequest)) contract.Subrequest {
 	sub := poolSubrequest("r-1")
@@ -99,37 +104,43 @@
 		elapsed time.Duration
 	}
 	good := poolSubrequest("r-1")
+	other := modified(func(s *contract.Subrequest) { s.RequestID = "r-2" })
 	chunked := replyHead(good, "", "Transfer-Encoding: chunked") + "\r\n"
 	return map[string]c{
-		"valid":                      {fixed(fullReply(good, goodBody)), subrequest.OK, 0},
-		"closes at once":             {fixed(""), subrequest.ConnectionLost, 0},
-		"not HTTP":                   {fixed("SSH-2.0-x\r\n\r\n"), subrequest.ConnectionLost, 0},
-		"partial header":             {fixed("HTTP/1.1 200 OK\r\nX:"), subrequest.ConnectionLost, 0},
-		"body too short":             {fixed(strings.TrimSuffix(fullReply(good, goodBody), "}")), subrequest.ConnectionLost, 0},
-		"body too long":              {fixed(fullReply(good, goodBody) + "more"), subrequest.OK, 0},
-		"two lengths":                {fixed(fullReply(good, goodBody, "Content-Length: 1")), subrequest.ConnectionLost, 0},
-		"bad chunk":                  {fixed(chunked + "zz\r\n"), subrequest.ConnectionLost, 0},
-		"endless body":               {repeating(chunked, "1000\r\n"+strings.Repeat("x", 0x1000)+"\r\n", 0), subrequest.ConnectionLost, 0},
-		"huge length":                {fixed(replyHead(good, "", "Content-Length: 9000000000000") + "\r\n" + goodBody), subrequest.ConnectionLost, 0},
-		"endless header":             {repeating("HTTP/1.1 200 OK\r\n", "X: "+strings.Repeat("x", 500)+"\r\n", 0), subrequest.ConnectionLost, 0},
-		"10,000 headers":             {fixed("HTTP/1.1 200 OK\r\n" + strings.Repeat("X: y\r\n", 10_000) + "\r\n"), subrequest.ConnectionLost, 0},
-		"endless 1xx replies":        {repeating("", "HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n", 0), subrequest.ConnectionLost, 0},
-		"header, 1 byte per second":  {repeating("HTTP/1.1 200 OK\r\nX: ", "x", time.Second), subrequest.ConnectionLost, subrequestTimeout},
-		"body, 1 byte per second":    {repeating(replyHead(good, goodBody, "Content-Length: 20")+"\r\n", "x", time.Second), subrequest.ConnectionLost, subrequestTimeout},
-		"silent":                     {func(conn net.Conn) { io.Copy(io.Discard, conn) }, subrequest.ConnectionLost, subrequestTimeout},
-		"reply to another request":   {fixed(fullReply(modified(func(s *contract.Subrequest) { s.RequestID = "r-2" }), goodBody)), subrequest.BadReply, 0},
-		"reply to another attempt":   {fixed(fullReply(modified(func(s *contract.Subrequest) { s.Attempt = 2 }), goodBody)), subrequest.BadReply, 0},
-		"reply for another shard":    {fixed(fullReply(modified(func(s *contract.Subrequest) { s.Shard = 0 }), goodBody)), subrequest.BadReply, 0},
-		"reply for another snapshot": {fixed(fullReply(modified(func(s *contract.Subrequest) { s.Snapshot.Version++ }), goodBody)), subrequest.BadReply, 0},
-		"another body":               {fixed(strings.Replace(fullReply(good, goodBody), `"id":1`, `"id":2`, 1)), subrequest.BadReply, 0},
-		"no reply headers":           {fixed("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}"), subrequest.BadReply, 0},
-		"not JSON":                   {fixed(fullReply(good, "<html>")), subrequest.BadReply, 0},
-		"items are not a list":       {fixed(fullReply(good, `{"items":7}`)), subrequest.BadReply, 0},
-		"deep JSON":                  {fixed(fullReply(good, `{"items":`+strings.Repeat("[", 100_000)+`}`)), subrequest.BadReply, 0},
-		"gzip bomb":                  {fixed(fullReply(good, gzipBomb(), "Content-Encoding: gzip")), subrequest.BadReply, 0},
-		"redirect":                   {fixed("HTTP/1.1 307 X\r\nLocation: http://192.0.2.1/\r\nContent-Length: 0\r\n\r\n"), subrequest.UpstreamError, 0},
-		"upgrade, then silent":       {repeating("HTTP/1.1 101 X\r\nUpgrade: x\r\nConnection: Upgrade\r\n\r\n", "", time.Second), subrequest.ConnectionLost, 0},
-		"upgrade":                    {fixed("HTTP/1.1 101 X\r\nUpgrade: x\r\nConnection: Upgrade\r\n\r\n"), subrequest.ConnectionLost, 0},
+		"valid":                        {fixed(fullReply(good, goodBody)), subrequest.OK, 0},
+		"closes at once":               {fixed(""), subrequest.ConnectionLost, 0},
+		"not HTTP":                     {fixed("SSH-2.0-x\r\n\r\n"), subrequest.ConnectionLost, 0},
+		"partial header":               {fixed("HTTP/1.1 200 OK\r\nX:"), subrequest.ConnectionLost, 0},
+		"body too short":               {fixed(strings.TrimSuffix(fullReply(good, goodBody), "}")), subrequest.ConnectionLost, 0},
+		"body too long":                {fixed(fullReply(good, goodBody) + "more"), subrequest.OK, 0},
+		"two lengths":                  {fixed(fullReply(good, goodBody, "Content-Length: 1")), subrequest.ConnectionLost, 0},
+		"bad chunk":                    {fixed(chunked + "zz\r\n"), subrequest.ConnectionLost, 0},
+		"endless body":                 {repeating(chunked, "1000\r\n"+strings.Repeat("x", 0x1000)+"\r\n", 0), subrequest.ConnectionLost, 0},
+		"huge length":                  {fixed(replyHead(good, "", "Content-Length: 9000000000000") + "\r\n" + goodBody), subrequest.ConnectionLost, 0},
+		"endless header":               {repeating("HTTP/1.1 200 OK\r\n", "X: "+strings.Repeat("x", 500)+"\r\n", 0), subrequest.ConnectionLost, 0},
+		"10,000 headers":               {fixed("HTTP/1.1 200 OK\r\n" + strings.Repeat("X: y\r\n", 10_000) + "\r\n"), subrequest.ConnectionLost, 0},
+		"endless 1xx replies":          {repeating("", "HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n", 0), subrequest.ConnectionLost, 0},
+		"header, 1 byte per second":    {repeating("HTTP/1.1 200 OK\r\nX: ", "x", time.Second), subrequest.ConnectionLost, subrequestTimeout},
+		"body, 1 byte per second":      {repeating(replyHead(good, goodBody, "Content-Length: 20")+"\r\n", "x", time.Second), subrequest.ConnectionLost, subrequestTimeout},
+		"silent":                       {func(conn net.Conn) { io.Copy(io.Discard, conn) }, subrequest.ConnectionLost, subrequestTimeout},
+		"reply to another request":     {fixed(fullReply(other, goodBody)), subrequest.BadReply, 0},
+		"rejection":                    {fixed(rejection(good, "503 Busy")), subrequest.NotRun, 0},
+		"rejection of another request": {fixed(rejection(other, "503 Busy")), subrequest.BadReply, 0},
+		"rejection of no request":      {fixed("HTTP/1.1 503 Busy\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n"), subrequest.BadReply, 0},
+		"no snapshot":                  {fixed(rejection(good, "410 Gone")), subrequest.SnapshotUnavailable, 0},
+		"no snapshot, another's":       {fixed(rejection(other, "410 Gone")), subrequest.BadReply, 0},
+		"reply to another attempt":     {fixed(fullReply(modified(func(s *contract.Subrequest) { s.Attempt = 2 }), goodBody)), subrequest.BadReply, 0},
+		"reply for another shard":      {fixed(fullReply(modified(func(s *contract.Subrequest) { s.Shard = 0 }), goodBody)), subrequest.BadReply, 0},
+		"reply for another snapshot":   {fixed(fullReply(modified(func(s *contract.Subrequest) { s.Snapshot.Version++ }), goodBody)), subrequest.BadReply, 0},
+		"another body":                 {fixed(strings.Replace(fullReply(good, goodBody), `"id":1`, `"id":2`, 1)), subrequest.BadReply, 0},
+		"no reply headers":             {fixed("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}"), subrequest.BadReply, 0},
+		"not JSON":                     {fixed(fullReply(good, "<html>")), subrequest.BadReply, 0},
+		"items are not a list":         {fixed(fullReply(good, `{"items":7}`)), subrequest.BadReply, 0},
+		"deep JSON":                    {fixed(fullReply(good, `{"items":`+strings.Repeat("[", 100_000)+`}`)), subrequest.BadReply, 0},
+		"gzip bomb":                    {fixed(fullReply(good, gzipBomb(), "Content-Encoding: gzip")), subrequest.BadReply, 0},
+		"redirect":                     {fixed("HTTP/1.1 307 X\r\nLocation: http://192.0.2.1/\r\nContent-Length: 0\r\n\r\n"), subrequest.UpstreamError, 0},
+		"upgrade, then silent":         {repeating("HTTP/1.1 101 X\r\nUpgrade: x\r\nConnection: Upgrade\r\n\r\n", "", time.Second), subrequest.ConnectionLost, 0},
+		"upgrade":                      {fixed("HTTP/1.1 101 X\r\nUpgrade: x\r\nConnection: Upgrade\r\n\r\n"), subrequest.ConnectionLost, 0},
 	}
 }
 
@@ -139,7 +150,8 @@
 )
 
 // TestHostileLeafFailsOnlyItsOwnSubrequest sends a subrequest to a leaf that replies
-// by a script while another leaf serves the same client.
+// by a script while another leaf serves the same client. It also guards against a late copy of a
+// rejection by which a query that runs counts as not run.
 func TestHostileLeafFailsOnlyItsOwnSubrequest(t *testing.T) {
 	for name, c := range hostileCases() {
 		t.Run(name, func(t *testing.T) {
