Give each request to a leaf a buffer of its own until it is written

What leafs would see: bytes of the next request in place of the rest of one that they have answered before they had read it, which the protocol allows. What they run and answer from there on belongs to no request that was sent.

Cause: all requests of a connection were encoded into one buffer, on the assumption that a short one is written before its reply can arrive.

Why this works: a buffer is reused only after its write has returned, and net.Conn writes one request after the other.

--- a/internal/transport/leafwire/conn.go
+++ b/internal/transport/leafwire/conn.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"net"
+	"sync"
 	"time"
 
 	"github.com/hickorydock/hickorydock/internal/coordination/subrequest"
@@ -21,14 +22,13 @@
 )
 
 // conn is one connection to a leaf. The fields up to idleUntil are guarded by the
-// pool's lock. The others are used by the reading goroutine only, except writeBuf,
-// which belongs to the call that the connection is assigned to.
+// pool's lock. The others are used by the reading goroutine only.
 type conn struct {
 	pool    *pool
 	netConn net.Conn
 	call    *Call
-	// writing is true until a long request is fully written. A short request is always
-	// written before its reply can arrive.
+	// writing is true until a long request is fully written. A short one may be written after
+	// its reply has arrived; the write of the next one then waits for it.
 	writing bool
 	// closing is true once the call was cancelled; the connection is then closed.
 	closing   bool
@@ -38,7 +38,6 @@
 	bounded  *boundedReader
 	reader   *bufio.Reader
 	hadReply bool // a complete reply was read
-	writeBuf []byte
 }
 
 func newConn(p *pool, raw net.Conn) *conn {
@@ -57,16 +56,20 @@
 // write sends the request of the assigned call. On a failure it closes the
 // connection, and readLoop then ends the call.
 func (c *conn) write(call *Call) {
-	c.writeBuf = c.pool.client.appendRequest(c.writeBuf[:0], call, time.Now())
 	if call.Message.isLong() {
-		out := c.writeBuf
-		c.writeBuf = nil
-		go c.sendLong(out)
+		go c.sendLong(c.pool.client.appendRequest(nil, call, time.Now()))
 		return
 	}
-	c.send(c.writeBuf)
+	buffer := requestBuffers.Get().(*[]byte)
+	*buffer = c.pool.client.appendRequest((*buffer)[:0], call, time.Now())
+	c.send(*buffer)
+	requestBuffers.Put(buffer)
 }
 
+// requestBuffers holds buffers for short requests. Each belongs to one write, since a connection
+// may serve the next call before the write of the last one has returned.
+var requestBuffers = sync.Pool{New: func() any { return new([]byte) }}
+
 func (c *conn) send(out []byte) {
 	if _, err := c.netConn.Write(out); err != nil {
 		_ = c.netConn.Close()
