Recognise second replies of leafs that state no request IDs

No logs were kept.

A late copy has the receipt of another request. The reply that it displaced then came in place of the next one. A copy of a rejection without an ID made the next request count as not run while it ran.

TestLateCopyFromLeafWithoutIDs and TestLateCopyOfRejectionWithoutID fail on the code before.

Why this works: each run has a receipt of its own, so one that comes again on a connection is a copy. The connection is closed with it, before the displaced reply arrives. After a rejection without ID and receipt nothing could tell a copy, so the connection is closed at once.

TestReplies: two rows expected a connection to be used again after such a rejection. They state the ID now and expect the same; two new rows expect a new connection without it.

--- a/internal/transport/forward/attemptend.go
+++ b/internal/transport/forward/attemptend.go
@@ -27,7 +27,7 @@
 		window.Observe(now, elapsed)
 	}
 	f.handleNotices(now, call)
-	if errors.Is(reply.Err, leafwire.ErrRequestIDMismatch) {
+	if leafwire.IsForeign(reply.Err) {
 		f.observer.LeafNotice(noticeForeignReply)
 		f.log.WithFields(log.Fields{"leaf": call.Leaf.ID, "group": call.Leaf.Group, "request": call.Message.ID}).WithError(reply.Err).Warn("reply of a leaf belongs to another request")
 	}
--- a/internal/transport/leafwire/conn.go
+++ b/internal/transport/leafwire/conn.go
@@ -38,6 +38,7 @@
 	bounded  *boundedReader
 	reader   *bufio.Reader
 	hadReply bool // a complete reply was read
+	receipts receiptRing
 }
 
 func newConn(p *pool, raw net.Conn) *conn {
--- a/internal/transport/leafwire/leafwire.go
+++ b/internal/transport/leafwire/leafwire.go
@@ -50,6 +50,8 @@
 	// ErrRequestIDMismatch means that a reply carries the ID of another request, or none
 	// although the leaf states it in other replies.
 	ErrRequestIDMismatch = errors.New("reply belongs to another request")
+	// ErrRepeatedReply means that a leaf which states no IDs has sent a reply once more.
+	ErrRepeatedReply = errors.New("reply was received before")
 )
 
 // Reply is the result of a call.
--- a/internal/transport/leafwire/leafwire_test.go
+++ b/internal/transport/leafwire/leafwire_test.go
@@ -120,8 +120,10 @@
 		{"no length", "HTTP/1.1 200 OK\r\nReceipt: x\r\n\r\nbody", subrequest.OK, true, false},
 		{"no receipt", "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n", subrequest.BadReply, true, false},
 		{"encoded body", strings.Replace(completeReply, "Id:", "Content-Encoding: gzip\r\nId:", 1), subrequest.BadReply, true, false},
-		{"declared not run", "HTTP/1.1 503 Busy\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n", subrequest.NotRun, false, true},
-		{"another leaf's address", "HTTP/1.1 421 No\r\nContent-Length: 0\r\n\r\n", subrequest.NotRun, false, true},
+		{"declared not run", "HTTP/1.1 503 Busy\r\nId: r1\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n", subrequest.NotRun, false, true},
+		{"declared not run, request not stated", "HTTP/1.1 503 Busy\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n", subrequest.NotRun, false, false},
+		{"another leaf's address", "HTTP/1.1 421 No\r\nId: r1\r\nContent-Length: 0\r\n\r\n", subrequest.NotRun, false, true},
+		{"another leaf's address, request not stated", "HTTP/1.1 421 No\r\nContent-Length: 0\r\n\r\n", subrequest.NotRun, false, false},
 		{"failure that ran", "HTTP/1.1 500 No\r\nReceipt: x\r\nContent-Length: 0\r\n\r\n", subrequest.UpstreamError, true, true},
 	}
 	for _, test := range tests {
@@ -155,8 +157,7 @@
 			if got := <-requests; !strings.HasPrefix(got, "leaf-1 ") || len(got) <= len("leaf-1 ") {
 				t.Errorf("leaf received target and remaining time %q", got)
 			}
-			_, done = start(client, leaf.vm(), "")
-			await(t, done)
+			await(t, startID(client, leaf.vm(), "r2"))
 			if reused := len(leaf.accepted) == 1; reused != test.reused {
 				t.Errorf("connection reused: %t, want %t", reused, test.reused)
 			}
--- a/internal/transport/leafwire/owner.go
+++ b/internal/transport/leafwire/owner.go
@@ -1,7 +1,9 @@
 package leafwire
 
 import (
+	"errors"
 	"fmt"
+	"slices"
 	"sync/atomic"
 
 	"github.com/hickorydock/hickorydock/internal/coordination/subrequest"
@@ -37,8 +39,28 @@
 // mayOmitID reports whether a leaf may send a reply of a kind without the ID.
 func (e *echoes) mayOmitID(kind replyKind) bool { return !e[kind].Load() }
 
+// recentReceipts is the number of receipts that a connection remembers.
+const recentReceipts = 4
+
+// receiptRing holds the receipts of the last replies of a connection that state no ID. Each run
+// has a receipt of its own, so a receipt that comes again is that of a copy.
+type receiptRing struct {
+	receipts [recentReceipts]string
+	next     int
+}
+
+func (r *receiptRing) contains(receipt string) bool {
+	return receipt != "" && slices.Contains(r.receipts[:], receipt)
+}
+
+func (r *receiptRing) add(receipt string) {
+	r.receipts[r.next] = receipt
+	r.next = (r.next + 1) % recentReceipts
+}
+
 // checkOwner returns an error if a classified reply may be that to another request than the
-// call's: it states another ID, or none although the leaf states it in such replies.
+// call's: it states another ID, or none although the leaf states it in such replies, or it is a
+// copy of an earlier reply without an ID.
 func (c *conn) checkOwner(call *Call, reply *Reply) error {
 	stated := reply.Header.Values(c.pool.client.cfg.Names.RequestID)
 	for _, id := range stated {
@@ -57,9 +79,23 @@
 	if !c.pool.echoes.mayOmitID(kind) {
 		return fmt.Errorf("%w: it states no request", ErrRequestIDMismatch)
 	}
+	if c.receipts.contains(reply.Receipt) {
+		return fmt.Errorf("%w: receipt %q", ErrRepeatedReply, reply.Receipt)
+	}
+	c.receipts.add(reply.Receipt)
 	return nil
 }
 
+// IsForeign reports whether the error of a reply means that it belongs to another request.
+func IsForeign(err error) bool {
+	return errors.Is(err, ErrRequestIDMismatch) || errors.Is(err, ErrRepeatedReply)
+}
+
+// isAnonymous reports whether a reply has nothing by which a copy of it would be recognised.
+func (c *conn) isAnonymous(reply *Reply) bool {
+	return reply.Receipt == "" && reply.Header.Get(c.pool.client.cfg.Names.RequestID) == ""
+}
+
 // foreignReply returns the result of a call whose reply belongs to another request. It holds
 // nothing of that reply, so that nothing of it can reach the caller.
 func (c *conn) foreignReply(err error) Reply {
--- a/internal/transport/leafwire/owner_test.go
+++ b/internal/transport/leafwire/owner_test.go
@@ -102,3 +102,43 @@
 		t.Errorf("reply of %q to the third request", third.Header.Get("X-Of"))
 	}
 }
+
+// TestLateCopyFromLeafWithoutIDs guards against a late second copy of a reply of a leaf that
+// states no request IDs, which is then taken for the reply to the next request.
+func TestLateCopyFromLeafWithoutIDs(t *testing.T) {
+	for _, status := range []string{"200 OK", "500 Failed"} {
+		t.Run(status, func(t *testing.T) {
+			leaf := repeatingLeaf(t, func(id string) string { return replyOf(status, id) })
+			client := newClient(t, 1, leaf.vm())
+			await(t, startID(client, leaf.vm(), "first"))
+			reply := await(t, startID(client, leaf.vm(), "second"))
+			if reply.Result != subrequest.BadReply || !errors.Is(reply.Err, ErrRepeatedReply) {
+				t.Errorf("result %d, error %v, reply of %q", reply.Result, reply.Err, reply.Header.Get("X-Of"))
+			}
+			if third := await(t, startID(client, leaf.vm(), "third")); third.Header.Get("X-Of") != "third" {
+				t.Errorf("reply of %q to the third request", third.Header.Get("X-Of"))
+			}
+		})
+	}
+}
+
+// TestLateCopyOfRejectionWithoutID guards against a late second copy of a rejection that states no
+// request: the next request then counts as not run although it runs, and the one after it gets
+// its reply.
+func TestLateCopyOfRejectionWithoutID(t *testing.T) {
+	leaf := repeatingLeaf(t, func(id string) string {
+		if id == "first" {
+			return replyOf("503 Busy", id)
+		}
+		return replyOf("200 OK", id)
+	})
+	client := newClient(t, 1, leaf.vm())
+	if reply := await(t, startID(client, leaf.vm(), "first")); reply.Result != subrequest.NotRun {
+		t.Fatalf("reply %+v", reply)
+	}
+	for _, id := range []string{"second", "third"} {
+		if reply := await(t, startID(client, leaf.vm(), id)); reply.Result != subrequest.OK || reply.Header.Get("X-Of") != id {
+			t.Errorf("the %s request got result %d, reply of %q", id, reply.Result, reply.Header.Get("X-Of"))
+		}
+	}
+}
--- a/internal/transport/leafwire/reply.go
+++ b/internal/transport/leafwire/reply.go
@@ -44,7 +44,7 @@
 		return c.foreignReply(err), false
 	}
 	c.updateIdleUntil(response.Header)
-	return reply, reusable
+	return reply, reusable && !c.isAnonymous(&reply)
 }
 
 // classify sets the result that a complete reply implies.
