Send a rejected request to its leaf again on another connection only

What callers would see: "not run" for a request that runs. A gateway may send the same request to a leaf again, as a second hedge; a late copy of the leaf's rejection of the first attempt states the right ID and so counted as the reply to the second one.

Cause: the ID names the request, not the attempt.

Evidence: TestRejectedRequestIsSentAgain fails on the code before, for a call that finds the connection idle and for one that waits for it (result "not run", status 503, for an attempt that the leaf runs).

Why this works: a connection remembers the request that was rejected on it last, and does not carry it again. A copy of a success or failure needs nothing of the kind: it is that request's own.

--- a/internal/transport/leafwire/conn.go
+++ b/internal/transport/leafwire/conn.go
@@ -21,7 +21,7 @@
 	idleMargin = 500 * time.Millisecond
 )
 
-// conn is one connection to a leaf. The fields up to idleUntil are guarded by the
+// conn is one connection to a leaf. The fields up to rejected are guarded by the
 // pool's lock. The others are used by the reading goroutine only.
 type conn struct {
 	pool    *pool
@@ -33,6 +33,8 @@
 	// closing is true once the call was cancelled; the connection is then closed.
 	closing   bool
 	idleUntil time.Time
+	// rejected is the ID of the last request if the leaf has rejected it.
+	rejected string
 
 	// bounded is what reader reads from.
 	bounded  *boundedReader
@@ -46,6 +48,13 @@
 	return &conn{pool: p, netConn: raw, bounded: bounded, reader: bufio.NewReaderSize(bounded, readBufferSize)}
 }
 
+// canCarry reports whether the connection may carry a call. A request that the leaf has rejected
+// needs another one, since a copy of the rejection would be taken for the reply. The caller must
+// hold the pool's lock.
+func (c *conn) canCarry(call *Call) bool {
+	return c.rejected == "" || c.rejected != call.Message.ID
+}
+
 // assign assigns the connection to a call. The caller must hold the pool's lock.
 func (c *conn) assign(call *Call) {
 	c.call = call
@@ -158,6 +167,10 @@
 	reusable = reusable && !c.writing && !c.closing
 	delete(c.pool.sent, call)
 	c.call = nil
+	c.rejected = ""
+	if reply.Result == subrequest.NotRun {
+		c.rejected = call.Message.ID
+	}
 	call.conn = nil
 	call.ended = true
 	if call.cancelled && reply.Result == subrequest.ConnectionLost {
--- a/internal/transport/leafwire/leafwire.go
+++ b/internal/transport/leafwire/leafwire.go
@@ -188,7 +188,7 @@
 	p := c.pool(call.Leaf)
 	call.pool = p
 	p.mu.Lock()
-	idle := p.takeIdle(call.StartedAt)
+	idle := p.takeIdle(call)
 	switch {
 	case idle != nil:
 		idle.assign(call)
--- a/internal/transport/leafwire/owner_test.go
+++ b/internal/transport/leafwire/owner_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -142,3 +143,36 @@
 		}
 	}
 }
+
+// TestRejectedRequestIsSentAgain guards against a late second copy of a rejection that is taken for
+// the reply when the same request is sent to the leaf again: it then counts as not run although it
+// runs.
+func TestRejectedRequestIsSentAgain(t *testing.T) {
+	for _, waits := range []bool{false, true} {
+		t.Run(fmt.Sprintf("waits %t", waits), func(t *testing.T) {
+			var rejected atomic.Bool
+			rejection := func(id string) string { return withID(replyOf("503 Busy", id), id) }
+			leaf := repeatingLeafOf(t, func(id string) string {
+				if !rejected.Swap(true) {
+					return rejection(id)
+				}
+				return withID(replyOf("200 OK", id), id)
+			}, rejection)
+			client := newClient(t, 1, leaf.vm())
+			first := startID(client, leaf.vm(), "same")
+			var second chan *Call
+			if waits {
+				second = startID(client, leaf.vm(), "same")
+			}
+			if reply := await(t, first); reply.Result != subrequest.NotRun {
+				t.Fatalf("reply %+v", reply)
+			}
+			if !waits {
+				second = startID(client, leaf.vm(), "same")
+			}
+			if reply := await(t, second); reply.Result != subrequest.OK {
+				t.Errorf("the second attempt got result %d, status %d", reply.Result, reply.Status)
+			}
+		})
+	}
+}
--- a/internal/transport/leafwire/pool.go
+++ b/internal/transport/leafwire/pool.go
@@ -39,13 +39,14 @@
 	dialAfter time.Time
 }
 
-// takeIdle removes and returns the most recently used idle connection, or nil. The
-// caller must hold mu.
-func (p *pool) takeIdle(now time.Time) *conn {
+// takeIdle removes and returns the most recently used idle connection for a call, or nil. It
+// closes those that cannot carry the call. The caller must hold mu.
+func (p *pool) takeIdle(call *Call) *conn {
 	for len(p.idle) > 0 {
 		last := p.idle[len(p.idle)-1]
 		p.idle = p.idle[:len(p.idle)-1]
-		if last.idleUntil.IsZero() || now.Before(last.idleUntil) {
+		fresh := last.idleUntil.IsZero() || call.StartedAt.Before(last.idleUntil)
+		if fresh && last.canCarry(call) {
 			return last
 		}
 		_ = last.netConn.Close() // readLoop updates the connection count
@@ -155,6 +156,8 @@
 // removed leaf is closed instead. The caller must hold mu.
 func (p *pool) assignNextOrIdle(c *conn) *Call {
 	switch {
+	case len(p.waiting) > 0 && !c.canCarry(p.waiting[0]):
+		_ = c.netConn.Close() // readLoop opens another one for the call
 	case len(p.waiting) > 0:
 		call := p.waiting[0]
 		p.waiting = p.waiting[1:]
