Close the connection of a caller that has left without a response

Cause: serve returns without a response when the caller has disconnected, and net/http completes such a response with status 200.

Why this works: http.ErrAbortHandler closes the connection without a byte, which promises nothing. Attempts are abandoned and the request is logged as before.

--- a/internal/transport/forward/fake_test.go
+++ b/internal/transport/forward/fake_test.go
@@ -191,12 +191,20 @@
 	return r
 }
 
-// do sends a request and returns its response and how long it took.
-func (r *rig) do(ctx context.Context, method, path string) (*httptest.ResponseRecorder, time.Duration) {
+// do sends a request and returns its response and how long it took. The response of a request
+// whose connection is closed instead has status 0.
+func (r *rig) do(ctx context.Context, method, path string) (response *httptest.ResponseRecorder, took time.Duration) {
 	startedAt := time.Now()
+	defer func() {
+		if p := recover(); p == http.ErrAbortHandler {
+			response, took = &httptest.ResponseRecorder{}, time.Since(startedAt)
+		} else if p != nil {
+			panic(p)
+		}
+	}()
 	request := httptest.NewRequestWithContext(ctx, method, "http://h"+path, nil)
 	request.Header.Set("Id", "q1")
-	response := httptest.NewRecorder()
+	response = httptest.NewRecorder()
 	r.ServeHTTP(response, request)
 	return response, time.Since(startedAt)
 }
--- a/internal/transport/forward/forward.go
+++ b/internal/transport/forward/forward.go
@@ -196,8 +196,13 @@
 	ctx, span := f.Tracer.Start(f.Tracer.Extract(r.Context(), r.Header), tracing.HopCaller, attribute.String("route", rt.Name), attribute.String("request", req.id))
 	x := newExchange(f, req)
 	x.ctx = ctx
-	x.serve(w)
+	connected := x.serve(w)
 	span.End(nil)
+	if !connected {
+		// Without a response of its own the connection would carry an empty success to a caller
+		// that has ended only its sending side.
+		panic(http.ErrAbortHandler)
+	}
 }
 
 // setTimes sets the deadline of a request and its target, the time from which a partial
--- a/internal/transport/forward/response.go
+++ b/internal/transport/forward/response.go
@@ -29,19 +29,20 @@
 	outcomeLeafFailure        = "leaf_failure"
 )
 
-// serve runs the request and writes its response.
-func (x *exchange) serve(w http.ResponseWriter) {
+// serve runs the request and writes its response. It writes none and returns false if the caller
+// has disconnected.
+func (x *exchange) serve(w http.ResponseWriter) bool {
 	connected := x.run(x.req.httpRequest.Context())
 	defer x.abandonPending()
-	if !connected {
+	switch {
+	case !connected:
 		x.recordOutcome(outcomeCallerDisconnected, log.InfoLevel)
-		return
-	}
-	if x.req.route.IsQuery() {
+	case x.req.route.IsQuery():
 		x.writeQueryResponse(w)
-		return
+	default:
+		x.writeSingleResponse(w)
 	}
-	x.writeSingleResponse(w)
+	return connected
 }
 
 // writeSingleResponse writes the reply of the one leaf, or a failure if there is none.
