Take a history that does not reach back for an answer, not for an outage

Cause: follow.Watcher reported "watch version too old" to OnError. The gateway took that for a failed call to the platform, and after one a leaf that is missing in a list is kept for 2 s, since registrations expire in an outage.

Evidence: TestRemovalAfterHistoryTooOld fails on the code before (leafs [removed stays] after the second list).

Why this works: the reply goes to OnTooOld, which logs it; the fresh list then counts at once. A real outage still fails calls of the gateway, and a restored platform names a new era, both of which start the grace period as before.

--- a/internal/node/control/control.go
+++ b/internal/node/control/control.go
@@ -77,6 +77,8 @@
 		OnList:  func(l platform.Listing) { c.catalogueListed(ctx, l) },
 		OnEvent: func(e platform.Event) { c.catalogueChanged(ctx, e) },
 		OnError: func(err error) { c.logFailure(platform.KindCatalogue, err) },
+
+		OnTooOld: func(err error) { c.logTooOld(platform.KindCatalogue, err) },
 	}
 	vms := &follow.Watcher{
 		Client:  c.cfg.Client,
@@ -85,6 +87,8 @@
 		OnList:  c.vms.replace,
 		OnEvent: c.vms.applyEvent,
 		OnError: func(err error) { c.logFailure(platform.KindVM, err) },
+
+		OnTooOld: func(err error) { c.logTooOld(platform.KindVM, err) },
 	}
 	c.running.Go(func() { catalogues.Run(ctx) })
 	c.running.Go(func() { vms.Run(ctx) })
@@ -120,6 +124,10 @@
 	c.cfg.Log.WithField("kind", string(kind)).WithError(err).Warn("platform watch failed")
 }
 
+func (c *Control) logTooOld(kind platform.Kind, err error) {
+	c.cfg.Log.WithField("kind", string(kind)).WithError(err).Info("history too old, listing again")
+}
+
 // Timing of a start from the offers of peers.
 const (
 	// bootstrapDelay is how long the node waits for the platform before it fetches from
--- a/internal/node/gateway/control.go
+++ b/internal/node/gateway/control.go
@@ -83,6 +83,9 @@
 				c.log.WithField("kind", string(kind)).WithError(err).Warn("platform unreachable")
 			}
 		},
+		OnTooOld: func(err error) {
+			c.log.WithField("kind", string(kind)).WithError(err).Info("history too old, listing again")
+		},
 		OnReply: func() {
 			if unreachable.Swap(false) {
 				c.log.WithField("kind", string(kind)).Info("platform reachable again")
--- a/internal/node/gateway/control_test.go
+++ b/internal/node/gateway/control_test.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"context"
 	"encoding/json"
 	"errors"
 	"testing"
@@ -137,6 +138,49 @@
 	})
 }
 
+// tooOldOnce is a platform that has no history for the first watch, and lists the given leafs one
+// list after the other.
+type tooOldOnce struct {
+	platform.Client
+	lists   [][]string
+	watches int
+}
+
+func (p *tooOldOnce) List(context.Context, platform.Kind) (platform.Listing, error) {
+	var listing platform.Listing
+	for _, id := range p.lists[0] {
+		listing.Objects = append(listing.Objects, leafObject(id))
+	}
+	p.lists = p.lists[1:]
+	return listing, nil
+}
+
+func (p *tooOldOnce) Watch(ctx context.Context, _ platform.Kind, _ uint64, _ func(platform.Event) error) error {
+	p.watches++
+	if p.watches == 1 {
+		return platform.ErrTooOld
+	}
+	<-ctx.Done()
+	return ctx.Err()
+}
+
+// TestRemovalAfterHistoryTooOld guards against a removed leaf that is kept in use because a history
+// that does not reach back far enough counted as an outage of the platform.
+func TestRemovalAfterHistoryTooOld(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newTestController()
+		ctx, cancel := context.WithCancel(t.Context())
+		watcher := c.watcher(platform.KindVM, c.leafsListed, c.leafChanged)
+		watcher.Client = &tooOldOnce{lists: [][]string{{"stays", "removed"}, {"stays"}}}
+		go watcher.Run(ctx)
+		synctest.Wait()
+		if got := c.leafNames(); len(got) != 1 || got[0] != "stays" {
+			t.Errorf("leafs %v after the second list", got)
+		}
+		cancel()
+	})
+}
+
 func TestLeavingLeafIsDraining(t *testing.T) {
 	c := newTestController()
 	c.leafChanged(platform.Event{Object: leafObject("a")})
--- a/internal/transport/follow/follow.go
+++ b/internal/transport/follow/follow.go
@@ -23,6 +23,9 @@
 	OnEvent func(platform.Event)
 	// OnError is called with each failure, before the delay.
 	OnError func(err error)
+	// OnTooOld is called when the changes since the last version are no longer available, so
+	// that all objects are listed again. That is an answer, not a failure. It may be nil.
+	OnTooOld func(err error)
 	// OnReply is called for each listing and each event that the platform sends,
 	// before OnList and OnEvent; it may be nil.
 	OnReply func()
@@ -46,12 +49,12 @@
 		if ctx.Err() != nil {
 			return
 		}
-		w.OnError(err)
 		if errors.Is(err, platform.ErrTooOld) && listed {
-			// The platform replied, so the missed changes are listed without delay.
+			w.notifyTooOld(err)
 			listed = false
 			continue
 		}
+		w.OnError(err)
 		Sleep(ctx, delays.Next(time.Since(start), rand.Float64()))
 	}
 }
@@ -85,6 +88,12 @@
 	}
 }
 
+func (w *Watcher) notifyTooOld(err error) {
+	if w.OnTooOld != nil {
+		w.OnTooOld(err)
+	}
+}
+
 // Sleep waits for d, or returns early when ctx ends.
 func Sleep(ctx context.Context, d time.Duration) {
 	timer := time.NewTimer(d)
