Count the grace period of removed leafs from the end of an outage

Cause: frontend-wolves-1 had been cut off from the platform until 8.34 s; its last call failed at 8.49 s. At 10.50 s it listed the leafs, 2 s later, and kept the one that had left at 9.17 s for 2 s from then on, to 12.50 s. The grace period is there for live leafs that register again within 2 s of the platform's return, but it began with the removal, up to 4 s after the return.

TestRemovalAfterOutageHasEnded fails on the code before (leafs [a b] 2 s after the platform answered again).

Why this works: a gateway knows when the platform has first confirmed its copy after the last failed call, also through another node. 2 s after that, what is missing is gone. Until then a missing leaf is kept as before.

--- a/internal/coordination/drain/removal.go
+++ b/internal/coordination/drain/removal.go
@@ -11,11 +11,34 @@
 	outageGracePeriod = 4 * time.Second
 )
 
-// RemovalGracePeriod returns how long a leaf that was removed from the platform's list
-// still counts as listed: 0, unless calls to the platform failed shortly before now.
-func RemovalGracePeriod(now, lastFailure time.Time) time.Duration {
-	if lastFailure.IsZero() || now.Sub(lastFailure) > outageGracePeriod {
+// Outage is the last outage of the platform, as calls show it. The zero value is none.
+type Outage struct {
+	// failedAt is when a call failed last, and backAt when the platform has confirmed
+	// something after that first; zero if it has not yet.
+	failedAt, backAt time.Time
+}
+
+// Failed records that a call failed at now.
+func (o *Outage) Failed(now time.Time) { *o = Outage{failedAt: now} }
+
+// Confirmed records that the platform confirmed at a time what this node has, perhaps
+// through another node.
+func (o *Outage) Confirmed(at time.Time) {
+	if o.backAt.IsZero() && at.After(o.failedAt) {
+		o.backAt = at
+	}
+}
+
+// RemovalGracePeriod returns how long from now on a leaf that was removed from the platform's
+// list still counts as listed: 0 without a recent outage, else until leafs whose registrations
+// expired during it have registered again.
+func (o *Outage) RemovalGracePeriod(now time.Time) time.Duration {
+	switch {
+	case o.failedAt.IsZero(), now.Sub(o.failedAt) > outageGracePeriod:
 		return 0
+	case o.backAt.IsZero():
+		return reregistrationTime
+	default:
+		return max(o.backAt.Add(reregistrationTime).Sub(now), 0)
 	}
-	return reregistrationTime
 }
--- a/internal/node/gateway/cold.go
+++ b/internal/node/gateway/cold.go
@@ -5,6 +5,7 @@
 
 	"github.com/apex/log"
 
+	"github.com/hickorydock/hickorydock/internal/protocol/platform"
 	"github.com/hickorydock/hickorydock/internal/protocol/route"
 	"github.com/hickorydock/hickorydock/internal/state/leaf"
 )
@@ -48,7 +49,7 @@
 	if !ok || l.Incarnation != checked.Incarnation || l.VM.Address != checked.VM.Address {
 		return
 	}
-	unconfirmed := time.Since(c.leafsConfirmedAt())
+	unconfirmed := time.Since(c.confirmedAt(platform.KindVM))
 	outdated := unconfirmed > c.group(l.VM.Group).Warmup+heartbeatsUntilKnown*c.heartbeat
 	if l.Cold && !outdated {
 		c.checkColdLater(l)
--- a/internal/node/gateway/cold_test.go
+++ b/internal/node/gateway/cold_test.go
@@ -81,7 +81,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		r := newColdRig()
 		away := time.Now()
-		r.leafsConfirmedAt = func() time.Time { return away }
+		r.confirmedAt = func(platform.Kind) time.Time { return away }
 		r.list(true)
 		time.Sleep(warmup)
 		r.check(t, "within the warmup", true)
--- a/internal/node/gateway/control_test.go
+++ b/internal/node/gateway/control_test.go
@@ -56,8 +56,8 @@
 		relays:     &relays{routing: routes, groups: groups, records: leaf.NewTable(), log: logger},
 		log:        logger,
 
-		setCold:          func(record *leaf.Record, _ string, cold bool, _ float64) { record.SetCold(cold) },
-		leafsConfirmedAt: time.Now,
+		setCold:     func(record *leaf.Record, _ string, cold bool, _ float64) { record.SetCold(cold) },
+		confirmedAt: func(platform.Kind) time.Time { return time.Now() },
 	}
 }
 
@@ -124,7 +124,7 @@
 		if got := len(c.leafNames()); got != 2 {
 			t.Errorf("%d leafs after a removal, want 2", got)
 		}
-		c.lastFailure.Store(time.Now().UnixNano())
+		c.platformFailed()
 		c.leafsListed(platform.Listing{})
 		if got := len(c.leafNames()); got != 2 {
 			t.Errorf("%d leafs just after an outage, want 2", got)
@@ -138,6 +138,24 @@
 	})
 }
 
+// TestRemovalAfterOutageHasEnded guards against a removed leaf that is kept in use for longer than
+// live leafs need to register again after an outage of the platform.
+func TestRemovalAfterOutageHasEnded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newTestController()
+		c.leafsListed(platform.Listing{Objects: []platform.Object{leafObject("a"), leafObject("b")}})
+		watcher := c.watcher(platform.KindVM, c.leafsListed, c.leafChanged)
+		watcher.OnError(platform.ErrUnavailable)
+		time.Sleep(50 * time.Millisecond)
+		watcher.OnReply()
+		time.Sleep(2 * time.Second)
+		c.leafChanged(platform.Event{Deleted: true, Object: platform.Object{Name: "a"}})
+		if got := c.leafNames(); len(got) != 1 || got[0] != "b" {
+			t.Errorf("leafs %v after a removal 2 s after the outage", got)
+		}
+	})
+}
+
 // tooOldOnce is a platform that has no history for the first watch, and lists the given leafs one
 // list after the other.
 type tooOldOnce struct {
--- a/internal/node/gateway/leafs.go
+++ b/internal/node/gateway/leafs.go
@@ -59,7 +59,7 @@
 	}
 	hold := drain.RestoreHold(c.heartbeat)
 	c.leafs.heldUntil = time.Now().Add(hold)
-	c.lastFailure.Store(time.Now().UnixNano())
+	c.platformFailed()
 	time.AfterFunc(hold, c.releaseHeld)
 	c.log.WithFields(log.Fields{"era": era, "hold": hold}).Warn("platform restored from an older copy")
 }
@@ -153,11 +153,7 @@
 // expired during an outage of the platform, so after one the leaf is kept for a grace
 // period. The caller holds c.mu.
 func (c *controller) leafDeregistered(id, cause string) {
-	var last time.Time
-	if at := c.lastFailure.Load(); at != 0 {
-		last = time.Unix(0, at)
-	}
-	gracePeriod := drain.RemovalGracePeriod(time.Now(), last)
+	gracePeriod := c.removalGracePeriod()
 	if gracePeriod == 0 {
 		c.leafLeft(id, cause)
 		return
--- a/internal/node/gateway/wiring.go
+++ b/internal/node/gateway/wiring.go
@@ -165,7 +165,7 @@
 
 		followsEvacuations: s.Forward.HasEvacuations(),
 		setCold:            f.SetCold,
-		leafsConfirmedAt:   f.LeafListConfirmedAt,
+		confirmedAt:        client.Confirmed,
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	r.onAssignment = func() {
--- a/internal/transport/mesh/client.go
+++ b/internal/transport/mesh/client.go
@@ -55,6 +55,10 @@
 	return &Client{Client: store, mesh: m, watchWait: watchWait, stale: make(map[staleSource]time.Time), links: make(map[platform.Kind]*link)}
 }
 
+// Confirmed returns when the platform last confirmed this node's copy of a kind; zero if it has
+// none.
+func (c *Client) Confirmed(kind platform.Kind) time.Time { return c.mesh.cfg.Mirror.Confirmed(kind) }
+
 // source chooses the source to read a kind from now.
 func (c *Client) source(kind platform.Kind) reader.Source {
 	now := time.Now()
