--- a/internal/transport/forward/answer.go
+++ b/internal/transport/forward/answer.go
@@ -18,10 +18,10 @@
 	"github.com/hickorydock/hickorydock/internal/transport/peer"
 )
 
-// answerResult returns the result of a relayed request to one leaf: the leaf's reply.
-func answerResult(call *leafwire.Call) peer.Result {
-	reply := &call.Reply
-	answer := &contract.Answer{Leaf: call.Leaf.ID, Status: uint32(reply.Status), Body: reply.Body, Receipt: reply.Receipt}
+// answerResult returns the result of a relayed request to one leaf: the last reply of a leaf.
+func answerResult(run *shardRun) peer.Result {
+	reply := run.lastReply
+	answer := &contract.Answer{Leaf: run.lastLeaf, Status: uint32(reply.Status), Body: reply.Body, Receipt: reply.Receipt}
 	for name, values := range reply.Header {
 		answer.Headers = append(answer.Headers, &contract.Header{Name: name, Values: values})
 	}
@@ -91,6 +91,7 @@
 	}
 	if !x.query.IsSettled(0) {
 		x.shards[0].lastReply = &reply
+		x.shards[0].lastLeaf = leafID
 	}
 	x.failShard(now, 0, query.ReasonUpstreamError)
 }
--- a/internal/transport/forward/attemptend.go
+++ b/internal/transport/forward/attemptend.go
@@ -28,14 +28,24 @@
 	}
 	f.handleNotices(now, call)
 	if leafwire.IsForeign(reply.Err) {
-		f.observer.LeafNotice(noticeForeignReply)
-		f.log.WithFields(log.Fields{"leaf": call.Leaf.ID, "group": call.Leaf.Group, "request": call.Message.ID}).WithError(reply.Err).Warn("reply of a leaf belongs to another request")
+		f.foreignReply(call)
 	}
 	if reply.Misdirected && f.OnMisdirected != nil {
 		f.OnMisdirected(call.Leaf.ID)
 	}
 }
 
+// foreignReply counts and logs a reply that belongs to another request than the call.
+func (f *Forwarder) foreignReply(call *leafwire.Call) {
+	f.observer.LeafNotice(noticeForeignReply)
+	f.log.WithFields(callFields(call)).WithError(call.Reply.Err).Warn("reply of a leaf belongs to another request")
+}
+
+// callFields returns the fields of a log line about a call.
+func callFields(call *leafwire.Call) log.Fields {
+	return log.Fields{"leaf": call.Leaf.ID, "group": call.Leaf.Group, "request": call.Message.ID}
+}
+
 // quarantineOutcome returns the outcome of an attempt for the quarantine. A server error is
 // no evidence: the leaf may have failed before it ran the request. Neither are bytes that are
 // no answer: the leaf has not crashed. Nor is a connection on which nothing is acknowledged, or
--- a/internal/transport/forward/attempts.go
+++ b/internal/transport/forward/attempts.go
@@ -227,8 +227,8 @@
 	x.f.recordAttempt(x.window, now, call)
 	x.mayHaveRun = x.mayHaveRun || call.Reply.Sent
 	run := &x.shards[call.Shard]
-	run.lastCall = call
 	run.lastReply = &call.Reply
+	run.lastLeaf = call.Leaf.ID
 	x.handleResult(now, call.Shard, call.Reply.Result)
 }
 
@@ -262,7 +262,7 @@
 func (x *exchange) deliver(now time.Time, shard int) {
 	run := &x.shards[shard]
 	run.timerAt = time.Time{}
-	reply := &run.lastCall.Reply
+	reply := run.lastReply
 	x.addReply(now, shard, part{receipt: reply.Receipt, records: reply.Body, answer: reply})
 }
 
--- a/internal/transport/forward/exchange.go
+++ b/internal/transport/forward/exchange.go
@@ -34,10 +34,11 @@
 	// leaf.
 	budget *budget.Budget
 	// timerAt is when the timer of the shard fires; zero means never.
-	timerAt  time.Time
-	lastCall *leafwire.Call
-	// lastReply is the last reply of a leaf, which a relay may have received.
+	timerAt time.Time
+	// lastReply is the last reply of a leaf, which a relay may have received, and lastLeaf the
+	// leaf's ID.
 	lastReply *leafwire.Reply
+	lastLeaf  string
 	// unreached is true if the group has leafs in service, but this node reaches none of them.
 	unreached bool
 	// detoured is true once the shard has gone to another node while attempts of this node
--- a/internal/transport/forward/limit.go
+++ b/internal/transport/forward/limit.go
@@ -4,8 +4,6 @@
 	"sync"
 	"time"
 
-	"github.com/apex/log"
-
 	"github.com/hickorydock/hickorydock/internal/coordination/ratelimit"
 	"github.com/hickorydock/hickorydock/internal/coordination/subrequest"
 	"github.com/hickorydock/hickorydock/internal/state/leaf"
@@ -143,7 +141,7 @@
 		}
 		return
 	}
-	fields := log.Fields{"leaf": call.Leaf.ID, "group": call.Leaf.Group, "request": call.Message.ID}
+	fields := callFields(call)
 	asked, err := ratelimit.Parse(value)
 	if err != nil {
 		f.log.WithFields(fields).WithError(err).Warn("limit that a leaf states ignored")
@@ -178,6 +176,6 @@
 		return next
 	})
 	if ended {
-		f.log.WithFields(log.Fields{"leaf": call.Leaf.ID, "group": call.Leaf.Group, "request": call.Message.ID}).Info("leaf limits requests no more")
+		f.log.WithFields(callFields(call)).Info("leaf limits requests no more")
 	}
 }
--- a/internal/transport/forward/notices.go
+++ b/internal/transport/forward/notices.go
@@ -5,8 +5,6 @@
 	"net/http"
 	"time"
 
-	"github.com/apex/log"
-
 	"github.com/hickorydock/hickorydock/internal/coordination/drain"
 	"github.com/hickorydock/hickorydock/internal/coordination/pause"
 	"github.com/hickorydock/hickorydock/internal/coordination/subrequest"
@@ -58,7 +56,7 @@
 	load, err := f.cfg.DecodeLoad(value)
 	if err != nil {
 		f.observer.LeafNotice(noticeBadLoad)
-		f.log.WithFields(log.Fields{"leaf": call.Leaf.ID, "group": call.Leaf.Group, "request": call.Message.ID}).WithError(err).Warn("load that a leaf states ignored")
+		f.log.WithFields(callFields(call)).WithError(err).Warn("load that a leaf states ignored")
 		return
 	}
 	call.Record.SetLoad(now, load)
@@ -77,7 +75,7 @@
 	}
 	f.leafClient.FailWaiting(call.Leaf.ID)
 	f.observer.LeafNotice(noticeLeaving)
-	f.log.WithFields(log.Fields{"leaf": call.Leaf.ID, "group": call.Leaf.Group, "request": call.Message.ID}).Info("leaf says that it is leaving")
+	f.log.WithFields(callFields(call)).Info("leaf says that it is leaving")
 }
 
 // leafPauses ends new work for a leaf for as long as it asks.
@@ -86,7 +84,7 @@
 	if value == "" {
 		return
 	}
-	fields := log.Fields{"leaf": call.Leaf.ID, "group": call.Leaf.Group, "request": call.Message.ID}
+	fields := callFields(call)
 	asked, err := pause.Parse(value)
 	if err != nil {
 		f.log.WithFields(fields).WithError(err).Warn("pause that a leaf asks for ignored")
--- a/internal/transport/forward/serve.go
+++ b/internal/transport/forward/serve.go
@@ -66,7 +66,7 @@
 	out := resultSender{merge: m.Merge, maxRecords: req.route.MaxRecords, reply: reply}
 	x.onReply = out.add
 	if single {
-		x.onReply = func(int, part) { reply(answerResult(x.shards[0].lastCall)) }
+		x.onReply = func(int, part) { reply(answerResult(&x.shards[0])) }
 		if x.start(now) {
 			x.loopUntil(ctx, deadline)
 		}
@@ -138,7 +138,7 @@
 func (x *exchange) replyFailure(reply func(peer.Result)) {
 	run := &x.shards[0]
 	if !x.query.HasReply(0) && x.mayHaveRun && len(x.pending) == 0 && isLeafFailure(run.lastReply) {
-		reply(answerResult(run.lastCall))
+		reply(answerResult(run))
 		return
 	}
 	x.replyFailures(reply)
