--- a/review/standin-2/client.go
+++ b/review/standin-2/client.go
@@ -11,6 +11,9 @@
 	"time"
 )
 
+// host is the host of all routes.
+const host = "pupu76.example"
+
 // requester holds one connection to a gateway.
 type requester struct {
 	address string
--- a/review/standin-2/cluster.go
+++ b/review/standin-2/cluster.go
@@ -9,6 +9,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"runtime"
 	"strings"
 	"sync"
 	"syscall"
@@ -27,6 +28,7 @@
 	started  time.Time
 	mu       sync.Mutex
 	leafs    []*leaf
+	closing  sync.Mutex
 	gateways []*gateway
 }
 
@@ -54,6 +56,7 @@
 
 // close ends all processes that the cluster has started.
 func (c *cluster) close() {
+	c.closing.Lock() // and keeps it: a second call waits for the end of the program
 	for _, g := range c.gateways {
 		if g.command != nil && g.command.Process != nil {
 			_ = g.command.Process.Kill()
@@ -143,7 +146,7 @@
 	g.command.Dir = c.repo
 	g.command.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + c.dir, "HICKORYDOCK_BOOT=" + g.config, "HICKORYDOCK_EVACUATE_MS="}
 	g.command.Stdout, g.command.Stderr = log, log
-	if err := g.command.Start(); err != nil {
+	if err := startBound(g.command); err != nil {
 		return err
 	}
 	g.exited = make(chan struct{})
@@ -155,6 +158,19 @@
 	return nil
 }
 
+// startBound starts a process that the kernel ends together with this one. The signal comes when
+// the thread that started the process ends, so that thread is kept.
+func startBound(command *exec.Cmd) error {
+	command.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+	started := make(chan error)
+	go func() {
+		runtime.LockOSThread()
+		started <- command.Start()
+		select {}
+	}()
+	return <-started
+}
+
 // signal sends a signal to the gateway's process.
 func (g *gateway) signal(s syscall.Signal) { _ = g.command.Process.Signal(s) }
 
--- a/review/standin-2/leaf.go
+++ b/review/standin-2/leaf.go
@@ -49,6 +49,8 @@
 	sequence int
 	listed   bool
 	dead     bool
+	// silent is true once the leaf takes no connections and answers nothing.
+	silent bool
 }
 
 var leafCount atomic.Int64
@@ -59,8 +61,17 @@
 	if err != nil {
 		return nil, err
 	}
+	return c.startLeaf(listener, service, zone, slots, queue, run)
+}
+
+func (c *cluster) startLeaf(listener net.Listener, service, zone string, slots, queue int, run func(arrival) bool) (*leaf, error) {
+	return c.startLeafAs(fmt.Sprintf("i-%06x", 0xa10000+leafCount.Add(1)), listener, service, zone, slots, queue, run)
+}
+
+// startLeafAs starts a leaf that has an id.
+func (c *cluster) startLeafAs(id string, listener net.Listener, service, zone string, slots, queue int, run func(arrival) bool) (*leaf, error) {
 	l := &leaf{
-		id: fmt.Sprintf("i-%06x", 0xa10000+leafCount.Add(1)), service: service, zone: zone, address: listener.Addr().String(),
+		id: id, service: service, zone: zone, address: listener.Addr().String(),
 		slots: slots, queue: queue, born: time.Now().UnixMilli(), run: run, cluster: c, listener: listener,
 		slot: make(chan struct{}, slots), conns: map[net.Conn]bool{}, state: "ready", listed: true,
 	}
@@ -137,11 +148,22 @@
 
 func (l *leaf) accept() {
 	for {
+		l.mu.Lock()
+		silent := l.silent
+		l.mu.Unlock()
+		if silent {
+			return // the listener stays open
+		}
 		conn, err := l.listener.Accept()
 		if err != nil {
 			return
 		}
 		l.mu.Lock()
+		if l.silent {
+			l.conns[conn] = true
+			l.mu.Unlock()
+			return
+		}
 		if l.dead {
 			l.mu.Unlock()
 			_ = conn.Close()
@@ -176,6 +198,9 @@
 			writeReply(conn, http.StatusMisdirectedRequest, nil, "Instance-Id", l.id, "Request-Id", a.id, "Not-Executed", "1")
 			continue
 		}
+		if l.isSilent() {
+			select {} // until the end of the program
+		}
 		if l.onArrival != nil {
 			l.onArrival(a)
 		}
@@ -191,6 +216,12 @@
 	}
 }
 
+func (l *leaf) isSilent() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.silent
+}
+
 // takeSlot waits for a slot unless the queue is full.
 func (l *leaf) takeSlot() bool {
 	select {
--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -6,8 +6,10 @@
 import (
 	"fmt"
 	"os"
+	"os/signal"
 	"path/filepath"
 	"sync"
+	"syscall"
 	"time"
 )
 
@@ -18,6 +20,9 @@
 	cannot = 2
 )
 
+// longest is the longest time that a case may take.
+const longest = 110 * time.Second
+
 // record writes what was sent, answered and run to record.txt.
 type record struct {
 	mu      sync.Mutex
@@ -70,6 +75,17 @@
 		return cannot
 	}
 	defer c.close()
+	ends := make(chan os.Signal, 1)
+	signal.Notify(ends, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
+	go func() {
+		select {
+		case <-ends:
+		case <-time.After(longest):
+		}
+		rec.verdict("cannot run: stopped after %v", time.Since(rec.started).Round(time.Second))
+		c.close()
+		os.Exit(cannot)
+	}()
 	rec.line("case %s, disruption: %t", name, trouble)
 	violated, err := p(c, trouble)
 	switch {
