--- a/review/standin-2/drain.go
+++ b/review/standin-2/drain.go
@@ -33,7 +33,7 @@
 	}
 	var leafs []*leaf
 	add := func(zone string) error {
-		l, err := c.newLeaf("quote-desk", zone, 2, 12, run)
+		l, err := c.newLeaf("franchise-portal", zone, 2, 12, run)
 		if err != nil {
 			return err
 		}
@@ -51,7 +51,7 @@
 			return false, err
 		}
 	}
-	c.configureRoutes(3, 26, route{Name: "r-quote", Hostname: host, PathPrefix: "/timi402/", Type: "non_idempotent", TimeoutMs: 10000, TargetLatencyMs: 600, Priority: 2, Attempts: 2, Service: "quote-desk"})
+	c.configureRoutes(3, 26, route{Name: "r-quote", Hostname: host, PathPrefix: "/timi402/", Type: "non_idempotent", TimeoutMs: 10000, TargetLatencyMs: 600, Priority: 2, Attempts: 2, Service: "franchise-portal"})
 	if err := c.addGateways("tallinn-a", "tartu-b"); err != nil {
 		return false, err
 	}
