Planned stop: answer requests that wait for a leaf, and those at work

Cause: callerServer.stop lets requests go on until http.Server.Close. Nothing withdraws the calls in leafwire.pool.waiting before, although "not run" would be true for them, and nothing ends what is at work with a response.

Now the stop has two more phases. At 0.65 of the grace period the sending of attempts ends: those that wait are withdrawn, which the pool's lock makes final, so that 503 with a Retry-After is true, and nothing is sent any more. At 0.87 all requests still in progress are answered with what has arrived: a query with its parts, others with 502. Writing has the time until 0.9.

The same cause on other paths, each with a test: a relay that stops returns parts that wait as not run, so that their node sends them to another relay, and answers for those at work before its batches are cut off; nothing is sent to relays either; hedges, retries, and requests that arrive late in the stop.

--- a/internal/node/gateway/callerserver.go
+++ b/internal/node/gateway/callerserver.go
@@ -29,8 +29,14 @@
 	// lameDuckFraction ends the phase in which new connections are still served, while
 	// the load balancer notices that the node is not ready.
 	lameDuckFraction = 0.5
-	// shutdownFraction ends the phase in which requests in progress may finish; those
-	// that remain are cut off.
+	// sendFraction ends the phase in which attempts are sent to leafs. The leafs have the
+	// rest of the time until answerFraction for what they have received.
+	sendFraction = 0.65
+	// answerFraction ends the phase in which requests in progress may finish; those that
+	// remain are answered with what has arrived.
+	answerFraction = 0.87
+	// shutdownFraction ends the phase in which responses are written; connections that remain
+	// are cut off.
 	shutdownFraction = 0.9
 	// stopFraction ends the phase in which batches of other nodes may finish; those that
 	// remain are cut off. The rest of the grace period is for writing the log and for the
@@ -105,20 +111,26 @@
 
 // stop makes the node not ready, serves new requests until the load balancer has
 // noticed, and finishes those in progress. It notifies other nodes first, so that they
-// send their shards to other relays while this one still serves those in flight.
+// send their shards to other relays while this one still serves those in flight. What still
+// waits for a leaf late in the stop is rejected, and what is not finished is answered, so that
+// no caller loses its connection without a response.
 func (cs *callerServer) stop(ctx context.Context) error {
 	start := time.Now()
 	close(cs.stopping)
 	cs.controller.stopping.Store(true)
 	cs.leave()
 	cs.forwarder.Stop()
-	lameDuck := time.NewTimer(time.Duration(lameDuckFraction * float64(cs.grace)))
+	// The requests of other nodes may last longer than those of callers, so that the phases
+	// do not end with this function.
+	time.AfterFunc(cs.fractionOfGrace(sendFraction), cs.stopSending)
+	time.AfterFunc(cs.fractionOfGrace(answerFraction), cs.endRequests)
+	lameDuck := time.NewTimer(cs.fractionOfGrace(lameDuckFraction))
 	defer lameDuck.Stop()
 	select {
 	case <-lameDuck.C:
 	case <-ctx.Done():
 	}
-	deadline := start.Add(time.Duration(shutdownFraction * float64(cs.grace)))
+	deadline := start.Add(cs.fractionOfGrace(shutdownFraction))
 	ctx, cancel := context.WithDeadline(context.WithoutCancel(ctx), deadline)
 	defer cancel()
 	if err := cs.server.Shutdown(ctx); err != nil {
@@ -127,3 +139,17 @@
 	}
 	return nil
 }
+
+func (cs *callerServer) stopSending() {
+	cs.log.Info("planned stop: attempts that wait for a leaf are withdrawn")
+	cs.forwarder.StopSending()
+}
+
+func (cs *callerServer) endRequests() {
+	cs.log.Info("planned stop: requests in progress are answered with what has arrived")
+	cs.forwarder.EndRequests()
+}
+
+func (cs *callerServer) fractionOfGrace(fraction float64) time.Duration {
+	return time.Duration(fraction * float64(cs.grace))
+}
--- a/internal/transport/forward/attempts.go
+++ b/internal/transport/forward/attempts.go
@@ -78,17 +78,24 @@
 // nil if there is none.
 func (x *exchange) withdraw(now time.Time, shard int) *leafwire.Call {
 	for call := range x.pending {
-		if call.Shard != shard || !x.f.leafClient.Withdraw(call) {
-			continue
+		if call.Shard == shard && x.withdrawCall(now, call) {
+			return call
 		}
-		delete(x.pending, call)
-		call.Reply = leafwire.Reply{Result: subrequest.Unsent, Err: leafwire.ErrCancelled}
-		x.f.recordAttempt(x.window, now, call)
-		return call
 	}
 	return nil
 }
 
+// withdrawCall withdraws an attempt if it waits for a connection and reports whether it did.
+func (x *exchange) withdrawCall(now time.Time, call *leafwire.Call) bool {
+	if !x.f.leafClient.Withdraw(call) {
+		return false
+	}
+	delete(x.pending, call)
+	call.Reply = leafwire.Reply{Result: subrequest.Unsent, Err: leafwire.ErrCancelled}
+	x.f.recordAttempt(x.window, now, call)
+	return true
+}
+
 // delayedAttempt is an attempt that the quarantine delays.
 type delayedAttempt struct {
 	shard   int
@@ -96,10 +103,11 @@
 	sendAt  time.Time
 }
 
-// send sends an attempt unless the quarantine refuses or delays it.
+// send sends an attempt unless a planned stop or a limit keeps it from being sent, or the
+// quarantine refuses or delays it.
 func (x *exchange) send(now time.Time, shard int, attempt subrequest.Attempt) {
 	target := x.view.Replicas[shard][attempt.Replica]
-	if !x.f.takeFromLimit(now, target.Record, x.shards[shard].group) {
+	if x.f.sendsEnded.happened.Load() || !x.f.takeFromLimit(now, target.Record, x.shards[shard].group) {
 		x.handleResult(now, shard, subrequest.Unsent)
 		return
 	}
--- a/internal/transport/forward/exchange.go
+++ b/internal/transport/forward/exchange.go
@@ -209,11 +209,13 @@
 	return x.loop(ctx, x.canRespond)
 }
 
-// loop processes events until isDone returns true. It returns false if ctx ended before.
+// loop processes events until isDone returns true or a planned stop ends all requests. It
+// returns false if ctx ended before.
 func (x *exchange) loop(ctx context.Context, isDone func(now time.Time) bool) bool {
 	timer := time.NewTimer(time.Until(x.nextWake()))
 	defer timer.Stop()
 	lost := x.f.Links.Lost()
+	sendsEnded, requestsEnded := x.f.sendsEnded.channel(), x.f.requestsEnded.channel()
 	for !isDone(time.Now()) {
 		select {
 		case <-ctx.Done():
@@ -229,6 +231,11 @@
 		case <-lost:
 			lost = nil
 			x.linksLost(time.Now())
+		case <-sendsEnded:
+			sendsEnded = nil
+			x.withdrawWaiting(time.Now())
+		case <-requestsEnded:
+			return true
 		}
 		timer.Reset(time.Until(x.nextWake()))
 	}
--- a/internal/transport/forward/fake_test.go
+++ b/internal/transport/forward/fake_test.go
@@ -94,6 +94,13 @@
 	}
 }
 
+// starts returns the number of calls that were started.
+func (c *fakeLeafClient) starts() int64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return int64(c.startCount)
+}
+
 // sends returns the number of calls to each leaf.
 func (c *fakeLeafClient) sends() map[string]int {
 	c.mu.Lock()
--- a/internal/transport/forward/forward.go
+++ b/internal/transport/forward/forward.go
@@ -92,6 +92,10 @@
 	observer   Observer
 	log        log.Interface
 	stopping   atomic.Bool
+	// sendsEnded happens when a planned stop ends the sending of attempts, requestsEnded when
+	// it ends the requests in progress.
+	sendsEnded, requestsEnded event
+
 	startedAt  time.Time
 	nodeCount  atomic.Int64
 	limitNodes nodeCounter
@@ -128,9 +132,6 @@
 	return &Forwarder{cfg: cfg, routing: routes, groups: groups, leafClient: leafClient, guard: g, observer: observer, log: logger, startedAt: time.Now(), limitPhase: rand.Float64(), Tracer: tracing.Off(), Links: soundLinks{}}
 }
 
-// Stop makes the connections of callers close after their next response.
-func (f *Forwarder) Stop() { f.stopping.Store(true) }
-
 // request is one request of a caller.
 type request struct {
 	httpRequest *http.Request
--- a/internal/transport/forward/relay.go
+++ b/internal/transport/forward/relay.go
@@ -190,8 +190,11 @@
 }
 
 // sendToRelay sends a request to a relay of the cluster that was not tried. It returns
-// false if there is none.
+// false if there is none, or if a planned stop has ended the sending of attempts.
 func (x *exchange) sendToRelay(now time.Time, run *clusterRun, relayReq relayRequest) bool {
+	if x.f.sendsEnded.happened.Load() {
+		return false
+	}
 	relay, ok := x.chooseRelay(now, run)
 	if !ok {
 		return false
--- a/internal/transport/forward/serve.go
+++ b/internal/transport/forward/serve.go
@@ -147,7 +147,8 @@
 // replyFailures sends a failure for each shard without a reply, which says whether the
 // shard may have run. If no attempt was sent at all, or this node reaches no leaf of a shard,
 // the reason is that there is no replica, since another relay may have one; but leafs that have
-// asked for a pause must not get the shard from another relay.
+// asked for a pause must not get the shard from another relay. The same holds for each shard
+// that a planned stop of this node has kept from being sent.
 func (x *exchange) replyFailures(reply func(peer.Result)) {
 	failure := peer.Result{Status: contract.Status_STATUS_FAILED, Reason: string(query.ReasonUpstreamError)}
 	if !x.mayHaveRun && len(x.pending) == 0 {
@@ -163,7 +164,7 @@
 		}
 		result := failure
 		result.Index = shard
-		if x.shards[shard].unreached {
+		if x.shards[shard].unreached || x.f.sendsEnded.happened.Load() && x.isUnsent(shard) {
 			result.Status = contract.Status_STATUS_NOT_RUN
 			result.Reason = string(query.ReasonNoReplica)
 		} else if at, ok := pause.Until(x.view.Replicas[shard:shard+1], 1); ok && !at.IsZero() {
