Planned stop: do not wait for idle connections to the readiness address

Cause: the operators' listener was constructed last and so stopped first, by http.Server.Shutdown, which takes a new connection for busy for five seconds. The server for callers was stopped with what was left of the grace period: no node was told, new requests were still taken, and the process ended with all requests in flight. The load balancer got no response at all meanwhile.

Now the operators' listeners are constructed first and stop last, so that readiness says 503 for as long as the node serves, and their stop closes what is left after 100 ms. The server for callers is ready only once it listens. The node of `serve` stops its listener for callers before that for operators already; the bound keeps the latter from using up the time of the peers' calls and the commands, which stop after it.

--- a/internal/node/gateway/callerserver.go
+++ b/internal/node/gateway/callerserver.go
@@ -62,7 +62,7 @@
 	stopping chan struct{}
 }
 
-func newCallerServer(s settings.Settings, f *forward.Forwarder, c *controller, m *mesh.Mesh, logger log.Interface, lifecycle fx.Lifecycle) *callerServer {
+func newCallerServer(s settings.Settings, f *forward.Forwarder, c *controller, m *mesh.Mesh, ready *readiness, logger log.Interface, lifecycle fx.Lifecycle) *callerServer {
 	cs := &callerServer{
 		forwarder:  f,
 		controller: c,
@@ -79,8 +79,14 @@
 		ConnContext:       func(ctx context.Context, _ net.Conn) context.Context { return forward.TrackConnection(ctx) },
 	}
 	lifecycle.Append(fx.Hook{
-		OnStart: func(context.Context) error { return cs.listen(s.Node.CallerAddress) },
-		OnStop:  cs.stop,
+		OnStart: func(context.Context) error {
+			if err := cs.listen(s.Node.CallerAddress); err != nil {
+				return err
+			}
+			ready.server.Store(cs)
+			return nil
+		},
+		OnStop: cs.stop,
 	})
 	return cs
 }
--- a/internal/node/gateway/gateway.go
+++ b/internal/node/gateway/gateway.go
@@ -94,11 +94,14 @@
 			func() log.Interface { return g.logger },
 			func() Adapter { return adapter },
 			metrics.New, tracing.FromSettings, leaf.NewTable, group.NewStore, newMirror, newRouting, newRelays, newMesh, newLeafClient, newForwarder, newLinks, newController, newCallerServer,
-			func(cs *callerServer) admin.ReadinessChecker { return cs },
+			newReadiness, func(r *readiness) admin.ReadinessChecker { return r },
 		),
 		guard.Module,
 		admin.Module,
-		fx.Invoke(func(*links.Monitor, *admin.Listener, *callerServer) {}, admin.ListenMetrics),
+		// Components stop in the reverse order. The operators' listeners come first, so that the
+		// node says that it is not ready for as long as it serves.
+		fx.Invoke(func(*admin.Listener) {}, admin.ListenMetrics),
+		fx.Invoke(func(*links.Monitor, *callerServer) {}),
 		fx.Populate(&g.callerServer),
 	)
 	if err := g.app.Err(); err != nil {
--- a/internal/transport/admin/admin.go
+++ b/internal/transport/admin/admin.go
@@ -24,6 +24,10 @@
 // headerTimeout bounds reading a request's header.
 const headerTimeout = 5 * time.Second
 
+// stopTimeout bounds the end of requests in progress when the node stops. The rest of the grace
+// period belongs to the requests of callers.
+const stopTimeout = 100 * time.Millisecond
+
 // ReadinessChecker reports whether the process may receive requests.
 type ReadinessChecker interface {
 	// Ready returns nil, or the reason why the process must not receive requests.
@@ -43,7 +47,8 @@
 // starts.
 func (l *Listener) Handle(pattern string, handler http.Handler) { l.mux.Handle(pattern, handler) }
 
-// Listen binds the admin address when the node starts and closes it last.
+// Listen binds the admin address when the node starts. Components that are constructed after it
+// stop before it, so that their state can still be read while they stop.
 func Listen(s settings.Settings, m *metrics.Metrics, checker ReadinessChecker, logger log.Interface, lifecycle fx.Lifecycle) *Listener {
 	l := &Listener{mux: http.NewServeMux()}
 	l.Handle("GET /metrics", m.Handler())
@@ -60,7 +65,7 @@
 			go serve(server, listener, logger)
 			return nil
 		},
-		OnStop: server.Shutdown,
+		OnStop: func(ctx context.Context) error { return stop(ctx, server) },
 	})
 	return l
 }
@@ -82,7 +87,7 @@
 			go serve(server, listener, logger)
 			return nil
 		},
-		OnStop: server.Shutdown,
+		OnStop: func(ctx context.Context) error { return stop(ctx, server) },
 	})
 }
 
@@ -92,6 +97,17 @@
 	}
 }
 
+// stop lets requests in progress end within stopTimeout and closes all connections.
+// http.Server.Shutdown would wait for seconds for a new connection without a request.
+func stop(ctx context.Context, server *http.Server) error {
+	ctx, cancel := context.WithTimeout(ctx, stopTimeout)
+	defer cancel()
+	if err := server.Shutdown(ctx); err == nil || !errors.Is(err, context.DeadlineExceeded) {
+		return err
+	}
+	return server.Close()
+}
+
 func live(w http.ResponseWriter, _ *http.Request) {
 	fmt.Fprintln(w, "ok")
 }
