Leafs that drain or are gone: end the requests that wait for them

Cause: putLeaf marks the leaf's record, so that it is not chosen any more, but leaves the calls in the queue of its pool. An evacuation, a cold leaf, a pause and the notice of the leaf itself call FailWaiting; the state `draining`, a removed entry, another run of the leaf and a 421 did not. A removed leaf's record was not even marked, so that a retry of a request in progress chose it.

Now each way in which a leaf leaves marks its record and then ends the calls that wait. An attempt that is added to the queue between the two is found by its sender, which looks at the mark once more after the start of the attempt: TestAttemptAtLeafMarkedMeanwhile (draining, removed, evacuated, paused) got 503 after the whole time limit of 1 s before, now at once.

--- a/internal/coordination/subrequest/subrequest.go
+++ b/internal/coordination/subrequest/subrequest.go
@@ -149,6 +149,9 @@
 	return Machine{cfg: cfg, budget: budget}
 }
 
+// SetReplicas replaces the list of replicas by one that begins with the same replicas.
+func (m *Machine) SetReplicas(replicas []shardmap.Replica) { m.cfg.Replicas = replicas }
+
 // Start chooses the first replica. It reports false when there is none or the
 // deadline has passed.
 func (m *Machine) Start(now time.Time) (Attempt, bool) {
--- a/internal/node/gateway/leafs.go
+++ b/internal/node/gateway/leafs.go
@@ -115,7 +115,8 @@
 	c.putLeaf(event.Object)
 }
 
-// putLeaf adds or updates a leaf. A leaf whose entry cannot be parsed is removed. The
+// putLeaf adds or updates a leaf. A leaf whose entry cannot be parsed is removed. Requests that
+// wait for a connection to a leaf that leaves, or to an earlier run of the leaf, go to others. The
 // caller holds c.mu.
 func (c *controller) putLeaf(object platform.Object) {
 	next, err := c.adapter.DecodeLeaf(object)
@@ -139,6 +140,9 @@
 			c.applyCold(next, record, next.Cold)
 		}
 	})
+	if leaving {
+		c.leafClient.FailWaiting(next.VM.ID)
+	}
 	if known && !replaced && old.VM.State == next.VM.State && old.Cold == next.Cold {
 		return
 	}
--- a/internal/state/group/group.go
+++ b/internal/state/group/group.go
@@ -121,9 +121,11 @@
 	return old, known
 }
 
-// remove removes a leaf and its record. The caller holds s.mu.
+// remove removes a leaf and its record, which it marks for requests in progress. The caller
+// holds s.mu.
 func (s *Store) remove(l route.Leaf) {
 	delete(s.leafs, l.VM.ID)
+	s.table.Record(l.VM.ID).MarkRemoved()
 	s.table.Delete(l.VM.ID)
 	s.updateReplicas(l.VM.Group, func(list []shardmap.Replica) []shardmap.Replica { return without(list, l.VM.ID) })
 }
--- a/internal/state/leaf/leaf.go
+++ b/internal/state/leaf/leaf.go
@@ -48,6 +48,8 @@
 	LastReply time.Time
 	// Draining is true when the leaf is leaving.
 	Draining bool
+	// Removed is true once the leaf is not listed any more, or another run of it is.
+	Removed bool
 	// Evacuated is true while the operator wants no requests at the leafs of the leaf's
 	// availability zone.
 	Evacuated bool
@@ -73,7 +75,7 @@
 
 // IsWithdrawn reports whether the leaf gets no new work until the platform or the leaf itself
 // says otherwise.
-func (s *Stats) IsWithdrawn() bool { return s.Draining || s.Evacuated }
+func (s *Stats) IsWithdrawn() bool { return s.Draining || s.Removed || s.Evacuated }
 
 // UsableFrom returns when the leaf can be sent to again; the zero time if it can be now.
 func (s *Stats) UsableFrom() time.Time {
@@ -233,6 +235,14 @@
 	r.stats.Draining = r.drain.IsDraining()
 }
 
+// MarkRemoved records that the leaf is not listed any more. Requests in progress may still hold
+// the record; another run of the leaf has a new one.
+func (r *Record) MarkRemoved() {
+	r.mu.Lock()
+	r.stats.Removed = true
+	r.mu.Unlock()
+}
+
 // SetEvacuated records whether the leaf's availability zone is evacuated, and reports whether
 // that changed.
 func (r *Record) SetEvacuated(evacuated bool) bool {
--- a/internal/transport/forward/attempts.go
+++ b/internal/transport/forward/attempts.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"go.opentelemetry.io/otel/attribute"
@@ -11,6 +12,7 @@
 	"github.com/hickorydock/hickorydock/internal/coordination/replica"
 	"github.com/hickorydock/hickorydock/internal/coordination/subrequest"
 	"github.com/hickorydock/hickorydock/internal/protocol/query"
+	"github.com/hickorydock/hickorydock/internal/state/shardmap"
 	"github.com/hickorydock/hickorydock/internal/transport/leafwire"
 	"github.com/hickorydock/hickorydock/internal/transport/tracing"
 )
@@ -143,6 +145,17 @@
 	x.query.CountSent()
 	x.shards[shard].lastTarget = call.Leaf.ID
 	x.f.leafClient.Start(call)
+	x.withdrawIfMarked(now, call)
+}
+
+// withdrawIfMarked withdraws an attempt that waits for a connection if its leaf has been marked
+// as not to be used since it was chosen. Who marks a leaf ends the attempts that wait at that
+// time; this one may have been added after that.
+func (x *exchange) withdrawIfMarked(now time.Time, call *leafwire.Call) {
+	stats := call.Record.Stats()
+	if (stats.IsWithdrawn() || stats.IsPaused()) && x.withdrawCall(now, call) {
+		x.handleResult(now, call.Shard, subrequest.Unsent)
+	}
 }
 
 // patienceFactor is the ratio of the time after which a reply is overdue to the usual time.
@@ -251,6 +264,9 @@
 		x.detouredResult(now, shard, result)
 		return
 	}
+	if result == subrequest.Unsent {
+		x.addListed(shard)
+	}
 	decision, next := run.machine.AttemptEnded(now, result)
 	switch decision {
 	case subrequest.Deliver:
@@ -266,6 +282,22 @@
 	}
 }
 
+// addListed adds the leafs of a shard's group that were listed after the request began, such as
+// the successor of a leaf that leaves.
+func (x *exchange) addListed(shard int) {
+	run := &x.shards[shard]
+	replicas := x.view.Replicas[shard]
+	known := len(replicas)
+	for _, listed := range x.f.groups.Replicas(run.group) {
+		isKnown := slices.ContainsFunc(replicas[:known], func(r shardmap.Replica) bool { return r.Record == listed.Record })
+		if !isKnown && x.f.Links.Reaches(listed.VM.ID) {
+			replicas = append(slices.Clip(replicas), listed)
+		}
+	}
+	x.view.Replicas[shard] = replicas
+	run.machine.SetReplicas(replicas)
+}
+
 // deliver adds the reply of the attempt that ended last.
 func (x *exchange) deliver(now time.Time, shard int) {
 	run := &x.shards[shard]
--- a/internal/transport/forward/notices_test.go
+++ b/internal/transport/forward/notices_test.go
@@ -305,3 +305,50 @@
 		}
 	})
 }
+
+// TestAttemptThatWaitsGoesToSuccessor guards against requests that fail, or are held until their
+// time limit, since they know only the leafs that were listed when they began.
+func TestAttemptThatWaitsGoesToSuccessor(t *testing.T) {
+	for _, idempotent := range []bool{true, false} {
+		synctest.Test(t, func(t *testing.T) {
+			r := newRig(t, singleRoute(idempotent), map[string]behaviour{"a/0": unreachable})
+			r.leafClient.leafs["a/1"] = replyingAfter(5 * ms)
+			time.AfterFunc(30*ms, func() {
+				r.groups.Put(route.Leaf{VM: platform.VM{ID: "a/1", Group: "a"}}, nil)
+				r.groups.Remove("a/0")
+				r.leafClient.FailWaiting("a/0")
+			})
+			if response, took := r.do(t.Context(), http.MethodGet, "/x"); response.Code != http.StatusOK || took != 35*ms {
+				t.Errorf("idempotent %t: status %d after %v", idempotent, response.Code, took)
+			}
+			time.Sleep(time.Second)
+		})
+	}
+}
+
+// TestAttemptAtLeafMarkedMeanwhile guards against an attempt that is added to the queue of a leaf
+// just after those that wait there were ended: it would reach the leaf late.
+func TestAttemptAtLeafMarkedMeanwhile(t *testing.T) {
+	marks := map[string]func(*leaf.Record){
+		"draining": func(r *leaf.Record) {
+			r.UpdateDrain(func(d leaf.DrainState) leaf.DrainState { d.List = true; return d })
+		},
+		"evacuated": func(r *leaf.Record) { r.SetEvacuated(true) },
+		"removed":   (*leaf.Record).MarkRemoved,
+		"paused":    func(r *leaf.Record) { r.Pause(time.Now().Add(time.Second)) },
+	}
+	for name, mark := range marks {
+		synctest.Test(t, func(t *testing.T) {
+			r := newRig(t, singleRoute(false), map[string]behaviour{})
+			record := r.groups.Put(route.Leaf{VM: platform.VM{ID: "a/0", Group: "a"}}, nil)
+			r.leafClient.leafs["a/0"] = func(*leafwire.Call) (time.Duration, leafwire.Reply) {
+				mark(record) // after the leaf was chosen, and before the attempt waits
+				return noConnection, leafwire.Reply{}
+			}
+			if response, took := r.do(t.Context(), http.MethodGet, "/x"); response.Code != http.StatusServiceUnavailable || took != 0 {
+				t.Errorf("%s: status %d after %v", name, response.Code, took)
+			}
+			time.Sleep(2 * time.Second)
+		})
+	}
+}
--- a/internal/transport/leafwire/leafwire.go
+++ b/internal/transport/leafwire/leafwire.go
@@ -252,10 +252,7 @@
 	p.mu.Lock()
 	failed := p.takeWaiting()
 	p.mu.Unlock()
-	for _, call := range failed {
-		call.Reply = Reply{Result: subrequest.Unsent, Err: fault.Wrap(ErrStayAway, fault.StepConnect, p.vm.Address, "leaf %s", id)}
-		call.Done <- call
-	}
+	p.endUnsent(failed, ErrStayAway)
 }
 
 // Warm opens a connection to a leaf if there is none.
@@ -276,8 +273,8 @@
 	}
 }
 
-// RemoveLeaf closes the idle connections to a leaf that was removed. Calls in progress
-// are not interrupted.
+// RemoveLeaf closes the idle connections to a leaf that was removed and ends the calls that wait
+// for a connection to it as unsent. Calls that were sent are not interrupted.
 func (c *Client) RemoveLeaf(id string) {
 	found, ok := c.pools.LoadAndDelete(id)
 	if !ok {
@@ -286,7 +283,9 @@
 	p := found.(*pool)
 	p.mu.Lock()
 	p.removed = true
+	failed := p.takeWaiting()
 	p.mu.Unlock()
+	p.endUnsent(failed, ErrStayAway)
 	p.closeIdle()
 }
 
--- a/internal/transport/leafwire/pool.go
+++ b/internal/transport/leafwire/pool.go
@@ -134,7 +134,16 @@
 		failed = p.takeWaiting()
 	}
 	p.mu.Unlock()
-	for _, call := range failed {
+	deliverUnsent(failed, err)
+}
+
+// endUnsent delivers calls that were taken from the queue without being sent.
+func (p *pool) endUnsent(calls []*Call, cause error) {
+	deliverUnsent(calls, fault.Wrap(cause, fault.StepConnect, p.vm.Address, "leaf %s", p.vm.ID))
+}
+
+func deliverUnsent(calls []*Call, err error) {
+	for _, call := range calls {
 		call.Reply = Reply{Result: subrequest.Unsent, Err: err}
 		call.Done <- call
 	}
