Replies of leafs: refuse a status that HTTP lacks

A gateway took a status under 100 for an interim reply: the caller waited until its time limit, and the body of such a reply was read as the next reply. 101, 600 and 999 were passed on as the answer, with the leaf's receipt.

Cause: readResponse skips every status below 200 other than 101 and returns all others; nothing after it looks at the status again. The net/http server panics on a status under 100, so that an answer of another node with status 0 would have ended as a closed connection.

Now 100 and 102 to 199 are interim, 200 to 599 final, and a reply with any other status is malformed, like bytes that are no reply: the call ends at once as one that may have run, with nothing of the reply, and its connection is closed with what may follow on it. It is no evidence that the request crashes leafs. The client of `serve` refuses such replies the same way; they were never passed on there, but 000 and 999 counted as errors that the leaf reported.

--- a/internal/transport/forward/answer.go
+++ b/internal/transport/forward/answer.go
@@ -2,8 +2,8 @@
 
 import (
 	"errors"
+	"fmt"
 	"net/http"
-	"slices"
 	"time"
 
 	"github.com/apex/log"
@@ -11,6 +11,7 @@
 
 	"github.com/hickorydock/hickorydock/internal/coordination/subrequest"
 	"github.com/hickorydock/hickorydock/internal/protocol/fault"
+	"github.com/hickorydock/hickorydock/internal/protocol/httpstatus"
 	contract "github.com/hickorydock/hickorydock/internal/protocol/peer"
 	"github.com/hickorydock/hickorydock/internal/protocol/query"
 	"github.com/hickorydock/hickorydock/internal/state/shardmap"
@@ -61,36 +62,43 @@
 	return answer.Leaf, reply, nil
 }
 
-// isForeign reports whether a leaf's reply that another node has received states another request.
-// Nodes of an earlier release check only successful replies.
-func (x *exchange) isForeign(reply *leafwire.Reply) bool {
-	stated := reply.Header.Values(x.f.cfg.Names.RequestID)
-	return slices.ContainsFunc(stated, func(id string) bool { return id != x.req.id })
+// checkAnswer returns an error if a leaf's reply that another node has received states another
+// request, or has a status that HTTP lacks. Nodes of earlier releases do not check all of this.
+func (x *exchange) checkAnswer(answer *leafwire.Reply) error {
+	if !httpstatus.IsFinal(answer.Status) {
+		return fmt.Errorf("%w: status %03d", leafwire.ErrMalformed, answer.Status)
+	}
+	for _, id := range answer.Header.Values(x.f.cfg.Names.RequestID) {
+		if id != x.req.id {
+			return fmt.Errorf("%w: it states request %q", leafwire.ErrRequestIDMismatch, id)
+		}
+	}
+	return nil
 }
 
 // addAnswer uses the reply of a leaf to which another node has sent the request. What it says
 // about the leaf holds for this node too.
 func (x *exchange) addAnswer(now time.Time, e relayEvent) {
-	leafID, reply, err := parseAnswer(e.call.node.VM.ID, e.result.Body)
+	leafID, answer, err := parseAnswer(e.call.node.VM.ID, e.result.Body)
 	if err != nil {
 		x.f.invariantViolated("answer", x.req, err)
 		x.failShard(now, 0, query.ReasonBadReply)
 		return
 	}
-	if x.isForeign(&reply) {
-		x.f.log.WithFields(log.Fields{"request": x.req.id, "node": e.call.node.VM.ID, "leaf": leafID}).Warn("answer of another node belongs to another request")
+	if err := x.checkAnswer(&answer); err != nil {
+		x.f.log.WithFields(log.Fields{"request": x.req.id, "node": e.call.node.VM.ID, "leaf": leafID}).WithError(err).Warn("answer of another node not usable")
 		x.failShard(now, 0, query.ReasonBadReply)
 		return
 	}
 	if r, ok := findReplica(x.view.Replicas[0], leafID); ok {
-		x.f.handleNotices(now, &leafwire.Call{Message: x.message, Leaf: r.VM, Record: r.Record, StartedAt: e.call.startedAt, Reply: reply})
+		x.f.handleNotices(now, &leafwire.Call{Message: x.message, Leaf: r.VM, Record: r.Record, StartedAt: e.call.startedAt, Reply: answer})
 	}
-	if reply.Result == subrequest.OK {
-		x.addReply(now, 0, part{receipt: reply.Receipt, records: reply.Body, answer: &reply})
+	if answer.Result == subrequest.OK {
+		x.addReply(now, 0, part{receipt: answer.Receipt, records: answer.Body, answer: &answer})
 		return
 	}
 	if !x.query.IsSettled(0) {
-		x.shards[0].lastReply = &reply
+		x.shards[0].lastReply = &answer
 		x.shards[0].lastLeaf = leafID
 	}
 	x.failShard(now, 0, query.ReasonUpstreamError)
--- a/internal/transport/forward/foreign_test.go
+++ b/internal/transport/forward/foreign_test.go
@@ -54,3 +54,24 @@
 		}
 	}
 }
+
+// TestImpossibleStatusThroughNode guards against a reply with a status that HTTP lacks, which a
+// node of an earlier release passes on: the caller must get nothing of it.
+func TestImpossibleStatusThroughNode(t *testing.T) {
+	for _, status := range []int{0, 99, 101, 999} {
+		synctest.Test(t, func(t *testing.T) {
+			impossible := func(call *leafwire.Call) (time.Duration, leafwire.Reply) {
+				after, reply := failingFor("q1", subrequest.UpstreamError)(call)
+				reply.Status = status
+				return after, reply
+			}
+			entry, _, _ := fleet(t, singleRoute(false), map[string]behaviour{"a/1": impossible}, "x")
+			entry.Links = cutLinks()
+			response, _ := entry.do(t.Context(), http.MethodPost, "/x")
+			if response.Code != http.StatusBadGateway || response.Header().Get("Receipt") != "" || response.Body.Len() > 0 {
+				t.Errorf("status %d from %d, headers %v, body %q", response.Code, status, response.Header(), response.Body)
+			}
+			time.Sleep(time.Second)
+		})
+	}
+}
--- a/internal/transport/leafwire/reply.go
+++ b/internal/transport/leafwire/reply.go
@@ -12,6 +12,7 @@
 
 	"github.com/hickorydock/hickorydock/internal/coordination/subrequest"
 	"github.com/hickorydock/hickorydock/internal/protocol/fault"
+	"github.com/hickorydock/hickorydock/internal/protocol/httpstatus"
 )
 
 // readReply reads one reply and reports whether the connection may be reused.
@@ -95,6 +96,10 @@
 	return 0, false
 }
 
+// errInvalidStatus is the error of a response whose status HTTP does not have, or does not allow
+// here. What follows it on the connection is of no use: it may be its body or another response.
+var errInvalidStatus = errors.New("invalid status")
+
 // readResponse reads the header of the final response and skips interim ones.
 func (c *conn) readResponse(call *Call) (*http.Response, error) {
 	request := &http.Request{Method: call.Message.Method}
@@ -103,8 +108,11 @@
 		if err != nil {
 			return nil, err
 		}
-		if response.StatusCode >= 200 || response.StatusCode == http.StatusSwitchingProtocols {
+		switch {
+		case httpstatus.IsFinal(response.StatusCode):
 			return response, nil
+		case !httpstatus.IsInterim(response.StatusCode):
+			return nil, fmt.Errorf("%w %03d", errInvalidStatus, response.StatusCode)
 		}
 	}
 }
--- a/internal/transport/upstream/client.go
+++ b/internal/transport/upstream/client.go
@@ -19,6 +19,7 @@
 
 	"github.com/hickorydock/hickorydock/internal/coordination/subrequest"
 	"github.com/hickorydock/hickorydock/internal/protocol/fault"
+	"github.com/hickorydock/hickorydock/internal/protocol/httpstatus"
 	"github.com/hickorydock/hickorydock/internal/protocol/platform"
 	"github.com/hickorydock/hickorydock/internal/protocol/query"
 	contract "github.com/hickorydock/hickorydock/internal/protocol/upstream"
@@ -305,9 +306,10 @@
 
 // readBody reads at most limit bytes and fails when there are more.
 func readBody(response *http.Response, limit int64) ([]byte, error) {
-	if response.StatusCode == http.StatusSwitchingProtocols {
-		// Its body is the raw connection, which the request's context does not cancel.
-		return nil, errors.New("leaf switched protocols")
+	if !httpstatus.IsFinal(response.StatusCode) {
+		// After a switch of protocols the body is the raw connection, which the request's context
+		// does not cancel.
+		return nil, fmt.Errorf("invalid status %03d", response.StatusCode)
 	}
 	body, err := io.ReadAll(io.LimitReader(response.Body, limit+1))
 	if err != nil {
--- a/internal/transport/upstream/hostile_test.go
+++ b/internal/transport/upstream/hostile_test.go
@@ -140,6 +140,9 @@
 		"gzip bomb":                    {fixed(fullReply(good, gzipBomb(), "Content-Encoding: gzip")), subrequest.BadReply, 0},
 		"redirect":                     {fixed("HTTP/1.1 307 X\r\nLocation: http://192.0.2.1/\r\nContent-Length: 0\r\n\r\n"), subrequest.UpstreamError, 0},
 		"upgrade, then silent":         {repeating("HTTP/1.1 101 X\r\nUpgrade: x\r\nConnection: Upgrade\r\n\r\n", "", time.Second), subrequest.ConnectionLost, 0},
+		"status 000":                   {fixed("HTTP/1.1 000 X\r\nContent-Length: 0\r\n\r\n"), subrequest.ConnectionLost, 0},
+		"status 099 with a body":       {fixed("HTTP/1.1 099 X\r\nContent-Length: 2\r\n\r\n{}"), subrequest.ConnectionLost, 0},
+		"status 999":                   {fixed("HTTP/1.1 999 X\r\nContent-Length: 0\r\n\r\n"), subrequest.ConnectionLost, 0},
 		"upgrade":                      {fixed("HTTP/1.1 101 X\r\nUpgrade: x\r\nConnection: Upgrade\r\n\r\n"), subrequest.ConnectionLost, 0},
 	}
 }
