Leafs that come back elsewhere: connections belong to a listed leaf and address

Callers saw: after both leafs of a service had fallen silent and their entries had expired, one came back under its ID at another address. With a new ID for the leaf all are served.

Cause: leafwire kept pools by ID, made by whoever called first. A retry of a request that began before the entry was removed, or an assignment that walked a copy of the list, made a pool with the old address after RemoveLeaf. When the leaf was listed again nothing removed it, and every call used its address.

Now the client knows which leafs are listed at which address (AddLeaf, RemoveLeaf). It makes a pool for these only, and a call by an older view of a leaf ends unsent, so that it goes to another leaf. Such a pool cannot be left behind any more, whoever is late. The tests of the package list their leafs when they start a call; none checks less than before.

A leaf that restarts at the same address keeps its pool; its connections are gone.

--- a/internal/node/gateway/leafs.go
+++ b/internal/node/gateway/leafs.go
@@ -133,6 +133,7 @@
 		c.leafClient.RemoveLeaf(next.VM.ID)
 	}
 	leaving := next.VM.State == platform.VMLeaving
+	c.leafClient.AddLeaf(next.VM)
 	c.groups.Put(next, func(record *leaf.Record) {
 		record.UpdateDrain(func(d leaf.DrainState) leaf.DrainState { return drain.OnList(d, leaving) })
 		record.SetEvacuated(c.isEvacuated(next))
--- a/internal/node/gateway/plannedstop_test.go
+++ b/internal/node/gateway/plannedstop_test.go
@@ -87,6 +87,7 @@
 	groups := group.NewStore(leaf.NewTable())
 	groups.Put(route.Leaf{VM: vm}, nil)
 	client := leafwire.New(leafwire.Config{Names: testHeaders, MaxConnections: func(string) int { return 1 }})
+	client.AddLeaf(vm)
 	t.Cleanup(func() { client.RemoveLeaf(vm.ID) })
 	f := forward.New(forward.Config{Names: testHeaders}, routes, groups, client, guard.New(nil), metrics.New(), logger)
 	f.SetNodes(1)
--- a/internal/node/gateway/waiting_test.go
+++ b/internal/node/gateway/waiting_test.go
@@ -49,7 +49,7 @@
 			record := c.groups.Record(entry.VM.ID)
 			done := make(chan *leafwire.Call, 2)
 			start := func() *leafwire.Call {
-				message := &leafwire.Message{Method: http.MethodGet, Head: []byte("GET / HTTP/1.1\r\nHost: h\r\n"), ID: "q", Deadline: time.Now().Add(time.Minute)}
+				message := &leafwire.Message{Method: http.MethodGet, Head: []byte("GET / HTTP/1.1\r\nHost: h\r\nId: q\r\n"), ID: "q", Deadline: time.Now().Add(time.Minute)}
 				call := &leafwire.Call{Message: message, Leaf: entry.VM, StartedAt: time.Now(), Done: done}
 				c.leafClient.Start(call)
 				return call
--- a/internal/transport/leafwire/bench_test.go
+++ b/internal/transport/leafwire/bench_test.go
@@ -97,6 +97,7 @@
 func BenchmarkCall(b *testing.B) {
 	vm := platform.VM{ID: "leaf-1", Address: startBenchLeaf(b)}
 	client := New(Config{Names: testNames, MaxConnections: func(string) int { return 1 }})
+	client.AddLeaf(vm)
 	message := &Message{Method: http.MethodGet, Head: []byte("GET /p HTTP/1.1\r\nHost: h\r\nId: r1\r\n"), ID: requestID, Deadline: time.Now().Add(time.Hour)}
 	done := make(chan *Call, 1)
 	b.ReportAllocs()
--- a/internal/transport/leafwire/earlyreply_test.go
+++ b/internal/transport/leafwire/earlyreply_test.go
@@ -25,6 +25,7 @@
 		MaxConnections: func(string) int { return 1 },
 		Dial:           func(context.Context, string) (net.Conn, error) { return near, nil },
 	})
+	client.AddLeaf(vm)
 	defer client.RemoveLeaf(vm.ID)
 	const bodyBytes = 8 << 10
 	send := func(id, letter string) chan *Call {
--- a/internal/transport/leafwire/leafwire.go
+++ b/internal/transport/leafwire/leafwire.go
@@ -43,7 +43,7 @@
 	ErrCancelled = errors.New("call cancelled")
 	// ErrRefused means that the leaf has just reset a fresh connection.
 	ErrRefused = errors.New("leaf accepts no connection")
-	// ErrStayAway means that the leaf leaves or has asked for a pause.
+	// ErrStayAway means that the leaf leaves, is not listed any more or has asked for a pause.
 	ErrStayAway = errors.New("leaf takes no new requests")
 	// ErrMalformed means that the leaf has sent bytes that are no answer, or too many.
 	ErrMalformed = errors.New("no answer in the protocol")
@@ -138,12 +138,16 @@
 // Client sends calls. It is safe for concurrent use.
 type Client struct {
 	cfg       Config
-	pools     sync.Map // leaf identifier -> *pool
+	pools     sync.Map // leaf identifier -> *pool, of leafs that are listed
 	bodies    bodyBudget
 	startedAt time.Time
 	// lastReply is the time from startedAt to the last reply of any leaf, in nanoseconds.
 	lastReply atomic.Int64
 
+	listedMu sync.Mutex // guards listed, and pools while pools are added or removed
+	// listed holds the address of each listed leaf by its identifier.
+	listed map[string]string
+
 	failedMu sync.Mutex
 	// failedGroups are the groups to whose leafs a dial has failed since the last one that
 	// succeeded.
@@ -164,12 +168,35 @@
 	if cfg.OnFailure == nil {
 		cfg.OnFailure = noFailureHandler
 	}
-	return &Client{cfg: cfg, startedAt: time.Now(), failedGroups: make(map[string]struct{})}
+	return &Client{cfg: cfg, startedAt: time.Now(), listed: make(map[string]string), failedGroups: make(map[string]struct{})}
+}
+
+// AddLeaf lists a leaf, so that it can be called until RemoveLeaf. A leaf that is listed at
+// another address must be removed first.
+func (c *Client) AddLeaf(vm platform.VM) {
+	c.listedMu.Lock()
+	c.listed[vm.ID] = vm.Address
+	c.listedMu.Unlock()
 }
 
+// pool returns the pool of a leaf, or nil if the leaf is not listed at its address: the caller
+// may know an earlier run of it.
 func (c *Client) pool(vm platform.VM) *pool {
-	if p, ok := c.findPool(vm.ID); ok {
-		return p
+	p, ok := c.findPool(vm.ID)
+	if !ok {
+		return c.addPool(vm)
+	}
+	if p.vm.Address != vm.Address {
+		return nil
+	}
+	return p
+}
+
+func (c *Client) addPool(vm platform.VM) *pool {
+	c.listedMu.Lock()
+	defer c.listedMu.Unlock()
+	if address, ok := c.listed[vm.ID]; !ok || address != vm.Address {
+		return nil
 	}
 	p, _ := c.pools.LoadOrStore(vm.ID, &pool{client: c, vm: vm, sent: make(map[*Call]struct{})})
 	return p.(*pool)
@@ -183,32 +210,48 @@
 	return found.(*pool), true
 }
 
-// Start sends a call or queues it until a connection is free.
+// Start sends a call or queues it until a connection is free. A call to a leaf that is not
+// listed ends unsent.
 func (c *Client) Start(call *Call) {
 	p := c.pool(call.Leaf)
+	if p == nil {
+		call.endUnsent(ErrStayAway)
+		return
+	}
 	call.pool = p
 	p.mu.Lock()
 	idle := p.takeIdle(call)
 	switch {
+	case p.removed:
+		p.mu.Unlock()
+		call.endUnsent(ErrStayAway)
 	case idle != nil:
 		idle.assign(call)
 		p.mu.Unlock()
 		idle.write(call)
 	case p.open == 0 && call.StartedAt.Before(p.refusedUntil):
-		call.ended = true
 		p.mu.Unlock()
-		call.Reply = Reply{Result: subrequest.Unsent, Err: fault.Wrap(ErrRefused, fault.StepConnect, call.Leaf.Address, "leaf %s", call.Leaf.ID)}
-		call.Done <- call
+		call.endUnsent(ErrRefused)
 	default:
 		p.enqueue(call)
 		p.mu.Unlock()
 	}
 }
 
+// endUnsent delivers a call that is in no pool.
+func (call *Call) endUnsent(cause error) {
+	call.pool = nil
+	call.Reply = Reply{Result: subrequest.Unsent, Err: fault.Wrap(cause, fault.StepConnect, call.Leaf.Address, "leaf %s", call.Leaf.ID)}
+	call.Done <- call
+}
+
 // Cancel cancels a call. If the call was sent, Cancel closes its connection, which
 // signals the leaf to stop. A call that has ended is not changed.
 func (c *Client) Cancel(call *Call) {
 	p := call.pool
+	if p == nil {
+		return // it has ended
+	}
 	p.mu.Lock()
 	if call.ended {
 		p.mu.Unlock()
@@ -233,6 +276,9 @@
 // reports whether it did. A withdrawn call is not delivered on Done.
 func (c *Client) Withdraw(call *Call) bool {
 	p := call.pool
+	if p == nil {
+		return false
+	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if call.ended || call.conn != nil {
@@ -252,15 +298,18 @@
 	p.mu.Lock()
 	failed := p.takeWaiting()
 	p.mu.Unlock()
-	p.endUnsent(failed, ErrStayAway)
+	p.failUnsent(failed, ErrStayAway)
 }
 
-// Warm opens a connection to a leaf if there is none.
+// Warm opens a connection to a listed leaf if there is none.
 func (c *Client) Warm(vm platform.VM) {
 	p := c.pool(vm)
+	if p == nil {
+		return
+	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.open == 0 {
+	if p.open == 0 && !p.removed {
 		p.startDial()
 	}
 }
@@ -276,7 +325,10 @@
 // RemoveLeaf closes the idle connections to a leaf that was removed and ends the calls that wait
 // for a connection to it as unsent. Calls that were sent are not interrupted.
 func (c *Client) RemoveLeaf(id string) {
+	c.listedMu.Lock()
+	delete(c.listed, id)
 	found, ok := c.pools.LoadAndDelete(id)
+	c.listedMu.Unlock()
 	if !ok {
 		return
 	}
@@ -285,7 +337,7 @@
 	p.removed = true
 	failed := p.takeWaiting()
 	p.mu.Unlock()
-	p.endUnsent(failed, ErrStayAway)
+	p.failUnsent(failed, ErrStayAway)
 	p.closeIdle()
 }
 
--- a/internal/transport/leafwire/leafwire_test.go
+++ b/internal/transport/leafwire/leafwire_test.go
@@ -65,6 +65,7 @@
 func newClient(t *testing.T, limit int, vm platform.VM) *Client {
 	t.Helper()
 	c := New(Config{Names: testNames, MaxConnections: func(string) int { return limit }})
+	c.AddLeaf(vm)
 	t.Cleanup(func() { c.RemoveLeaf(vm.ID) })
 	return c
 }
@@ -73,8 +74,9 @@
 	return startAt(c, vm, body, time.Now())
 }
 
-// startAt starts a call as of a given time.
+// startAt starts a call to a leaf, which is listed from then on, as of a given time.
 func startAt(c *Client, vm platform.VM, body string, at time.Time) (*Call, chan *Call) {
+	c.AddLeaf(vm)
 	done := make(chan *Call, 1)
 	call := &Call{
 		Message:   &Message{Method: http.MethodGet, Head: []byte("GET /p HTTP/1.1\r\nHost: h\r\n"), Body: []byte(body), ID: requestID, Deadline: time.Now().Add(testWait)},
--- a/internal/transport/leafwire/pool.go
+++ b/internal/transport/leafwire/pool.go
@@ -137,8 +137,8 @@
 	deliverUnsent(failed, err)
 }
 
-// endUnsent delivers calls that were taken from the queue without being sent.
-func (p *pool) endUnsent(calls []*Call, cause error) {
+// failUnsent delivers calls that were taken from the queue without being sent.
+func (p *pool) failUnsent(calls []*Call, cause error) {
 	deliverUnsent(calls, fault.Wrap(cause, fault.StepConnect, p.vm.Address, "leaf %s", p.vm.ID))
 }
 
