Replies without an ID: remember all receipts of a connection

Cause: on a connection whose replies state no request the receipt is all by which a copy is recognised, and receiptRing remembered the last four.

Now a connection remembers the receipts of all its replies without an ID, and is not used again after 512 of them, so that what it remembers is bounded and no copy on it is ever too late to be recognised. That costs such leafs one connection in 512 requests, and leafs that state the request nothing.

--- a/internal/transport/leafwire/conn.go
+++ b/internal/transport/leafwire/conn.go
@@ -40,7 +40,7 @@
 	bounded  *boundedReader
 	reader   *bufio.Reader
 	hadReply bool // a complete reply was read
-	receipts receiptRing
+	receipts receiptSet
 }
 
 func newConn(p *pool, raw net.Conn) *conn {
--- a/internal/transport/leafwire/owner.go
+++ b/internal/transport/leafwire/owner.go
@@ -3,7 +3,6 @@
 import (
 	"errors"
 	"fmt"
-	"slices"
 	"sync/atomic"
 
 	"github.com/hickorydock/hickorydock/internal/coordination/subrequest"
@@ -39,25 +38,27 @@
 // mayOmitID reports whether a leaf may send a reply of a kind without the ID.
 func (e *echoes) mayOmitID(kind replyKind) bool { return !e[kind].Load() }
 
-// recentReceipts is the number of receipts that a connection remembers.
-const recentReceipts = 4
+// maxReceipts is the number of replies without an ID after which a connection is not used again.
+const maxReceipts = 512
 
-// receiptRing holds the receipts of the last replies of a connection that state no ID. Each run
-// has a receipt of its own, so a receipt that comes again is that of a copy.
-type receiptRing struct {
-	receipts [recentReceipts]string
-	next     int
-}
+// receiptSet holds the receipts of all replies of a connection that state no ID. Each run has a
+// receipt of its own, so a receipt that comes again is that of a copy, however late it is.
+type receiptSet map[string]struct{}
 
-func (r *receiptRing) contains(receipt string) bool {
-	return receipt != "" && slices.Contains(r.receipts[:], receipt)
+func (r receiptSet) contains(receipt string) bool {
+	_, ok := r[receipt]
+	return ok
 }
 
-func (r *receiptRing) add(receipt string) {
-	r.receipts[r.next] = receipt
-	r.next = (r.next + 1) % recentReceipts
+func (r *receiptSet) add(receipt string) {
+	if *r == nil {
+		*r = make(receiptSet)
+	}
+	(*r)[receipt] = struct{}{}
 }
 
+func (r receiptSet) isFull() bool { return len(r) >= maxReceipts }
+
 // checkOwner returns an error if a classified reply may be that to another request than the
 // call's: it states another ID, or none although the leaf states it in such replies, or it is a
 // copy of an earlier reply without an ID.
@@ -82,7 +83,9 @@
 	if c.receipts.contains(reply.Receipt) {
 		return fmt.Errorf("%w: receipt %q", ErrRepeatedReply, reply.Receipt)
 	}
-	c.receipts.add(reply.Receipt)
+	if reply.Receipt != "" {
+		c.receipts.add(reply.Receipt)
+	}
 	return nil
 }
 
--- a/internal/transport/leafwire/owner_test.go
+++ b/internal/transport/leafwire/owner_test.go
@@ -123,6 +123,49 @@
 	}
 }
 
+// TestVeryLateCopyFromLeafWithoutIDs guards against a second copy of a reply without an ID that
+// comes after many other replies, and against a connection that remembers replies without end.
+func TestVeryLateCopyFromLeafWithoutIDs(t *testing.T) {
+	for _, lateBy := range []int{4, 5, 6, 100, maxReceipts - 1} {
+		t.Run(fmt.Sprint(lateBy), func(t *testing.T) {
+			leaf := newLeaf(t, func(number int, c net.Conn, r *bufio.Reader) {
+				first := ""
+				for n := 0; ; n++ {
+					request, err := http.ReadRequest(r)
+					if err != nil {
+						return
+					}
+					reply := replyOf("200 OK", request.Header.Get("Id"))
+					if n == 0 {
+						first = reply
+					}
+					if n == lateBy && number == 0 {
+						_, _ = io.WriteString(c, first)
+					}
+					_, _ = io.WriteString(c, reply)
+				}
+			})
+			client := newClient(t, 1, leaf.vm())
+			for n := range maxReceipts + 2 {
+				id := fmt.Sprint("request-", n)
+				reply := await(t, startID(client, leaf.vm(), id))
+				if n == lateBy {
+					if reply.Result != subrequest.BadReply || !errors.Is(reply.Err, ErrRepeatedReply) {
+						t.Errorf("result %d, error %v, reply of %q in place of %q", reply.Result, reply.Err, reply.Header.Get("X-Of"), id)
+					}
+					continue
+				}
+				if reply.Result != subrequest.OK || reply.Header.Get("X-Of") != id {
+					t.Fatalf("%s: result %d, error %v, reply of %q", id, reply.Result, reply.Err, reply.Header.Get("X-Of"))
+				}
+			}
+			if n := len(leaf.accepted); n != 2 {
+				t.Errorf("%d connections", n)
+			}
+		})
+	}
+}
+
 // TestLateCopyOfRejectionWithoutID guards against a late second copy of a rejection that states no
 // request: the next request then counts as not run although it runs, and the one after it gets
 // its reply.
--- a/internal/transport/leafwire/reply.go
+++ b/internal/transport/leafwire/reply.go
@@ -45,7 +45,7 @@
 		return c.foreignReply(err), false
 	}
 	c.updateIdleUntil(response.Header)
-	return reply, reusable && !c.isAnonymous(&reply)
+	return reply, reusable && !c.isAnonymous(&reply) && !c.receipts.isFull()
 }
 
 // classify sets the result that a complete reply implies.
