Long replies: use the buffers of given-up replies again

Cause: the 24 endless replies share 32 MB. A reply that finds this used up is given up, and the others read on with what it gives back, in new buffers: the last ones read up to 8 MB each. So the replies take well over 100 MB one after the other, and the peak is what the garbage collector has not freed yet.

Now the buffers of a reply that has ended serve the next ones while any is being read, and are given up with the last.

--- a/internal/transport/leafwire/bounded.go
+++ b/internal/transport/leafwire/bounded.go
@@ -5,7 +5,7 @@
 	"io"
 	"net/http"
 	"slices"
-	"sync/atomic"
+	"sync"
 )
 
 const (
@@ -49,18 +49,60 @@
 	return n, err
 }
 
-// bodyBudget bounds the bytes of bodies that are being read at the same time.
-type bodyBudget struct{ used atomic.Int64 }
+// bodyBudget bounds the bytes of bodies that are being read at the same time, and keeps their
+// buffers for the next bodies: replies without end would otherwise leave buffers behind faster
+// than the garbage collector frees them.
+type bodyBudget struct {
+	mu   sync.Mutex
+	used int64 // beyond the first readStep of each body
+	// readers is the number of bodies that are being read in steps, free the buffers that
+	// they have returned.
+	readers int
+	free    [][]byte
+}
+
+// begin starts the reading of a body in steps and returns its first buffer.
+func (b *bodyBudget) begin() []byte {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.readers++
+	return b.buffer()
+}
+
+// next returns a further buffer, or nil if too many bytes are being read.
+func (b *bodyBudget) next() []byte {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.used+readStep > maxUnfinishedBytes {
+		return nil
+	}
+	b.used += readStep
+	return b.buffer()
+}
 
-func (b *bodyBudget) take(n int64) bool {
-	if b.used.Add(n) > maxUnfinishedBytes {
-		b.used.Add(-n)
-		return false
+// buffer returns an empty buffer of readStep bytes. The caller must hold mu.
+func (b *bodyBudget) buffer() []byte {
+	last := len(b.free) - 1
+	if last < 0 {
+		return make([]byte, 0, readStep)
 	}
-	return true
+	buffer := b.free[last]
+	b.free = b.free[:last]
+	return buffer[:0]
 }
 
-func (b *bodyBudget) giveBack(n int64) { b.used.Add(-n) }
+// end ends the reading of a body and takes its buffers back. None are kept while no body is
+// being read.
+func (b *bodyBudget) end(buffers [][]byte) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.readers--
+	b.used -= int64(len(buffers)-1) * readStep
+	b.free = append(b.free, buffers...)
+	if b.readers == 0 {
+		b.free = nil
+	}
+}
 
 // readBody reads a complete body. A body without a length ends with its connection. The
 // memory taken grows with what arrives, whatever length the leaf has announced.
@@ -73,29 +115,27 @@
 		_, err := io.ReadFull(response.Body, body)
 		return body, err
 	}
-	var taken int64
-	defer func() { b.giveBack(taken) }()
-	var full [][]byte
-	step := make([]byte, 0, readStep)
+	buffers := [][]byte{b.begin()}
+	defer func() { b.end(buffers) }()
 	for size := 0; ; {
-		n, err := response.Body.Read(step[len(step):cap(step)])
-		step = step[:len(step)+n]
+		last := &buffers[len(buffers)-1]
+		n, err := response.Body.Read((*last)[len(*last):cap(*last)])
+		*last = (*last)[:len(*last)+n]
 		size += n
 		switch {
 		case err == io.EOF:
-			return slices.Concat(append(full, step)...), nil
+			return slices.Concat(buffers...), nil
 		case err != nil:
 			return nil, err
 		case size > maxReplyBytes:
 			return nil, errReplyTooLong
-		case len(step) < cap(step):
+		case len(*last) < cap(*last):
 			continue
 		}
-		if !b.take(readStep) {
+		next := b.next()
+		if next == nil {
 			return nil, errTooManyLongReplies
 		}
-		taken += readStep
-		full = append(full, step)
-		step = make([]byte, 0, readStep)
+		buffers = append(buffers, next)
 	}
 }
