serve: reject or answer queries at the end of a stop; no queued work for leafs that leave

The causes of the two faults of the gateway, looked for in `serve`:

A stop waits for queries in progress until its limit and ends with those that remain, also those that wait for admission or in the queue of a leaf: their callers got no response. With the default settings the longest deadline equals the limit, so that it takes a lower limit or a query that arrived last. TestStopAnswersQueriesInProgress: "1 requests are cut off" before.

A subrequest that waited in the queue of a leaf was sent when its turn came, although the leaf had begun to leave: TestQueuedAttemptLeavesDrainingLeaf, 4 subrequests reached it, 2 of them after that. The mark is read once more when the queue admits it. The wait for a connection after that is short, since the queue's limit lies within the node's share; a removed leaf's pool ends its waits already (pool.shutdown), and its address has no share any more.

TestStopReturnsRequestsStillInProgress used a query that ends with its context, which a stop now ends; it uses one that does not, and checks the same.

Commands are not ended early: they are bounded by their deadline, and their outcome stays known by ticket or key.

--- a/internal/transport/entry/admission.go
+++ b/internal/transport/entry/admission.go
@@ -43,7 +43,12 @@
 // and when the caller may retry. After a nil error, release must be called.
 func (e *Entry) admit(ctx context.Context, service note.Service, request query.Request, deadline time.Time) error {
 	ticket := &admission.Ticket{Class: service.Name, Priority: admissionPriorities[request.Priority], Deadline: deadline}
-	if err := e.admission.Enter(ctx, ticket); err != nil {
+	err := e.admission.Enter(ctx, ticket)
+	if err != nil && isStopping(ctx) {
+		return fault.Wrap(ErrStopping, fault.StepAdmit, "", "not admitted").
+			WithStatus(http.StatusServiceUnavailable, query.NotRun).WithRetryAfter(retryAfter)
+	}
+	if err != nil {
 		return fault.Wrap(err, fault.StepAdmit, "", "caller left").WithStatus(statusClientClosedRequest, query.NotRun)
 	}
 	switch ticket.Decision {
--- a/internal/transport/entry/entry.go
+++ b/internal/transport/entry/entry.go
@@ -29,6 +29,13 @@
 	"github.com/hickorydock/hickorydock/internal/transport/tracing"
 )
 
+// ErrStopping is the cause of the end of a query's context when the node stops and cannot wait
+// for the query any longer. The query is then answered with what has arrived.
+var ErrStopping = errors.New("node is stopping")
+
+// isStopping reports whether the context of a query has ended because the node stops.
+func isStopping(ctx context.Context) bool { return errors.Is(context.Cause(ctx), ErrStopping) }
+
 // retryAfter is the Retry-After of replies to queries that did not run.
 const retryAfter = time.Second
 
@@ -165,9 +172,14 @@
 	defer timer.Stop()
 	q.fanOut(ctx)
 	defer func() { q.cancel() }()
+	ended := ctx.Done()
 	for progress := q.progress(); progress != gather.Complete; {
 		select {
-		case <-ctx.Done():
+		case <-ended:
+			if isStopping(ctx) {
+				ended = nil // the subrequests end as well, and say whether they have run
+				continue
+			}
 			return query.Answer{}, fault.Wrap(ctx.Err(), fault.StepRelay, "", "caller left").
 				WithStatus(statusClientClosedRequest, query.Failed)
 		case <-timer.C:
--- a/internal/transport/relay/queue.go
+++ b/internal/transport/relay/queue.go
@@ -140,6 +140,11 @@
 		Deadline: u.task.Deadline,
 	}
 	err := queue.Enter(u.ctx, ticket)
+	if err == nil && ticket.Decision == admission.Admit && isWithdrawn(target) {
+		u.leave(queue, limit.Sample{Outcome: limit.Ignored})
+		u.relay.guard.Leave(*tracked, quarantine.Inconclusive)
+		return unsent(subrequest.Unsent, fault.New(fault.StepRelay, target.VM.ID, "leaf began to leave while the subrequest waited"))
+	}
 	if err == nil && ticket.Decision == admission.Admit {
 		u.started.Store(true)
 		// The context is checked after the store: a goroutine that saw the context
@@ -156,6 +161,13 @@
 	return unsent(subrequest.NotRun, fault.New(fault.StepRelay, target.VM.ID, "queue of the leaf is full or too slow"))
 }
 
+// isWithdrawn reports whether a leaf gets no new work. It may have become so while an attempt
+// waited for it.
+func isWithdrawn(target shardmap.Replica) bool {
+	stats := target.Record.Stats()
+	return stats.IsWithdrawn()
+}
+
 func unsent(result subrequest.Result, err error) *attemptEnd {
 	return &attemptEnd{reply: upstream.Reply{Result: result, Err: err}}
 }
--- a/internal/transport/relay/queue_test.go
+++ b/internal/transport/relay/queue_test.go
@@ -103,3 +103,34 @@
 		}
 	}
 }
+
+// TestQueuedAttemptLeavesDrainingLeaf guards against subrequests that wait in the queue of a leaf
+// and reach it after it has begun to leave.
+func TestQueuedAttemptLeavesDrainingLeaf(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		sender := &slowSender{}
+		r := New(sender, shardmap.NewStore(leaf.NewTable()), nil, "az-1", replica.Choose, nil, tracing.Off())
+		service := &note.Service{Name: "s", LeafSlots: 1, LeafConnections: 25}
+		leaving := shardmap.Replica{VM: platform.VM{ID: "a"}, Record: &leaf.Record{}}
+		limit := service.LeafSlots + extraInFlight
+		time.AfterFunc(500*time.Millisecond, func() {
+			leaving.Record.UpdateDrain(func(d leaf.DrainState) leaf.DrainState { d.List = true; return d })
+		})
+		var running sync.WaitGroup
+		for i := range 2 * limit {
+			running.Go(func() {
+				result := r.Run(context.Background(), Task{
+					Service: service, RequestID: "r", Shard: i, Replicas: []shardmap.Replica{leaving},
+					Deadline: time.Now().Add(10 * time.Second), Fingerprint: quarantine.Fingerprint(i),
+				})
+				if result.OK != result.Sent {
+					t.Errorf("result %+v", result)
+				}
+			})
+		}
+		running.Wait()
+		if sender.total != limit {
+			t.Errorf("%d subrequests reached the leaf, want the %d that were sent before it began to leave", sender.total, limit)
+		}
+	})
+}
--- a/internal/transport/server/server.go
+++ b/internal/transport/server/server.go
@@ -23,6 +23,7 @@
 	"github.com/hickorydock/hickorydock/internal/protocol/note"
 	"github.com/hickorydock/hickorydock/internal/protocol/query"
 	"github.com/hickorydock/hickorydock/internal/transport/credentials"
+	"github.com/hickorydock/hickorydock/internal/transport/entry"
 	"github.com/hickorydock/hickorydock/internal/transport/tracing"
 )
 
@@ -67,11 +68,16 @@
 	active   int
 	idle     chan struct{} // closed when stopping and active is 0
 	engine   *gin.Engine
+
+	// ending ends when a stop cannot wait any longer for the queries in progress.
+	ending     context.Context
+	endQueries context.CancelFunc
 }
 
 // New returns a server; observer may be nil.
 func New(cfg Config, services Services, queries Queries, observer Observer, tracer *tracing.Tracer) *Server {
 	s := &Server{cfg: cfg, services: services, queries: queries, observer: observer, tracer: tracer, idle: make(chan struct{})}
+	s.ending, s.endQueries = context.WithCancel(context.Background())
 	gin.SetMode(gin.ReleaseMode)
 	s.engine = gin.New()
 	s.engine.HandleMethodNotAllowed = true
@@ -118,9 +124,18 @@
 	AbortWithProblem(c, fault.New(fault.StepInternal, "", "internal error"))
 }
 
+// answerFraction is the fraction of the time of a stop after which the queries in progress are
+// answered with what has arrived. The rest is for writing the answers.
+const answerFraction = 0.9
+
 // Stop rejects new requests and waits until those in progress have ended or ctx
-// ends; it returns the number of requests that are still in progress.
+// ends; it returns the number of requests that are still in progress. Shortly before ctx
+// ends, queries are answered with what has arrived.
 func (s *Server) Stop(ctx context.Context) int {
+	if deadline, ok := ctx.Deadline(); ok {
+		timer := time.AfterFunc(time.Duration(answerFraction*float64(time.Until(deadline))), s.endQueries)
+		defer timer.Stop()
+	}
 	s.mu.Lock()
 	first := s.stopping.CompareAndSwap(false, true)
 	if first && s.active == 0 {
@@ -165,13 +180,10 @@
 	}
 }
 
-// errStopping is the reason why a stopping node accepts no work.
-var errStopping = errors.New("node is stopping")
-
 // Ready returns the reason why the node accepts no work, or nil.
 func (s *Server) Ready() error {
 	if s.stopping.Load() {
-		return errStopping
+		return entry.ErrStopping
 	}
 	if s.cfg.Ready == nil {
 		return nil
@@ -212,7 +224,7 @@
 
 func (s *Server) answer(ctx context.Context, c *gin.Context, name string, arrived time.Time) (query.Answer, error) {
 	if !s.Begin() {
-		return query.Answer{}, fault.Wrap(errStopping, fault.StepAdmit, "", "refused").
+		return query.Answer{}, fault.Wrap(entry.ErrStopping, fault.StepAdmit, "", "refused").
 			WithStatus(http.StatusServiceUnavailable, query.NotRun).WithRetryAfter(stopRetryAfter)
 	}
 	defer s.End()
@@ -227,6 +239,9 @@
 	if err != nil {
 		return query.Answer{}, err
 	}
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	defer context.AfterFunc(s.ending, func() { cancel(entry.ErrStopping) })()
 	return s.queries.Query(ctx, service, request, arrived)
 }
 
--- a/internal/transport/server/server_test.go
+++ b/internal/transport/server/server_test.go
@@ -129,19 +129,26 @@
 	})
 }
 
+// stuckQueries never answers before release is closed, also when the context ends.
+type stuckQueries struct{ release chan struct{} }
+
+func (q stuckQueries) Query(context.Context, note.Service, query.Request, time.Time) (query.Answer, error) {
+	<-q.release
+	return query.Answer{Outcome: query.Done}, nil
+}
+
 func TestStopReturnsRequestsStillInProgress(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		s := newTestServer(&recorder{delay: time.Hour})
-		ctx, cancelRequest := context.WithCancel(context.Background())
-		request := httptest.NewRequest(http.MethodPost, "/v1/services/desk/query", strings.NewReader(`{"query":1}`))
-		go s.ServeHTTP(httptest.NewRecorder(), request.WithContext(ctx))
+		stuck := stuckQueries{make(chan struct{})}
+		s := newTestServer(stuck)
+		go post(s, "/v1/services/desk/query", `{"query":1}`)
 		synctest.Wait()
 		stopCtx, cancel := context.WithTimeout(context.Background(), time.Second)
 		defer cancel()
 		if active := s.Stop(stopCtx); active != 1 {
 			t.Errorf("%d requests still in progress, want 1", active)
 		}
-		cancelRequest()
+		close(stuck.release)
 	})
 }
 
--- a/internal/transport/server/stop_test.go
+++ b/internal/transport/server/stop_test.go
@@ -6,12 +6,15 @@
 	"errors"
 	"net/http"
 	"net/http/httptest"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	"github.com/hickorydock/hickorydock/internal/protocol/fault"
+	"github.com/hickorydock/hickorydock/internal/protocol/note"
 	"github.com/hickorydock/hickorydock/internal/protocol/query"
+	"github.com/hickorydock/hickorydock/internal/transport/entry"
 	"github.com/hickorydock/hickorydock/internal/transport/tracing"
 )
 
@@ -101,3 +104,35 @@
 		t.Errorf("unknown service got %d", w.Code)
 	}
 }
+
+// endlessQueries answers a query only when its context ends, with the cause.
+type endlessQueries struct{}
+
+func (endlessQueries) Query(ctx context.Context, _ note.Service, _ query.Request, _ time.Time) (query.Answer, error) {
+	<-ctx.Done()
+	return query.Answer{}, fault.Wrap(context.Cause(ctx), fault.StepAdmit, "", "not admitted").WithStatus(http.StatusServiceUnavailable, query.NotRun)
+}
+
+// TestStopAnswersQueriesInProgress guards against a stop that ends with queries in progress, whose
+// callers get no response.
+func TestStopAnswersQueriesInProgress(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := New(Config{MaxBodyBytes: 64, MaxDeadline: time.Minute}, oneService{}, endlessQueries{}, nil, tracing.Off())
+		response := make(chan *httptest.ResponseRecorder, 1)
+		go func() { response <- post(s, "/v1/services/desk/query", `{"query":1}`) }()
+		synctest.Wait()
+		ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
+		defer cancel()
+		start := time.Now()
+		if n := s.Stop(ctx); n != 0 {
+			t.Errorf("%d requests are cut off", n)
+			return
+		}
+		if took := time.Since(start); took != 9*time.Second {
+			t.Errorf("stopped after %v", took)
+		}
+		if w := <-response; w.Code != http.StatusServiceUnavailable || !strings.Contains(w.Body.String(), entry.ErrStopping.Error()) {
+			t.Errorf("status %d, body %s", w.Code, w.Body)
+		}
+	})
+}
