Split the files of calls, listed leafs, reports, attempts, records and configuration

leafwire.go, quarantine.go, leaf.go and subrequest.go had grown to 360 to 400 lines with two jobs each: types beside the logic that uses them, a table beside its records. Declarations are moved as they are; nothing else changes.

--- a/internal/coordination/quarantine/quarantine.go
+++ b/internal/coordination/quarantine/quarantine.go
@@ -4,10 +4,9 @@
 // It takes events with their time, does no I/O and relies on the lock of its owner.
 //
 // A fingerprint is unverified until a leaf answers it, and again when leafs are lost under it
-// twice without an answer in between. One with an attributed crash
-// is a suspect: it runs on one leaf at a time and never beside another suspect, so
-// that the next loss has only one possible cause. After crashThreshold attributed
-// crashes it is quarantined.
+// twice without an answer in between. One with an attributed crash is a suspect: it runs on one
+// leaf at a time and never beside another suspect, so that the next loss has only one possible
+// cause. After crashThreshold attributed crashes it is quarantined.
 package quarantine
 
 import (
@@ -59,80 +58,6 @@
 	return Fingerprint(d.Sum64())
 }
 
-// Kind is the kind of a report.
-type Kind int
-
-// Kinds of reports.
-const (
-	// CrashAttributed means that the loss of the leaf was attributed to the fingerprint.
-	CrashAttributed Kind = iota
-	// TrialStarted means that a suspect is about to run on the leaf.
-	TrialStarted
-	// TrialEnded means that the run of a suspect on the leaf is over.
-	TrialEnded
-	// Cleared means that the leaf answered a suspect.
-	Cleared
-	// Withdrawn means that an attribution was wrong: the reporting node's own links had
-	// failed.
-	Withdrawn
-	// VerifiedLost means that the leaf was lost under a verified fingerprint. Nodes of earlier
-	// releases ignore it.
-	VerifiedLost
-)
-
-// Report is what one node sends to the others about a suspect.
-type Report struct {
-	Kind        Kind
-	Fingerprint Fingerprint
-	Leaf        string
-}
-
-// Peers sends reports to the other nodes. Broadcast does not block.
-type Peers interface {
-	Broadcast(r Report)
-}
-
-// Decision says whether an attempt may be sent.
-type Decision int
-
-// Decisions on an attempt.
-const (
-	// Allow means that the attempt may be sent; End must follow.
-	Allow Decision = iota
-	// Hold means that the caller should call Begin again after the next event, or after
-	// ReportDelay.
-	Hold
-	// Refuse means that the fingerprint is in quarantine.
-	Refuse
-)
-
-// Attempt is one subrequest that is about to be sent to a leaf.
-type Attempt struct {
-	Fingerprint Fingerprint
-	Shard       int
-	Leaf        string
-	// Hedge is true when the same subrequest is already pending elsewhere.
-	Hedge bool
-	// Canary makes an unverified fingerprint run on one shard first.
-	Canary bool
-	// StartedAt is the time at which Begin was called for the attempt.
-	StartedAt time.Time
-}
-
-// Outcome says how an attempt ended.
-type Outcome int
-
-// Outcomes of an attempt.
-const (
-	// Answered means that the leaf answered and did not crash.
-	Answered Outcome = iota
-	// ConnectionLost means that the connection broke after a byte was sent.
-	ConnectionLost
-	// Inconclusive means that the end gives no evidence either way, as when the
-	// attempt was cancelled.
-	Inconclusive
-)
-
 // Ledger is the quarantine state of one node.
 type Ledger struct {
 	active             map[Fingerprint]*activeAttempts
@@ -147,14 +72,6 @@
 	observe            func(Event)               // may be nil
 }
 
-// activeAttempts holds the running attempts of one fingerprint.
-type activeAttempts struct {
-	attempts map[Attempt]struct{}
-	shards   map[int]int // number of attempts by shard
-	// duplicateHeld is true when another request with the same fingerprint had to wait.
-	duplicateHeld bool
-}
-
 // trial is the run of a suspect that a peer reported.
 type trial struct {
 	fingerprint Fingerprint
@@ -283,19 +200,6 @@
 	return false
 }
 
-func (l *Ledger) runsOn(f Fingerprint, leaf string) bool {
-	active := l.active[f]
-	if active == nil {
-		return false
-	}
-	for a := range active.attempts {
-		if a.Leaf == leaf {
-			return true
-		}
-	}
-	return false
-}
-
 // End records the outcome of an allowed attempt and returns the reports for peers.
 func (l *Ledger) End(now time.Time, a Attempt, outcome Outcome) []Report {
 	doubted := l.suspect(now, a.Fingerprint) != nil
@@ -317,45 +221,6 @@
 	return []Report{{Kind: kind, Fingerprint: a.Fingerprint, Leaf: a.Leaf}}
 }
 
-func (l *Ledger) removeActive(a Attempt) {
-	active := l.active[a.Fingerprint]
-	if active == nil {
-		return
-	}
-	if _, tracked := active.attempts[a]; !tracked {
-		return
-	}
-	delete(active.attempts, a)
-	active.shards[a.Shard]--
-	if len(active.attempts) == 0 {
-		delete(l.active, a.Fingerprint)
-	}
-}
-
-// Receive applies a report of another node.
-func (l *Ledger) Receive(now time.Time, r Report) {
-	if t, ok := l.peerTrials[r.Leaf]; ok && t.fingerprint == r.Fingerprint {
-		delete(l.peerTrials, r.Leaf)
-	}
-	switch r.Kind {
-	case CrashAttributed:
-		if !l.isVerified(now, r.Fingerprint) || l.countReportedLoss(now, r.Fingerprint) {
-			l.attribute(now, r.Fingerprint, r.Leaf)
-		}
-	case VerifiedLost:
-		if l.isVerified(now, r.Fingerprint) {
-			l.countReportedLoss(now, r.Fingerprint)
-		}
-	case TrialStarted:
-		l.peerTrials[r.Leaf] = trial{r.Fingerprint, now.Add(trialTTL)}
-	case Cleared:
-		l.markVerified(now, r.Fingerprint)
-	case Withdrawn:
-		l.withdraw(now, r.Fingerprint, r.Leaf)
-	case TrialEnded:
-	}
-}
-
 // ReportDelay is the delay after which the caller should call Begin again for a held
 // attempt if no other event occurred before.
 func ReportDelay() time.Duration { return reportDelay }
--- a/internal/state/leaf/leaf.go
+++ b/internal/state/leaf/leaf.go
@@ -7,14 +7,9 @@
 	"sync"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"github.com/hickorydock/hickorydock/internal/protocol/route"
 )
 
-// tableShards is the number of locks of a Table; a power of two.
-const tableShards = 32
-
 const (
 	// minWeight is the weight of a new sample in the moving average of latency
 	// when samples are frequent.
@@ -28,63 +23,6 @@
 	decayTime = time.Second
 )
 
-// Stats is a copy of a record's fields.
-type Stats struct {
-	// InFlight counts subrequests between Begin and End.
-	InFlight int
-	// Latency is the moving average of answered subrequests; 0 before the first.
-	Latency time.Duration
-	// Failures counts failed subrequests since the last answered one.
-	Failures int
-	// Unanswered counts subrequests that were cancelled while the leaf had not
-	// replied to anything for silentAfter; it is 0 after a reply.
-	Unanswered int
-	// FailureShare is the moving average of the share of subrequests that the leaf shed
-	// or that failed. Unlike Failures, it outlasts an answered one.
-	FailureShare float64
-	// LastSend is the time of the last subrequest sent; zero before the first.
-	LastSend time.Time
-	// LastReply is the time of the last reply; zero before the first.
-	LastReply time.Time
-	// Draining is true when the leaf is leaving.
-	Draining bool
-	// Removed is true once the leaf is not listed any more, or another run of it is.
-	Removed bool
-	// Evacuated is true while the operator wants no requests at the leafs of the leaf's
-	// availability zone.
-	Evacuated bool
-	// Cold is true while the leaf warms up.
-	Cold bool
-	// Load is what the leaf stated last, in a reply at LoadAt; LoadAt is zero if it states none.
-	Load   route.Load
-	LoadAt time.Time
-	// PausedUntil is when the pause ends that the leaf has asked for; zero without one.
-	PausedUntil time.Time
-	// Limited is true while the requests of all nodes to the leaf are limited, and
-	// LimitedUntil is when this node may send to it again; zero if it may now.
-	Limited      bool
-	LimitedUntil time.Time
-}
-
-// IsPaused reports whether the leaf has asked for a pause that has not ended.
-func (s *Stats) IsPaused() bool { return !s.PausedUntil.IsZero() }
-
-// IsUsable reports whether the leaf may get new work now. These are all reasons why it may
-// not; a leaf that fails is only chosen less often.
-func (s *Stats) IsUsable() bool { return !s.IsWithdrawn() && s.UsableFrom().IsZero() }
-
-// IsWithdrawn reports whether the leaf gets no new work until the platform or the leaf itself
-// says otherwise.
-func (s *Stats) IsWithdrawn() bool { return s.Draining || s.Removed || s.Evacuated }
-
-// UsableFrom returns when the leaf can be sent to again; the zero time if it can be now.
-func (s *Stats) UsableFrom() time.Time {
-	if s.LimitedUntil.After(s.PausedUntil) {
-		return s.LimitedUntil
-	}
-	return s.PausedUntil
-}
-
 // Limit bounds the requests a second of all nodes together to a leaf; coordination/ratelimit
 // updates it.
 type Limit struct {
@@ -325,47 +263,3 @@
 	r.holdings = tag
 	return changed
 }
-
-// Table finds records by leaf identifier. It is safe for concurrent use.
-type Table struct {
-	shards [tableShards]tableShard
-}
-
-type tableShard struct {
-	mu      sync.Mutex
-	records map[string]*Record
-}
-
-// NewTable returns an empty table.
-func NewTable() *Table {
-	t := &Table{}
-	for i := range t.shards {
-		t.shards[i].records = make(map[string]*Record)
-	}
-	return t
-}
-
-func (t *Table) shard(id string) *tableShard {
-	return &t.shards[xxhash.Sum64String(id)%tableShards]
-}
-
-// Record returns the record of a leaf, creating it if there is none.
-func (t *Table) Record(id string) *Record {
-	s := t.shard(id)
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	r, ok := s.records[id]
-	if !ok {
-		r = &Record{}
-		s.records[id] = r
-	}
-	return r
-}
-
-// Delete removes the record of a leaf.
-func (t *Table) Delete(id string) {
-	s := t.shard(id)
-	s.mu.Lock()
-	delete(s.records, id)
-	s.mu.Unlock()
-}
