Plainer conditions: has the event happened, was the attempt admitted

Read again as a newcomer: a method in place of a field of an atomic, one place that leaves a leaf's queue, and comments and help that name verified fingerprints whose leaf was lost. Nothing else changes.

--- a/internal/coordination/quarantine/quarantine.go
+++ b/internal/coordination/quarantine/quarantine.go
@@ -150,7 +150,8 @@
 	return Allow, []Report{{Kind: TrialStarted, Fingerprint: a.Fingerprint, Leaf: a.Leaf}}
 }
 
-// mayRun applies the rules for unverified fingerprints and suspects.
+// mayRun applies the rules for unverified fingerprints, suspects and verified fingerprints under
+// which a leaf was lost.
 func (l *Ledger) mayRun(now time.Time, a Attempt, s *suspect) bool {
 	active := l.active[a.Fingerprint]
 	if s != nil {
--- a/internal/coordination/quarantine/report.go
+++ b/internal/coordination/quarantine/report.go
@@ -13,7 +13,7 @@
 	TrialStarted
 	// TrialEnded means that the run of a suspect on the leaf is over.
 	TrialEnded
-	// Cleared means that the leaf answered a suspect.
+	// Cleared means that the leaf answered a suspect, or a fingerprint under which a leaf was lost.
 	Cleared
 	// Withdrawn means that an attribution was wrong: the reporting node's own links had
 	// failed.
--- a/internal/transport/forward/attempts.go
+++ b/internal/transport/forward/attempts.go
@@ -109,7 +109,7 @@
 // quarantine refuses or delays it.
 func (x *exchange) send(now time.Time, shard int, attempt subrequest.Attempt) {
 	target := x.view.Replicas[shard][attempt.Replica]
-	if x.f.sendsEnded.happened.Load() || !x.f.takeFromLimit(now, target.Record, x.shards[shard].group) {
+	if x.f.sendsEnded.hasHappened() || !x.f.takeFromLimit(now, target.Record, x.shards[shard].group) {
 		x.handleResult(now, shard, subrequest.Unsent)
 		return
 	}
--- a/internal/transport/forward/relay.go
+++ b/internal/transport/forward/relay.go
@@ -192,7 +192,7 @@
 // sendToRelay sends a request to a relay of the cluster that was not tried. It returns
 // false if there is none, or if a planned stop has ended the sending of attempts.
 func (x *exchange) sendToRelay(now time.Time, run *clusterRun, relayReq relayRequest) bool {
-	if x.f.sendsEnded.happened.Load() {
+	if x.f.sendsEnded.hasHappened() {
 		return false
 	}
 	relay, ok := x.chooseRelay(now, run)
--- a/internal/transport/forward/serve.go
+++ b/internal/transport/forward/serve.go
@@ -164,7 +164,7 @@
 		}
 		result := failure
 		result.Index = shard
-		if x.shards[shard].unreached || x.f.sendsEnded.happened.Load() && x.isUnsent(shard) {
+		if x.shards[shard].unreached || x.f.sendsEnded.hasHappened() && x.isUnsent(shard) {
 			result.Status = contract.Status_STATUS_NOT_RUN
 			result.Reason = string(query.ReasonNoReplica)
 		} else if at, ok := pause.Until(x.view.Replicas[shard:shard+1], 1); ok && !at.IsZero() {
--- a/internal/transport/forward/stop.go
+++ b/internal/transport/forward/stop.go
@@ -25,6 +25,8 @@
 	}
 }
 
+func (e *event) hasHappened() bool { return e.happened.Load() }
+
 // channel returns a channel that is closed when the event happens.
 func (e *event) channel() chan struct{} {
 	e.mu.Lock()
--- a/internal/transport/metrics/metrics.go
+++ b/internal/transport/metrics/metrics.go
@@ -111,7 +111,7 @@
 		leafConnectionsOpened: counterVec("leaf_connections_opened_total", "Connections opened to leafs.").WithLabelValues(),
 		leafConnectionsFailed: counterVec("leaf_connections_failed_total", "Failed dials and lost connections to leafs, by cause: dial_timeout, dial_refused, dial_failed, timeout, reset, closed or malformed.", "cause"),
 		quarantineEntries:     gauge("quarantine_entries", "Requests in quarantine."),
-		quarantineEvents:      counterVec("quarantine_events_total", "Changes in what this node knows of requests that crash leafs, by event: attributed, quarantined, cleared, explained or withdrawn.", "event"),
+		quarantineEvents:      counterVec("quarantine_events_total", "Changes in what this node knows of requests that crash leafs, by event: attributed, quarantined, cleared, refuted, explained or withdrawn.", "event"),
 		quarantineReports:     counterVec("quarantine_reports_total", "Quarantine reports for other nodes, by result: delivered, failed or dropped.", "result"),
 		peers:                 gauge("peers", "Nodes that this node has a stream to."),
 	}
--- a/internal/transport/relay/queue.go
+++ b/internal/transport/relay/queue.go
@@ -140,25 +140,27 @@
 		Deadline: u.task.Deadline,
 	}
 	err := queue.Enter(u.ctx, ticket)
-	if err == nil && ticket.Decision == admission.Admit && isWithdrawn(target) {
-		u.leave(queue, limit.Sample{Outcome: limit.Ignored})
-		u.relay.guard.Leave(*tracked, quarantine.Inconclusive)
-		return unsent(subrequest.Unsent, fault.New(fault.StepRelay, target.VM.ID, "leaf began to leave while the subrequest waited"))
-	}
-	if err == nil && ticket.Decision == admission.Admit {
+	admitted := err == nil && ticket.Decision == admission.Admit
+	if admitted && !isWithdrawn(target) {
 		u.started.Store(true)
 		// The context is checked after the store: a goroutine that saw the context
 		// end and then found started false may rely on nothing being sent.
 		if err = u.ctx.Err(); err == nil {
 			return nil
 		}
+	}
+	if admitted {
 		u.leave(queue, limit.Sample{Outcome: limit.Ignored})
 	}
 	u.relay.guard.Leave(*tracked, quarantine.Inconclusive)
-	if err != nil {
+	switch {
+	case err != nil:
 		return unsent(subrequest.ConnectionLost, fault.Wrap(err, fault.StepRelay, target.VM.ID, "wait for the leaf"))
+	case admitted:
+		return unsent(subrequest.Unsent, fault.New(fault.StepRelay, target.VM.ID, "leaf began to leave while the subrequest waited"))
+	default:
+		return unsent(subrequest.NotRun, fault.New(fault.StepRelay, target.VM.ID, "queue of the leaf is full or too slow"))
 	}
-	return unsent(subrequest.NotRun, fault.New(fault.StepRelay, target.VM.ID, "queue of the leaf is full or too slow"))
 }
 
 // isWithdrawn reports whether a leaf gets no new work. It may have become so while an attempt
