--- a/review/15/run.sh
+++ b/review/15/run.sh
@@ -4,4 +4,4 @@
 root=$(cd "$here/../.." && pwd)
 standin="$root/target/review-3/standin"
 [ -x "$standin" ] && [ -x "$root/target/hickorydock" ] || exit 2
-exec "$standin" pause "$root" "$here/record.txt"
+exec "$standin" drain "$root" "$here/record.txt"
--- a/review/standin-3/requester.go
+++ b/review/standin-3/requester.go
@@ -15,8 +15,10 @@
 type requester struct {
 	w       *world
 	gateway *gateway
-	conn    net.Conn
-	reader  *bufio.Reader
+	// from is the address from which it connects; empty means that of the machine.
+	from   string
+	conn   net.Conn
+	reader *bufio.Reader
 }
 
 // answer is how a request ended; err is set if the connection ended without an answer.
@@ -45,7 +47,11 @@
 // do sends one request and waits for its answer.
 func (q *requester) do(method, host, path, id string, deadline time.Duration, body []byte) answer {
 	if q.conn == nil {
-		conn, err := net.DialTimeout("tcp", q.gateway.callers, connectTimeout)
+		dialer := net.Dialer{Timeout: connectTimeout}
+		if q.from != "" {
+			dialer.LocalAddr = &net.TCPAddr{IP: net.ParseIP(q.from)}
+		}
+		conn, err := dialer.Dial("tcp", q.gateway.callers)
 		if err != nil {
 			return answer{err: err}
 		}
