--- a/review/standin-3/deadly.go
+++ b/review/standin-3/deadly.go
@@ -72,7 +72,7 @@
 			q := &requester{w: w, gateway: g, from: deadlyAddress}
 			a := q.do(http.MethodGet, host, "/desk/look", id, 2*time.Second, nil)
 			q.close()
-			w.record.printf("%s answers %s with %d %v", g.name, id, a.status, a.err)
+			w.answered(g, id, a)
 		}
 		time.Sleep(deadlyGap)
 	}
@@ -131,7 +131,7 @@
 		}
 		id := nextRequestID()
 		a := q.do(http.MethodGet, host, "/desk/look", id, 2*time.Second, nil)
-		s.w.record.printf("%s answers %s with %d %v", g.name, id, a.status, a.err)
+		s.w.answered(g, id, a)
 		s.mu.Lock()
 		if a.status == http.StatusOK {
 			s.served++
--- a/review/standin-3/drain.go
+++ b/review/standin-3/drain.go
@@ -128,7 +128,7 @@
 		s.via[id] = g.name
 		s.mu.Unlock()
 		a := q.do(http.MethodPost, host, "/desk/x", id, 2*time.Second, []byte("note"))
-		w.record.printf("%s answers %s with %d %v", g.name, id, a.status, a.err)
+		w.answered(g, id, a)
 		if a.status != http.StatusOK {
 			s.mu.Lock()
 			s.failed++
--- a/review/standin-3/main.go
+++ b/review/standin-3/main.go
@@ -69,6 +69,9 @@
 	case <-time.After(maxDuration):
 		err = fmt.Errorf("the script took longer than %v", maxDuration)
 	}
+	if err == nil {
+		err = w.check()
+	}
 	w.close()
 	_ = os.RemoveAll(dir)
 	code := exitHeld
