Tell a watch that is cut off from an outage of the platform

Cause: a reader whose watch failed, in whatever way, left the platform to others for 1 s, and the failed call counted as an outage, after which removed leafs are kept for 2 s. Two readers whose watches were cut off together did both.

Change: what follows a failure tells the two apart. A reader asks again within 50 ms, by a watch that waits for nothing, and gives up after three such failures or an overdue reply. An outage is a heartbeat or more without a read that is served. Gateways that follow others learn of it from them; one that loses its own way keeps registrations that expire meanwhile, the others do not. A rejected reader follows the other reader, not a node that follows it. Watches that end with 410 in series are paced.

Why this works: no registration expires in an outage that is shorter than a heartbeat, so nothing needs to be kept after a cut; in a longer one at least one fresh read fails or is overdue.

TestLapsedRegistrations and TestRemovalAfterOutageHasEnded set the end of an outage instead of a failed call, as the controller does not see calls any more; what they check is the same.

--- a/internal/coordination/reader/reader.go
+++ b/internal/coordination/reader/reader.go
@@ -162,6 +162,8 @@
 		return Source{Platform: true}
 	case len(others) < len(readers) && len(others) > 0:
 		return Source{Peer: others[0]}
+	case otherReader(input) != "":
+		return Source{Peer: otherReader(input)}
 	case len(others) > 0:
 		return Source{Peer: parent(alive, readers, input)}
 	case len(input.Members) <= 1 || input.Empty || input.Random < fallbackProbability:
@@ -171,6 +173,20 @@
 	}
 }
 
+// otherReader returns another reader if the platform rejects this node, which is one of the readers
+// for the others: nodes of its availability zone may still follow it. Else it returns "".
+func otherReader(input Input) string {
+	if !slices.Contains(input.Stale, input.Self) {
+		return ""
+	}
+	stale := slices.DeleteFunc(slices.Clone(input.Stale), func(id string) bool { return id == input.Self })
+	readers := Readers(input.Members, stale)
+	if len(readers) < Count || !slices.Contains(readers, input.Self) {
+		return ""
+	}
+	return readers[1-slices.Index(readers, input.Self)]
+}
+
 // startsFromPlatform reports whether the node is one of startReaders of a fleet that starts
 // as a whole. Were only Count nodes to read the platform, the copies would spread over a
 // tree whose nodes have none yet.
--- a/internal/coordination/reader/reader_test.go
+++ b/internal/coordination/reader/reader_test.go
@@ -319,3 +319,23 @@
 		t.Errorf("source %+v", source)
 	}
 }
+
+// TestRejectedReaderFollowsTheOther guards against a reader that the platform rejects and that
+// follows a node which follows it, so that neither receives changes.
+func TestRejectedReaderFollowsTheOther(t *testing.T) {
+	var members []membership.Member
+	for i := range 8 {
+		members = append(members, membership.Member{ID: fmt.Sprintf("n%d", i), AvailabilityZone: fmt.Sprintf("az-%d", i%2), State: membership.Alive})
+	}
+	readers := Readers(members, nil)
+	for i, rejected := range readers {
+		input := Input{Self: rejected, Members: members, SinceStart: time.Minute, Stale: []string{rejected}, Random: 0.5}
+		if got := Choose(input); got != (Source{Peer: readers[1-i]}) {
+			t.Errorf("%s chooses %+v, want the other reader %s", rejected, got, readers[1-i])
+		}
+		input.Stale = readers
+		if got := Choose(input); got.Platform || slices.Contains(readers, got.Peer) {
+			t.Errorf("%s chooses %+v while both readers are stale", rejected, got)
+		}
+	}
+}
--- a/internal/node/gateway/control.go
+++ b/internal/node/gateway/control.go
@@ -10,7 +10,6 @@
 	"github.com/apex/log"
 
 	"github.com/hickorydock/hickorydock/internal/coordination/backoff"
-	"github.com/hickorydock/hickorydock/internal/coordination/drain"
 	"github.com/hickorydock/hickorydock/internal/coordination/evacuation"
 	"github.com/hickorydock/hickorydock/internal/protocol/platform"
 	"github.com/hickorydock/hickorydock/internal/protocol/route"
@@ -46,9 +45,9 @@
 	setCold func(record *leaf.Record, group string, cold bool, perSecond float64)
 	// confirmedAt is when the platform last confirmed this node's copy of a kind.
 	confirmedAt func(kind platform.Kind) time.Time
-
-	outageMu sync.Mutex // guards outage; it may be locked while mu is
-	outage   drain.Outage
+	// outageEnded is when the last outage of the platform for a kind ended, zero if there was
+	// none.
+	outageEnded func(kind platform.Kind) time.Time
 
 	mu    sync.Mutex // serialises changes of leafs and zones and guards the fields below
 	leafs leafList
@@ -80,7 +79,6 @@
 		OnList:  onList,
 		OnEvent: onEvent,
 		OnError: func(err error) {
-			c.platformFailed()
 			if !unreachable.Swap(true) {
 				c.log.WithField("kind", string(kind)).WithError(err).Warn("platform unreachable")
 			}
@@ -89,7 +87,6 @@
 			c.log.WithField("kind", string(kind)).WithError(err).Info("history too old, listing again")
 		},
 		OnReply: func() {
-			c.platformConfirmed(kind)
 			if unreachable.Swap(false) {
 				c.log.WithField("kind", string(kind)).Info("platform reachable again")
 			}
@@ -97,28 +94,6 @@
 	}
 }
 
-// platformFailed records that a call to the platform failed.
-func (c *controller) platformFailed() {
-	c.outageMu.Lock()
-	defer c.outageMu.Unlock()
-	c.outage.Failed(time.Now())
-}
-
-// platformConfirmed records that the platform may have confirmed the copy of a kind.
-func (c *controller) platformConfirmed(kind platform.Kind) {
-	at := c.confirmedAt(kind)
-	c.outageMu.Lock()
-	defer c.outageMu.Unlock()
-	c.outage.Confirmed(at)
-}
-
-// removalGracePeriod returns how long a leaf without a registration is kept.
-func (c *controller) removalGracePeriod() time.Duration {
-	c.outageMu.Lock()
-	defer c.outageMu.Unlock()
-	return c.outage.RemovalGracePeriod(time.Now())
-}
-
 // Ready returns nil once the node has a routing table, a list of leafs and, where there are
 // evacuations, a list of them.
 func (c *controller) Ready() error {
--- a/internal/node/gateway/control_test.go
+++ b/internal/node/gateway/control_test.go
@@ -58,6 +58,18 @@
 
 		setCold:     func(record *leaf.Record, _ string, cold bool, _ float64) { record.SetCold(cold) },
 		confirmedAt: func(platform.Kind) time.Time { return time.Now() },
+		outageEnded: func(platform.Kind) time.Time { return time.Time{} },
+	}
+}
+
+// outageHasEnded makes an outage of the platform for the list of leafs end now.
+func (c *controller) outageHasEnded() {
+	ended := time.Now()
+	c.outageEnded = func(kind platform.Kind) time.Time {
+		if kind != platform.KindVM {
+			return time.Time{}
+		}
+		return ended
 	}
 }
 
@@ -124,7 +136,7 @@
 		if got := len(c.leafNames()); got != 2 {
 			t.Errorf("%d leafs after a removal, want 2", got)
 		}
-		c.platformFailed()
+		c.outageHasEnded()
 		c.leafsListed(platform.Listing{})
 		if got := len(c.leafNames()); got != 2 {
 			t.Errorf("%d leafs just after an outage, want 2", got)
@@ -141,17 +153,48 @@
 // TestRemovalAfterOutageHasEnded guards against a removed leaf that is kept in use for longer than
 // live leafs need to register again after an outage of the platform.
 func TestRemovalAfterOutageHasEnded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newTestController()
+		c.leafsListed(platform.Listing{Objects: []platform.Object{leafObject("a"), leafObject("b")}})
+		c.outageHasEnded()
+		time.Sleep(2 * time.Second)
+		c.leafChanged(platform.Event{Deleted: true, Object: platform.Object{Name: "a"}})
+		if got := c.leafNames(); len(got) != 1 || got[0] != "b" {
+			t.Errorf("leafs %v after a removal 2 s after the outage", got)
+		}
+	})
+}
+
+// TestRemovalAfterCutWatch guards against a removed leaf that is kept in use because a watch that
+// the platform cut off counted as an outage.
+func TestRemovalAfterCutWatch(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		c := newTestController()
 		c.leafsListed(platform.Listing{Objects: []platform.Object{leafObject("a"), leafObject("b")}})
 		watcher := c.watcher(platform.KindVM, c.leafsListed, c.leafChanged)
 		watcher.OnError(platform.ErrUnavailable)
-		time.Sleep(50 * time.Millisecond)
 		watcher.OnReply()
-		time.Sleep(2 * time.Second)
 		c.leafChanged(platform.Event{Deleted: true, Object: platform.Object{Name: "a"}})
 		if got := c.leafNames(); len(got) != 1 || got[0] != "b" {
-			t.Errorf("leafs %v after a removal 2 s after the outage", got)
+			t.Errorf("leafs %v after a removal beside a cut watch", got)
+		}
+	})
+}
+
+// TestRemovalAfterOutageIsNotPutOff guards against a removed leaf that is kept for longer with each
+// further outage.
+func TestRemovalAfterOutageIsNotPutOff(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newTestController()
+		c.leafsListed(platform.Listing{Objects: []platform.Object{leafObject("a"), leafObject("b")}})
+		c.outageHasEnded()
+		c.leafChanged(platform.Event{Deleted: true, Object: platform.Object{Name: "a"}})
+		time.Sleep(1500 * time.Millisecond)
+		c.outageHasEnded()
+		c.leafsListed(platform.Listing{Objects: []platform.Object{leafObject("b")}})
+		time.Sleep(600 * time.Millisecond)
+		if got := c.leafNames(); len(got) != 1 || got[0] != "b" {
+			t.Errorf("leafs %v 2.1 s after the removal", got)
 		}
 	})
 }
--- a/internal/node/gateway/leafs.go
+++ b/internal/node/gateway/leafs.go
@@ -18,6 +18,8 @@
 	// pendingRemovals are the timers of leafs without a registration, by id.
 	pendingRemovals map[string]*time.Timer
 	departures      drain.Departures
+	// restoredAt is when a list of a new era was read.
+	restoredAt time.Time
 	// heldUntil is until when entries of a list may be those of leafs that had left, after
 	// the platform was restored from an older copy.
 	heldUntil time.Time
@@ -58,8 +60,8 @@
 		return
 	}
 	hold := drain.RestoreHold(c.heartbeat)
-	c.leafs.heldUntil = time.Now().Add(hold)
-	c.platformFailed()
+	c.leafs.restoredAt = time.Now()
+	c.leafs.heldUntil = c.leafs.restoredAt.Add(hold)
 	time.AfterFunc(hold, c.releaseHeld)
 	c.log.WithFields(log.Fields{"era": era, "hold": hold}).Warn("platform restored from an older copy")
 }
@@ -182,6 +184,16 @@
 	c.log.WithFields(log.Fields{"leaf": id, "cause": cause, "for": gracePeriod}).Info("leaf without a registration kept")
 }
 
+// removalGracePeriod returns how long a leaf without a registration is kept. The caller holds
+// c.mu.
+func (c *controller) removalGracePeriod() time.Duration {
+	ended := c.outageEnded(platform.KindVM)
+	if c.leafs.restoredAt.After(ended) {
+		ended = c.leafs.restoredAt
+	}
+	return drain.RemovalGracePeriod(ended, time.Now())
+}
+
 // cancelRemoval keeps a leaf that is registered again. The caller holds c.mu.
 func (c *controller) cancelRemoval(id string) {
 	if timer := c.leafs.pendingRemovals[id]; timer != nil {
--- a/internal/node/gateway/wiring.go
+++ b/internal/node/gateway/wiring.go
@@ -64,6 +64,7 @@
 		Address:          s.Node.PeerAddress,
 		Seeds:            s.Node.BootstrapPeers,
 		Mirror:           localMirror,
+		Heartbeat:        s.Forward.LeafHeartbeat(),
 		OnReport:         g.Receive,
 		OnReportsSent:    collectors.QuarantineReports,
 		Quarantines:      g.Entries,
@@ -171,6 +172,7 @@
 		followsEvacuations: s.Forward.HasEvacuations(),
 		setCold:            f.SetCold,
 		confirmedAt:        client.Confirmed,
+		outageEnded:        client.OutageEnded,
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	r.onAssignment = func() {
--- a/internal/protocol/platform/platform.go
+++ b/internal/protocol/platform/platform.go
@@ -98,6 +98,13 @@
 	PutStatus(ctx context.Context, kind Kind, name string, value json.RawMessage) error
 }
 
+// Poller is a Client whose watches are long polls.
+type Poller interface {
+	// Poll calls onEvent for every change of a kind after version from that there is now, then
+	// with the progress, and returns. It fails as Watch does.
+	Poll(ctx context.Context, kind Kind, from uint64, onEvent func(Event) error) error
+}
+
 // Errors of the object API.
 var (
 	ErrNotFound    = errors.New("object not found")
--- a/internal/transport/follow/follow.go
+++ b/internal/transport/follow/follow.go
@@ -36,6 +36,7 @@
 	delays := backoff.New(w.Backoff)
 	var version uint64
 	listed := false
+	tooOld := 0 // watches in a row without a reply
 	for ctx.Err() == nil {
 		start := time.Now()
 		var err error
@@ -43,15 +44,22 @@
 			version, err = w.list(ctx)
 			listed = err == nil
 		}
+		replied := false
 		if listed {
-			version, err = w.watch(ctx, version)
+			version, replied, err = w.watch(ctx, version)
 		}
 		if ctx.Err() != nil {
 			return
 		}
+		if replied {
+			tooOld = 0
+		}
 		if errors.Is(err, platform.ErrTooOld) && listed {
 			w.notifyTooOld(err)
 			listed = false
+			if tooOld++; tooOld > 1 {
+				Sleep(ctx, delays.Next(time.Since(start), rand.Float64()))
+			}
 			continue
 		}
 		w.OnError(err)
@@ -69,17 +77,18 @@
 	return listing.Version, nil
 }
 
-// watch returns the version from which the next watch resumes.
-func (w *Watcher) watch(ctx context.Context, version uint64) (uint64, error) {
-	err := w.Client.Watch(ctx, w.Kind, version, func(event platform.Event) error {
+// watch returns the version from which the next watch resumes, and whether the platform replied.
+func (w *Watcher) watch(ctx context.Context, version uint64) (reached uint64, replied bool, err error) {
+	err = w.Client.Watch(ctx, w.Kind, version, func(event platform.Event) error {
 		w.notifyReply()
+		replied = true
 		version = max(version, event.Object.Version)
 		if !event.Progress {
 			w.OnEvent(event)
 		}
 		return nil
 	})
-	return version, err
+	return version, replied, err
 }
 
 func (w *Watcher) notifyReply() {
--- a/internal/transport/mesh/client.go
+++ b/internal/transport/mesh/client.go
@@ -43,6 +43,8 @@
 	mu    sync.Mutex
 	stale map[staleSource]time.Time // with the end of the time in which it is passed over
 	links map[platform.Kind]*link
+	// failed are the failed reads of the platform.
+	failed map[platform.Kind]*reader.Failures
 	// reading has the kinds that this node reads from the platform itself.
 	reading map[platform.Kind]bool
 }
@@ -56,13 +58,25 @@
 // NewClient returns a client that shares the reads of the platform with other nodes.
 // watchWait is how long a watch waits for a change.
 func NewClient(store platform.Client, m *Mesh, watchWait time.Duration) *Client {
-	return &Client{Client: store, mesh: m, watchWait: watchWait, stale: make(map[staleSource]time.Time), links: make(map[platform.Kind]*link), reading: make(map[platform.Kind]bool)}
+	return &Client{
+		Client:    store,
+		mesh:      m,
+		watchWait: watchWait,
+		stale:     make(map[staleSource]time.Time),
+		links:     make(map[platform.Kind]*link),
+		failed:    make(map[platform.Kind]*reader.Failures),
+		reading:   make(map[platform.Kind]bool),
+	}
 }
 
 // Confirmed returns when the platform last confirmed this node's copy of a kind; zero if it has
 // none.
 func (c *Client) Confirmed(kind platform.Kind) time.Time { return c.mesh.cfg.Mirror.Confirmed(kind) }
 
+// OutageEnded returns when the last outage of the platform for a kind ended, as far as this node
+// and its sources know; zero if there was none.
+func (c *Client) OutageEnded(kind platform.Kind) time.Time { return c.mesh.outageEnded(kind) }
+
 // source chooses the source to read a kind from now.
 func (c *Client) source(kind platform.Kind) reader.Source {
 	now := time.Now()
@@ -86,12 +100,17 @@
 		IsSeed:     c.mesh.isSeed(),
 		Stale:      stale,
 		Empty:      confirmed.IsZero(),
-		Overdue:    !confirmed.IsZero() && now.Sub(confirmed) > overdueHalfWaits*c.watchWait/2,
+		Overdue:    c.isOverdue(confirmed, now),
 		Unanswered: c.unanswered.Load(),
 		Random:     rand.Float64(),
 	})
 }
 
+// isOverdue reports whether a copy should have been confirmed again by now; see overdueHalfWaits.
+func (c *Client) isOverdue(confirmed, now time.Time) bool {
+	return !confirmed.IsZero() && now.Sub(confirmed) > overdueHalfWaits*c.watchWait/2
+}
+
 // awaitSource chooses a source. A node that has just started waits to discover other
 // members first.
 func (c *Client) awaitSource(ctx context.Context, kind platform.Kind) (reader.Source, error) {
--- a/internal/transport/mesh/follow.go
+++ b/internal/transport/mesh/follow.go
@@ -5,25 +5,21 @@
 	"errors"
 	"time"
 
-	"github.com/apex/log"
-
 	"github.com/hickorydock/hickorydock/internal/protocol/fault"
 	"github.com/hickorydock/hickorydock/internal/protocol/platform"
 	"github.com/hickorydock/hickorydock/internal/transport/follow"
 )
 
-const (
-	// platformRejectionTTL is how long a node that the platform does not serve is no
-	// reader, so that other nodes are chosen. In an outage of the platform this applies to
-	// all nodes, and the outage may be over when this time ends.
-	platformRejectionTTL = 1 * time.Second
-	// coalesceDelay is the pause of a reader after a change, so that changes in quick
-	// succession cost one call of the platform.
-	coalesceDelay = 100 * time.Millisecond
-)
+// coalesceDelay is the pause of a reader after a change, so that changes in quick
+// succession cost one call of the platform.
+const coalesceDelay = 100 * time.Millisecond
 
-// errSourceChanged ends a watch of the platform by a node that is no longer a reader.
-var errSourceChanged = errors.New("another source was chosen")
+var (
+	// errSourceChanged ends a watch of the platform by a node that is no longer a reader.
+	errSourceChanged = errors.New("another source was chosen")
+	// errReadAgain means that a read of the platform failed and is to be repeated.
+	errReadAgain = errors.New("read of the platform to be repeated")
+)
 
 // List returns all objects of a kind from a source. When a source fails, it is passed
 // over and the next one is tried after sourceRetryDelay.
@@ -34,7 +30,11 @@
 			return platform.Listing{}, fault.Wrap(err, fault.StepPlatform, "", "list %s: no source", kind)
 		}
 		if source.Platform {
-			return c.listPlatform(ctx, kind)
+			listing, err := c.listPlatform(ctx, kind)
+			if errors.Is(err, errReadAgain) {
+				continue
+			}
+			return listing, err
 		}
 		listing, err := c.listPeer(ctx, source.Peer, kind)
 		if err == nil || ctx.Err() != nil {
@@ -48,10 +48,10 @@
 	requestedAt := time.Now()
 	listing, err := c.Client.List(ctx, kind)
 	if err != nil {
-		c.platformRejected(ctx, kind, err)
-		return listing, err
+		return listing, c.readFailed(ctx, kind, err, requestedAt, requestedAt)
 	}
 	c.readsPlatform.Store(true)
+	c.readServed(kind)
 	if !c.mesh.cfg.Mirror.Replace(kind, listing, requestedAt) && platform.Era(listing.Version) < c.mesh.cfg.Mirror.Era(kind) {
 		return platform.Listing{}, fault.Wrap(platform.ErrUnavailable, fault.StepPlatform, "", "list %s: reply is of an earlier era", kind)
 	}
@@ -72,7 +72,7 @@
 		} else {
 			from, err = c.watchPeer(ctx, source.Peer, kind, from, each)
 		}
-		if err != nil && !errors.Is(err, errSourceChanged) {
+		if err != nil && !errors.Is(err, errSourceChanged) && !errors.Is(err, errReadAgain) {
 			return err
 		}
 		if ctx.Err() != nil {
@@ -84,31 +84,61 @@
 // watchPlatform reads the platform while this node is one of its readers. It
 // returns the version to continue from.
 func (c *Client) watchPlatform(ctx context.Context, kind platform.Kind, from uint64, each func(platform.Event) error) (uint64, error) {
-	var changes []platform.Event
-	err := c.Client.Watch(ctx, kind, from, func(event platform.Event) error {
-		from = max(from, event.Object.Version)
-		if !event.Progress {
-			changes = append(changes, event)
-			return nil
-		}
-		hadChanges := len(changes) > 0
-		c.mesh.cfg.Mirror.Apply(kind, changes, from, time.Now())
-		err := deliver(latestChanges(changes), from, kind, each)
-		changes = nil
-		switch {
-		case err != nil:
-			return err
-		case !c.source(kind).Platform:
-			return errSourceChanged
-		case hadChanges:
-			time.Sleep(coalesceDelay)
-		}
+	w := &platformWatch{client: c, kind: kind, from: from, each: each, waitsSince: time.Now()}
+	var err error
+	if poller, ok := c.Client.(platform.Poller); ok && c.lastReadFailed(kind) {
+		err = poller.Poll(ctx, kind, from, w.receive)
+	}
+	if err == nil {
+		w.waitsSince, w.wait = time.Now(), c.watchWait
+		err = c.Client.Watch(ctx, kind, w.from, w.receive)
+	}
+	if err != nil && w.rejected == nil {
+		return w.from, c.readFailed(ctx, kind, err, w.waitsSince, w.waitsSince.Add(w.wait))
+	}
+	return w.from, err
+}
+
+// platformWatch receives the events of one watch of the platform.
+type platformWatch struct {
+	client *Client
+	kind   platform.Kind
+	from   uint64 // version to continue from
+	each   func(platform.Event) error
+	// changes are those since the last progress event.
+	changes []platform.Event
+	// waitsSince is when the platform last answered, or when the watch began, and wait how long
+	// it may wait for a change since then.
+	waitsSince time.Time
+	wait       time.Duration
+	// rejected is the error by which this node ended the watch.
+	rejected error
+}
+
+// receive handles one event. Changes are delivered once the version that they lead to is known.
+func (w *platformWatch) receive(event platform.Event) error {
+	w.from = max(w.from, event.Object.Version)
+	if !event.Progress {
+		w.changes = append(w.changes, event)
 		return nil
-	})
-	if err != nil && !errors.Is(err, errSourceChanged) {
-		c.platformRejected(ctx, kind, err)
 	}
-	return from, err
+	c := w.client
+	c.readServed(w.kind)
+	hadChanges := len(w.changes) > 0
+	c.mesh.cfg.Mirror.Apply(w.kind, w.changes, w.from, time.Now())
+	w.rejected = deliver(latestChanges(w.changes), w.from, w.kind, w.each)
+	w.changes = nil
+	switch {
+	case w.rejected != nil:
+		return w.rejected
+	case !c.source(w.kind).Platform:
+		w.rejected = errSourceChanged
+		return w.rejected
+	case hadChanges:
+		time.Sleep(coalesceDelay)
+	}
+	w.waitsSince, w.wait = time.Now(), c.watchWait
+	return nil
 }
 
 // latestChanges omits changes that a later one of the same object replaces.
@@ -135,18 +165,3 @@
 	}
 	return each(platform.Event{Progress: true, Object: platform.Object{Kind: kind, Version: version}})
 }
-
-// platformRejected removes this node from the readers for platformRejectionTTL when the
-// platform does not serve it, since it may serve others.
-func (c *Client) platformRejected(ctx context.Context, kind platform.Kind, err error) {
-	if ctx.Err() != nil || errors.Is(err, platform.ErrTooOld) {
-		return
-	}
-	c.mesh.cfg.Log.WithFields(log.Fields{"kind": string(kind), "passed_over_for": platformRejectionTTL}).WithError(err).Info("platform read failed")
-	if c.mesh.cfg.OnReadFailed != nil {
-		c.mesh.cfg.OnReadFailed(string(kind))
-	}
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.stale[staleSource{node: c.mesh.cfg.Node}] = time.Now().Add(platformRejectionTTL)
-}
--- a/internal/transport/mesh/followpeer.go
+++ b/internal/transport/mesh/followpeer.go
@@ -103,6 +103,10 @@
 	defer cancel()
 	reply, err := c.callFollow(ctx, id, kind, request)
 	confirmed := time.Now()
+	if err == nil {
+		confirmed = before(confirmed, reply.AgeMs)
+		c.mesh.copyReceived(kind, confirmed, reply)
+	}
 	source, ttl := staleSource{node: id}, failedSourceTTL
 	switch {
 	case err != nil:
@@ -118,7 +122,7 @@
 	case time.Duration(reply.AgeMs)*time.Millisecond > c.maxAge():
 		err = fault.Wrap(platform.ErrUnavailable, fault.StepPeer, id, "follow %s: confirmed %d ms ago", kind, reply.AgeMs)
 	default:
-		return reply, confirmed.Add(-time.Duration(reply.AgeMs) * time.Millisecond), nil
+		return reply, confirmed, nil
 	}
 	if errors.Is(ctx.Err(), context.Canceled) { // this node is stopping
 		return nil, confirmed, err
--- a/internal/transport/mesh/mesh.go
+++ b/internal/transport/mesh/mesh.go
@@ -49,6 +49,9 @@
 	// Seeds are addresses of the nodes to join through; they may be stale.
 	Seeds  []string
 	Mirror *mirror.Mirror
+	// Heartbeat is the time between two heartbeats of a leaf at the platform, which is the
+	// length of the shortest outage in which registrations may expire.
+	Heartbeat time.Duration
 	// OnReport is called with each quarantine report of another node; if nil, the
 	// call of the other node fails.
 	OnReport func(quarantine.Report)
@@ -83,6 +86,7 @@
 	// contacts are the addresses that the platform lists, besides the seeds.
 	contacts atomic.Pointer[[]string]
 
+	outages outages
 	streams sync.Map // node -> *batchStream
 	reports *reportSender
 	// crashAttributed holds a value after this node has attributed a crash, until
--- a/internal/transport/mesh/mesh_test.go
+++ b/internal/transport/mesh/mesh_test.go
@@ -103,7 +103,11 @@
 	if err := m.Start(); err != nil {
 		t.Fatal(err)
 	}
-	client := NewClient(store, m, testWait)
+	wait := testWait
+	if s, ok := store.(interface{ watchWait() time.Duration }); ok {
+		wait = s.watchWait()
+	}
+	client := NewClient(store, m, wait)
 	n := &node{Mesh: m, client: client, changed: make(chan struct{})}
 	ctx, cancel := context.WithCancel(context.Background())
 	w := &follow.Watcher{
--- a/internal/transport/mesh/service.go
+++ b/internal/transport/mesh/service.go
@@ -28,7 +28,7 @@
 		for _, o := range listing.Objects {
 			reply.Objects = append(reply.Objects, encode(o, false))
 		}
-		setAge(reply, confirmed)
+		s.setTimes(reply, kind, confirmed)
 		return reply, nil
 	}
 	maxAge := time.Duration(request.MaxAgeMs) * time.Millisecond
@@ -51,12 +51,14 @@
 	for _, e := range changes {
 		reply.Objects = append(reply.Objects, encode(e.Object, e.Deleted))
 	}
-	setAge(reply, confirmed)
+	s.setTimes(reply, kind, confirmed)
 	return reply, nil
 }
 
-func setAge(reply *contract.FollowReply, confirmed time.Time) {
-	reply.AgeMs = uint64(max(time.Since(confirmed).Milliseconds(), 0))
+// setTimes sets the age of this node's copy of a kind and what it knows of outages.
+func (s service) setTimes(reply *contract.FollowReply, kind platform.Kind, confirmed time.Time) {
+	reply.AgeMs = millisecondsSince(confirmed)
+	s.mesh.report(kind, confirmed, reply)
 }
 
 func encode(o platform.Object, deleted bool) *contract.StoredObject {
