Ignore a heartbeat that the platform executes after a later one

Cause: a heartbeat that got no answer may be executed seconds later. Its entry says that the leaf is ready, and replaced the report that it drains, as the number of a heartbeat was discarded.

Evidence: without the check TestOlderHeartbeatKeepsLeafDraining finds the leaf in use again.

Change: objects have the number of the heartbeat apart from their value, also on the way to other gateways, so that a heartbeat alone is still no change. An entry of the same run with a lower number than the one in use is ignored, and logged.

Why this works: numbers rise within a run of a leaf, and runs are told apart by their start. Entries without a start or a number are taken as before.

--- a/internal/coordination/drain/departures.go
+++ b/internal/coordination/drain/departures.go
@@ -64,6 +64,14 @@
 	return entry.VM.Address == used.VM.Address && used.VM.State == platform.VMLeaving && entry.VM.State != platform.VMLeaving
 }
 
+// IsOvertaken reports whether an entry was written before the one in use, by the same run of the
+// leaf: the platform may execute a heartbeat that got no answer after a later one, such as the
+// report that the leaf begins to leave.
+func IsOvertaken(entry, used route.Leaf) bool {
+	sameRun := entry.Incarnation == used.Incarnation && entry.Incarnation != 0 && entry.VM.Address == used.VM.Address
+	return sameRun && entry.Heartbeat > 0 && entry.Heartbeat < used.Heartbeat
+}
+
 // RestoreHold returns how long after a restore of the platform an entry may be that of a
 // leaf that is gone: until a registration without heartbeats has expired and leafs whose
 // registrations were lost are back.
--- a/internal/coordination/drain/departures_test.go
+++ b/internal/coordination/drain/departures_test.go
@@ -73,3 +73,36 @@
 		}
 	}
 }
+
+// TestOvertakenHeartbeats guards against a leaf that leaves and is used again, since the platform
+// executed a heartbeat late that the leaf had sent before.
+func TestOvertakenHeartbeats(t *testing.T) {
+	numbered := func(incarnation int64, heartbeat uint64, address string) route.Leaf {
+		l := entry(incarnation, address, platform.VMLive)
+		l.Heartbeat = heartbeat
+		return l
+	}
+	used := numbered(5, 57, "a:1")
+	used.VM.State = platform.VMLeaving
+	tests := []struct {
+		name  string
+		entry route.Leaf
+		want  bool
+	}{
+		{"older heartbeat", numbered(5, 56, "a:1"), true},
+		{"same heartbeat", numbered(5, 57, "a:1"), false},
+		{"newer heartbeat", numbered(5, 58, "a:1"), false},
+		{"not counted", numbered(5, 0, "a:1"), false},
+		{"next run", numbered(6, 1, "a:1"), false},
+		{"another address", numbered(5, 56, "b:1"), false},
+	}
+	for _, test := range tests {
+		if got := IsOvertaken(test.entry, used); got != test.want {
+			t.Errorf("%s: overtaken %t, want %t", test.name, got, test.want)
+		}
+	}
+	unknown, restarted := numbered(0, 57, "a:1"), numbered(0, 1, "a:1")
+	if IsOvertaken(restarted, unknown) {
+		t.Error("a heartbeat counts as older although its run is not known")
+	}
+}
--- a/internal/node/gateway/control_test.go
+++ b/internal/node/gateway/control_test.go
@@ -199,6 +199,27 @@
 	})
 }
 
+// TestOlderHeartbeatKeepsLeafDraining guards against a leaf that reported that it leaves and gets
+// work again, because the platform executed a heartbeat late that the leaf had sent before.
+func TestOlderHeartbeatKeepsLeafDraining(t *testing.T) {
+	c := newTestController()
+	put := func(heartbeat uint64, state platform.VMState) {
+		o := registration("a", 5, state)
+		o.Heartbeat = heartbeat
+		c.leafChanged(platform.Event{Object: o})
+	}
+	put(1, platform.VMLive)
+	put(57, platform.VMLeaving)
+	put(56, platform.VMLive)
+	checkUsable(t, c, "after the older heartbeat")
+	o := registration("a", 5, platform.VMLive)
+	o.Heartbeat = 56
+	c.leafsListed(platform.Listing{Objects: []platform.Object{o}})
+	checkUsable(t, c, "after a list of the older heartbeat")
+	put(58, platform.VMLive)
+	checkUsable(t, c, "after a newer heartbeat", "a")
+}
+
 // tooOldOnce is a platform that has no history for the first watch, and lists the given leafs one
 // list after the other.
 type tooOldOnce struct {
--- a/internal/node/gateway/leafs.go
+++ b/internal/node/gateway/leafs.go
@@ -117,9 +117,9 @@
 	c.putLeaf(event.Object)
 }
 
-// putLeaf adds or updates a leaf. A leaf whose entry cannot be parsed is removed. Requests that
-// wait for a connection to a leaf that leaves, or to an earlier run of the leaf, go to others. The
-// caller holds c.mu.
+// putLeaf adds or updates a leaf. A leaf whose entry cannot be parsed is removed; an entry that an
+// older heartbeat wrote is ignored. Requests that wait for a connection to a leaf that leaves, or to
+// an earlier run of the leaf, go to others. The caller holds c.mu.
 func (c *controller) putLeaf(object platform.Object) {
 	next, err := c.adapter.DecodeLeaf(object)
 	if err != nil {
@@ -127,9 +127,15 @@
 		c.removeLeaf(object.Name, "not readable")
 		return
 	}
+	next.Heartbeat = object.Heartbeat
 	c.cancelRemoval(next.VM.ID)
 	c.leafs.departures.Forget(next.VM.ID)
 	old, known := c.groups.Find(next.VM.ID)
+	if known && drain.IsOvertaken(next, old) {
+		fields := log.Fields{"leaf": next.VM.ID, "state": string(next.VM.State), "heartbeat": next.Heartbeat, "in_use": old.Heartbeat, "revision": platform.Revision(object.Version)}
+		c.log.WithFields(fields).Info("older heartbeat of leaf ignored")
+		return
+	}
 	replaced := known && (old.Incarnation != next.Incarnation || old.VM.Address != next.VM.Address || old.VM.Group != next.VM.Group)
 	if replaced {
 		c.leafClient.RemoveLeaf(next.VM.ID)
--- a/internal/protocol/platform/platform.go
+++ b/internal/protocol/platform/platform.go
@@ -54,6 +54,9 @@
 	// Version increases with every change of any object; 0 means not stored.
 	Version uint64          `json:"version"`
 	Value   json.RawMessage `json:"value"`
+	// Heartbeat counts the writes of the object's writer since its start; 0 if it does not
+	// count them. A heartbeat alone is no change of the object.
+	Heartbeat uint64 `json:"-"`
 }
 
 // Listing is a consistent list of a kind's objects.
--- a/internal/protocol/route/route.go
+++ b/internal/protocol/route/route.go
@@ -109,6 +109,8 @@
 	Cold bool
 	// Incarnation identifies one run of a leaf's process under its identifier.
 	Incarnation int64
+	// Heartbeat counts the heartbeats of this run up to this entry; 0 if they are not counted.
+	Heartbeat uint64
 }
 
 // HeaderNames are the names of the headers of forwarded opaque requests, in
--- a/internal/state/mirror/mirror.go
+++ b/internal/state/mirror/mirror.go
@@ -152,6 +152,8 @@
 func (k *kind) apply(event platform.Event, version uint64) {
 	old, held := k.objects[event.Object.Name]
 	if held && !event.Deleted && (bytes.Equal(old.Value, event.Object.Value) || k.keep != nil && k.keep(old, event.Object)) {
+		old.Heartbeat = max(old.Heartbeat, event.Object.Heartbeat)
+		k.objects[event.Object.Name] = old
 		return
 	}
 	if event.Deleted {
--- a/internal/transport/mesh/followpeer.go
+++ b/internal/transport/mesh/followpeer.go
@@ -85,7 +85,7 @@
 }
 
 func decode(kind platform.Kind, o *contract.StoredObject) platform.Object {
-	return platform.Object{Kind: kind, Name: o.Name, Version: o.Version, Value: o.Value}
+	return platform.Object{Kind: kind, Name: o.Name, Version: o.Version, Value: o.Value, Heartbeat: o.Heartbeat}
 }
 
 // maxAge is how long ago the platform may have confirmed a source's copy: see
--- a/internal/transport/mesh/service.go
+++ b/internal/transport/mesh/service.go
@@ -62,7 +62,7 @@
 }
 
 func encode(o platform.Object, deleted bool) *contract.StoredObject {
-	return &contract.StoredObject{Name: o.Name, Version: o.Version, Value: o.Value, Deleted: deleted}
+	return &contract.StoredObject{Name: o.Name, Version: o.Version, Value: o.Value, Deleted: deleted, Heartbeat: o.Heartbeat}
 }
 
 // Charge receives quarantine reports.
