Match routes by the path as it was sent

Cause: routes were matched by the decoded path, while leafs get it as sent.

Why this works: the service that a path selects now is chosen by the same bytes that it receives.

--- a/internal/state/routing/routing.go
+++ b/internal/state/routing/routing.go
@@ -41,7 +41,8 @@
 	return index
 }
 
-// Find returns the route of a host with the longest prefix of path, or nil.
+// Find returns the route of a host with the longest prefix of path, or nil. The path is compared
+// as it was sent: an escaped slash separates no segments.
 func (x *Index) Find(host, path string) *route.Route {
 	for _, r := range x.hosts[strings.ToLower(host)] {
 		if strings.HasPrefix(path, r.Prefix) {
--- a/internal/transport/forward/forward.go
+++ b/internal/transport/forward/forward.go
@@ -186,9 +186,9 @@
 		f.reject(w, "", http.StatusServiceUnavailable, startingRetryAfter)
 		return
 	}
-	rt := index.Find(r.Host, r.URL.Path)
+	rt := index.Find(r.Host, r.URL.EscapedPath()) // as sent, since leafs receive it so
 	if rt == nil {
-		f.log.WithFields(log.Fields{"host": r.Host, "path": r.URL.Path, "version": index.Table.Version, "outcome": "no_route"}).Info("request has no route")
+		f.log.WithFields(log.Fields{"host": r.Host, "path": r.URL.EscapedPath(), "version": index.Table.Version, "outcome": "no_route"}).Info("request has no route")
 		ingress.Refuse(r)
 		f.reject(w, "", http.StatusNotFound, 0)
 		return
