Bound the bytes of retained changes

Cause: the last 2,000 changes of each kind were retained with their values, bounded by number only.

Evidence: TestBytesOfChangesAreBounded fails on the code before: 35.8 MB retained after 50 changes of 700 KB.

Why this works: at most 2 MB of changes of a kind, or one change, are retained; a watcher that is further behind lists the objects, each once. The bound is below the largest message between nodes.

--- a/internal/state/mirror/gap.go
+++ b/internal/state/mirror/gap.go
@@ -44,9 +44,7 @@
 	if len(k.gaps) <= maxGaps {
 		return
 	}
-	k.oldest = max(k.oldest, k.gaps[0].Before)
-	k.changes = slices.DeleteFunc(k.changes, func(e platform.Event) bool { return e.Object.Version <= k.oldest })
-	k.gaps = slices.DeleteFunc(k.gaps, func(g Gap) bool { return g.Before <= k.oldest })
+	k.discardUpTo(max(k.oldest, k.gaps[0].Before))
 }
 
 // isInGap reports whether this copy knows no state of a version. The caller holds k.mu.
--- a/internal/state/mirror/mirror.go
+++ b/internal/state/mirror/mirror.go
@@ -16,8 +16,13 @@
 	"github.com/hickorydock/hickorydock/internal/protocol/platform"
 )
 
-// maxChanges is the number of changes retained for each kind.
-const maxChanges = 2000
+const (
+	// maxChanges is the number of changes retained for each kind.
+	maxChanges = 2000
+	// maxChangeBytes is the size of the values in the changes retained for each kind. The last
+	// change stays, whatever its size. All of them fit into one message to another node.
+	maxChangeBytes = 2 << 20
+)
 
 // Mirror holds the objects of several kinds. It is safe for concurrent use.
 type Mirror struct {
@@ -31,6 +36,8 @@
 	known   bool
 	objects map[string]platform.Object
 	changes []platform.Event // by increasing version
+	// changeBytes is the size of the values in changes.
+	changeBytes int
 	// oldest is the version after which all changes are retained.
 	oldest  uint64
 	version uint64
@@ -90,6 +97,7 @@
 	} else {
 		// A watcher may have seen changes that this node has not and that were lost.
 		k.changes = nil
+		k.changeBytes = 0
 		k.gaps = nil
 		k.oldest = listing.Version
 		k.notify()
@@ -165,17 +173,35 @@
 	k.record(event)
 }
 
-// record appends a change and discards the oldest ones above maxChanges. The
+// record appends a change and discards the oldest ones above maxChanges and maxChangeBytes. The
 // caller holds k.mu.
 func (k *kind) record(event platform.Event) {
 	k.changes = append(k.changes, event)
-	if excess := len(k.changes) - maxChanges; excess > 0 {
-		k.oldest = k.changes[excess-1].Object.Version
-		k.changes = slices.Delete(k.changes, 0, excess)
-		k.gaps = slices.DeleteFunc(k.gaps, func(g Gap) bool { return g.Before <= k.oldest })
+	k.changeBytes += len(event.Object.Value)
+	excess, bytes := 0, k.changeBytes
+	for kept := len(k.changes); kept > maxChanges || bytes > maxChangeBytes && kept > 1; kept-- {
+		bytes -= len(k.changes[excess].Object.Value)
+		excess++
+	}
+	if excess > 0 {
+		k.discardUpTo(k.changes[excess-1].Object.Version)
 	}
 }
 
+// discardUpTo discards the changes up to a version, all of which no longer reach back to the
+// version before them. The caller holds k.mu.
+func (k *kind) discardUpTo(version uint64) {
+	k.oldest = version
+	k.changes = slices.DeleteFunc(k.changes, func(e platform.Event) bool {
+		if e.Object.Version > version {
+			return false
+		}
+		k.changeBytes -= len(e.Object.Value)
+		return true
+	})
+	k.gaps = slices.DeleteFunc(k.gaps, func(g Gap) bool { return g.Before <= version })
+}
+
 // notify wakes the waiting calls of AwaitKnown and Changes. The caller holds k.mu.
 func (k *kind) notify() {
 	close(k.wake)
--- a/internal/state/mirror/mirror_test.go
+++ b/internal/state/mirror/mirror_test.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"errors"
 	"strconv"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -139,3 +140,46 @@
 		}
 	})
 }
+
+// TestBytesOfChangesAreBounded guards against a node that exceeds its memory because it retains each
+// version of a large object, and against messages to other nodes that are too large to be sent.
+func TestBytesOfChangesAreBounded(t *testing.T) {
+	m := New()
+	m.Replace(testKind, platform.Listing{Version: 1}, time.Now())
+	const size = 700 << 10
+	for v := range uint64(50) {
+		value := `"` + strconv.FormatUint(v, 10) + strings.Repeat("x", size) + `"`
+		m.Apply(testKind, []platform.Event{{Object: object("a", value)}}, 2+v, time.Now())
+	}
+	if _, _, _, err := m.Changes(t.Context(), testKind, 40, 0); !errors.Is(err, platform.ErrTooOld) {
+		t.Errorf("from a version that is no longer retained: %v", err)
+	}
+	changes, version, _, err := m.Changes(t.Context(), testKind, 50, 0)
+	if err != nil || len(changes) != 1 || version != 51 {
+		t.Errorf("%d changes up to %d, error %v; want the last one", len(changes), version, err)
+	}
+	held := 0
+	for _, c := range m.kind(testKind).changes {
+		held += len(c.Object.Value)
+	}
+	if held > maxChangeBytes || held != m.kind(testKind).changeBytes {
+		t.Errorf("%d bytes are retained, counted as %d, of at most %d", held, m.kind(testKind).changeBytes, maxChangeBytes)
+	}
+}
+
+// TestLargeChangeIsHandedOn guards against an object above the limit of all changes, whose change
+// no watcher receives.
+func TestLargeChangeIsHandedOn(t *testing.T) {
+	m := New()
+	m.Replace(testKind, platform.Listing{Version: 1}, time.Now())
+	large := `"` + strings.Repeat("x", maxChangeBytes) + `"`
+	m.Apply(testKind, []platform.Event{{Object: object("small", "1")}}, 2, time.Now())
+	m.Apply(testKind, []platform.Event{{Object: object("large", large)}}, 3, time.Now())
+	changes, version, _, err := m.Changes(t.Context(), testKind, 2, 0)
+	if err != nil || len(changes) != 1 || version != 3 {
+		t.Errorf("%d changes up to %d, error %v; want the large one", len(changes), version, err)
+	}
+	if _, _, _, err := m.Changes(t.Context(), testKind, 1, 0); !errors.Is(err, platform.ErrTooOld) {
+		t.Errorf("from before the small change: %v", err)
+	}
+}
