Count the calls of followers once the start of the fleet is over

TestCallsDoNotGrowWithNodes failed beside load with 25 and 26 watches in 3 s, where 24 are wanted.

Cause: the test, not the product. All nodes of a fleet that starts read the platform (reader.startReaders), and each of them leaves it to the readers when its first watch ends. The test began to count before that.

Evidence: calls of each node, ten runs with the race detector on a busy machine: the two readers made 9 or 10 each; what came beside it, up to 2 calls in a run here, is one or two calls of nodes that still read the platform when the count began ("reading at start"), and none later. Six such nodes make 26.

Change: the count begins once only the readers read, which must be within 1 s. The bound is the same, and the hand-over is checked too.

--- a/internal/transport/mesh/mesh_test.go
+++ b/internal/transport/mesh/mesh_test.go
@@ -165,6 +165,7 @@
 	awaitAll(t, nodes, "1", 5*time.Second)
 	store.set(2)
 	awaitAll(t, nodes, "2", time.Second)
+	awaitOnlyReaders(t, nodes, time.Second)
 	before := store.calls.Load()
 	const span = 3 * time.Second
 	time.Sleep(span)
@@ -174,6 +175,29 @@
 	}
 }
 
+// awaitOnlyReaders waits until the nodes that read the platform while the fleet starts leave it to the
+// readers.
+func awaitOnlyReaders(t *testing.T, nodes []*node, limit time.Duration) {
+	t.Helper()
+	readers := reader.Readers(nodes[0].Members(), nil)
+	for end := time.Now().Add(limit); ; time.Sleep(10 * time.Millisecond) {
+		var reading []string
+		for _, n := range nodes {
+			n.client.mu.Lock()
+			if n.client.reading[platform.KindRouting] && !slices.Contains(readers, n.cfg.Node) {
+				reading = append(reading, n.cfg.Node)
+			}
+			n.client.mu.Unlock()
+		}
+		if len(reading) == 0 {
+			return
+		}
+		if time.Now().After(end) {
+			t.Fatalf("%v still read the platform after %v, readers are %v", reading, limit, readers)
+		}
+	}
+}
+
 // TestSourceWithoutCopyKeepsRequest guards against nodes that pass over a source which
 // has no copy yet, as all sources when the fleet starts, and read the platform in its
 // place: the source keeps a request for its list until it has one.
