--- a/internal/node/gateway/control_test.go
+++ b/internal/node/gateway/control_test.go
@@ -58,6 +58,18 @@
 
 		setCold:     func(record *leaf.Record, _ string, cold bool, _ float64) { record.SetCold(cold) },
 		confirmedAt: func(platform.Kind) time.Time { return time.Now() },
+		outageEnded: func(platform.Kind) time.Time { return time.Time{} },
+	}
+}
+
+// outageHasEnded makes an outage of the platform for the list of leafs end now.
+func (c *controller) outageHasEnded() {
+	ended := time.Now()
+	c.outageEnded = func(kind platform.Kind) time.Time {
+		if kind != platform.KindVM {
+			return time.Time{}
+		}
+		return ended
 	}
 }
 
@@ -124,7 +136,7 @@
 		if got := len(c.leafNames()); got != 2 {
 			t.Errorf("%d leafs after a removal, want 2", got)
 		}
-		c.platformFailed()
+		c.outageHasEnded()
 		c.leafsListed(platform.Listing{})
 		if got := len(c.leafNames()); got != 2 {
 			t.Errorf("%d leafs just after an outage, want 2", got)
@@ -141,21 +153,73 @@
 // TestRemovalAfterOutageHasEnded guards against a removed leaf that is kept in use for longer than
 // live leafs need to register again after an outage of the platform.
 func TestRemovalAfterOutageHasEnded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newTestController()
+		c.leafsListed(platform.Listing{Objects: []platform.Object{leafObject("a"), leafObject("b")}})
+		c.outageHasEnded()
+		time.Sleep(2 * time.Second)
+		c.leafChanged(platform.Event{Deleted: true, Object: platform.Object{Name: "a"}})
+		if got := c.leafNames(); len(got) != 1 || got[0] != "b" {
+			t.Errorf("leafs %v after a removal 2 s after the outage", got)
+		}
+	})
+}
+
+// TestRemovalAfterCutWatch guards against a removed leaf that is kept in use because a watch that
+// the platform cut off counted as an outage.
+func TestRemovalAfterCutWatch(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		c := newTestController()
 		c.leafsListed(platform.Listing{Objects: []platform.Object{leafObject("a"), leafObject("b")}})
 		watcher := c.watcher(platform.KindVM, c.leafsListed, c.leafChanged)
 		watcher.OnError(platform.ErrUnavailable)
-		time.Sleep(50 * time.Millisecond)
 		watcher.OnReply()
-		time.Sleep(2 * time.Second)
 		c.leafChanged(platform.Event{Deleted: true, Object: platform.Object{Name: "a"}})
 		if got := c.leafNames(); len(got) != 1 || got[0] != "b" {
-			t.Errorf("leafs %v after a removal 2 s after the outage", got)
+			t.Errorf("leafs %v after a removal beside a cut watch", got)
 		}
 	})
 }
 
+// TestRemovalAfterOutageIsNotPutOff guards against a removed leaf that is kept for longer with each
+// further outage.
+func TestRemovalAfterOutageIsNotPutOff(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newTestController()
+		c.leafsListed(platform.Listing{Objects: []platform.Object{leafObject("a"), leafObject("b")}})
+		c.outageHasEnded()
+		c.leafChanged(platform.Event{Deleted: true, Object: platform.Object{Name: "a"}})
+		time.Sleep(1500 * time.Millisecond)
+		c.outageHasEnded()
+		c.leafsListed(platform.Listing{Objects: []platform.Object{leafObject("b")}})
+		time.Sleep(600 * time.Millisecond)
+		if got := c.leafNames(); len(got) != 1 || got[0] != "b" {
+			t.Errorf("leafs %v 2.1 s after the removal", got)
+		}
+	})
+}
+
+// TestOlderHeartbeatKeepsLeafDraining guards against a leaf that reported that it leaves and gets
+// work again, because the platform executed a heartbeat late that the leaf had sent before.
+func TestOlderHeartbeatKeepsLeafDraining(t *testing.T) {
+	c := newTestController()
+	put := func(heartbeat uint64, state platform.VMState) {
+		o := registration("a", 5, state)
+		o.Heartbeat = heartbeat
+		c.leafChanged(platform.Event{Object: o})
+	}
+	put(1, platform.VMLive)
+	put(57, platform.VMLeaving)
+	put(56, platform.VMLive)
+	checkUsable(t, c, "after the older heartbeat")
+	o := registration("a", 5, platform.VMLive)
+	o.Heartbeat = 56
+	c.leafsListed(platform.Listing{Objects: []platform.Object{o}})
+	checkUsable(t, c, "after a list of the older heartbeat")
+	put(58, platform.VMLive)
+	checkUsable(t, c, "after a newer heartbeat", "a")
+}
+
 // tooOldOnce is a platform that has no history for the first watch, and lists the given leafs one
 // list after the other.
 type tooOldOnce struct {
--- a/internal/node/gateway/leafs.go
+++ b/internal/node/gateway/leafs.go
@@ -18,6 +18,8 @@
 	// pendingRemovals are the timers of leafs without a registration, by id.
 	pendingRemovals map[string]*time.Timer
 	departures      drain.Departures
+	// restoredAt is when a list of a new era was read.
+	restoredAt time.Time
 	// heldUntil is until when entries of a list may be those of leafs that had left, after
 	// the platform was restored from an older copy.
 	heldUntil time.Time
@@ -58,8 +60,8 @@
 		return
 	}
 	hold := drain.RestoreHold(c.heartbeat)
-	c.leafs.heldUntil = time.Now().Add(hold)
-	c.platformFailed()
+	c.leafs.restoredAt = time.Now()
+	c.leafs.heldUntil = c.leafs.restoredAt.Add(hold)
 	time.AfterFunc(hold, c.releaseHeld)
 	c.log.WithFields(log.Fields{"era": era, "hold": hold}).Warn("platform restored from an older copy")
 }
@@ -115,9 +117,9 @@
 	c.putLeaf(event.Object)
 }
 
-// putLeaf adds or updates a leaf. A leaf whose entry cannot be parsed is removed. Requests that
-// wait for a connection to a leaf that leaves, or to an earlier run of the leaf, go to others. The
-// caller holds c.mu.
+// putLeaf adds or updates a leaf. A leaf whose entry cannot be parsed is removed; an entry that an
+// older heartbeat wrote is ignored. Requests that wait for a connection to a leaf that leaves, or to
+// an earlier run of the leaf, go to others. The caller holds c.mu.
 func (c *controller) putLeaf(object platform.Object) {
 	next, err := c.adapter.DecodeLeaf(object)
 	if err != nil {
@@ -125,9 +127,15 @@
 		c.removeLeaf(object.Name, "not readable")
 		return
 	}
+	next.Heartbeat = object.Heartbeat
 	c.cancelRemoval(next.VM.ID)
 	c.leafs.departures.Forget(next.VM.ID)
 	old, known := c.groups.Find(next.VM.ID)
+	if known && drain.IsOvertaken(next, old) {
+		fields := log.Fields{"leaf": next.VM.ID, "state": string(next.VM.State), "heartbeat": next.Heartbeat, "in_use": old.Heartbeat, "revision": platform.Revision(object.Version)}
+		c.log.WithFields(fields).Info("older heartbeat of leaf ignored")
+		return
+	}
 	replaced := known && (old.Incarnation != next.Incarnation || old.VM.Address != next.VM.Address || old.VM.Group != next.VM.Group)
 	if replaced {
 		c.leafClient.RemoveLeaf(next.VM.ID)
@@ -178,6 +186,18 @@
 		}
 	})
 	c.leafs.pendingRemovals[id] = timer
+	c.metrics.LeafKept()
+	c.log.WithFields(log.Fields{"leaf": id, "cause": cause, "for": gracePeriod}).Info("leaf without a registration kept")
+}
+
+// removalGracePeriod returns how long a leaf without a registration is kept. The caller holds
+// c.mu.
+func (c *controller) removalGracePeriod() time.Duration {
+	ended := c.outageEnded(platform.KindVM)
+	if c.leafs.restoredAt.After(ended) {
+		ended = c.leafs.restoredAt
+	}
+	return drain.RemovalGracePeriod(ended, time.Now())
 }
 
 // cancelRemoval keeps a leaf that is registered again. The caller holds c.mu.
--- a/internal/node/gateway/wiring.go
+++ b/internal/node/gateway/wiring.go
@@ -64,9 +64,11 @@
 		Address:          s.Node.PeerAddress,
 		Seeds:            s.Node.BootstrapPeers,
 		Mirror:           localMirror,
+		Heartbeat:        s.Forward.LeafHeartbeat(),
 		OnReport:         g.Receive,
 		OnReportsSent:    collectors.QuarantineReports,
 		Quarantines:      g.Entries,
+		OnReadFailed:     collectors.PlatformReadFailed,
 		Log:              logger,
 		OnMembersChanged: func(members []membership.Member) {
 			r.setMembers(members)
@@ -170,6 +172,7 @@
 		followsEvacuations: s.Forward.HasEvacuations(),
 		setCold:            f.SetCold,
 		confirmedAt:        client.Confirmed,
+		outageEnded:        client.OutageEnded,
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	r.onAssignment = func() {
--- a/internal/protocol/platform/platform.go
+++ b/internal/protocol/platform/platform.go
@@ -54,6 +54,9 @@
 	// Version increases with every change of any object; 0 means not stored.
 	Version uint64          `json:"version"`
 	Value   json.RawMessage `json:"value"`
+	// Heartbeat counts the writes of the object's writer since its start; 0 if it does not
+	// count them. A heartbeat alone is no change of the object.
+	Heartbeat uint64 `json:"-"`
 }
 
 // Listing is a consistent list of a kind's objects.
@@ -98,6 +101,13 @@
 	PutStatus(ctx context.Context, kind Kind, name string, value json.RawMessage) error
 }
 
+// Poller is a Client whose watches are long polls.
+type Poller interface {
+	// Poll calls onEvent for every change of a kind after version from that there is now, then
+	// with the progress, and returns. It fails as Watch does.
+	Poll(ctx context.Context, kind Kind, from uint64, onEvent func(Event) error) error
+}
+
 // Errors of the object API.
 var (
 	ErrNotFound    = errors.New("object not found")
--- a/internal/transport/mesh/mesh.go
+++ b/internal/transport/mesh/mesh.go
@@ -49,6 +49,9 @@
 	// Seeds are addresses of the nodes to join through; they may be stale.
 	Seeds  []string
 	Mirror *mirror.Mirror
+	// Heartbeat is the time between two heartbeats of a leaf at the platform, which is the
+	// length of the shortest outage in which registrations may expire.
+	Heartbeat time.Duration
 	// OnReport is called with each quarantine report of another node; if nil, the
 	// call of the other node fails.
 	OnReport func(quarantine.Report)
@@ -57,7 +60,10 @@
 	Quarantines func() []quarantine.Entry
 	// OnReportsSent is called with the result for n reports to another node; it may be nil.
 	OnReportsSent func(result string, n int)
-	Log           log.Interface
+	// OnReadFailed is called with the kind of each list or watch of the platform that failed;
+	// it may be nil.
+	OnReadFailed func(kind string)
+	Log          log.Interface
 	// OnMembersChanged is called with the present members after each change; it may
 	// be nil.
 	OnMembersChanged func([]messages.Member)
@@ -80,6 +86,7 @@
 	// contacts are the addresses that the platform lists, besides the seeds.
 	contacts atomic.Pointer[[]string]
 
+	outages outages
 	streams sync.Map // node -> *batchStream
 	reports *reportSender
 	// crashAttributed holds a value after this node has attributed a crash, until
