--- a/internal/coordination/drain/removal.go
+++ b/internal/coordination/drain/removal.go
@@ -11,8 +11,8 @@
 	failureTTL = 4 * time.Second
 )
 
-// Outage tells outages of the platform, in which registrations may expire, from single reads that
-// failed. A node that loses its own way to the platform has an outage of its own, since leafs near
+// Outage distinguishes outages of the platform, in which registrations may expire, from single
+// reads that failed. A node that loses its own way to the platform has an outage of its own, since leafs near
 // it may have lost theirs too. The zero value has seen none.
 type Outage struct {
 	// since is from when on reads of this node have failed, zero if the last one succeeded;
--- a/internal/coordination/drain/removal_test.go
+++ b/internal/coordination/drain/removal_test.go
@@ -69,7 +69,7 @@
 	}
 }
 
-// TestFailingSince checks what a node tells the nodes that follow it: that reads have failed since
+// TestFailingSince checks what a node reports to its followers: that reads have failed since
 // its copy was confirmed, by its own account or that of its source.
 func TestFailingSince(t *testing.T) {
 	at := func(seconds int) time.Time { return start.Add(time.Duration(seconds) * time.Second) }
--- a/internal/transport/mesh/outages.go
+++ b/internal/transport/mesh/outages.go
@@ -61,7 +61,7 @@
 	})
 }
 
-// report tells another node what this one knows of outages of the platform itself. It omits one
+// report adds what this node knows of outages of the platform itself to a reply. It omits one
 // whose end is so long ago that leafs have registered again.
 func (m *Mesh) report(kind platform.Kind, confirmed time.Time, reply *contract.FollowReply) {
 	var ended, failing time.Time
